--- /dev/null
+++ b/core/coordination/admission/msg.go
@@ -0,0 +1,82 @@
+package admission
+
+import (
+	"time"
+
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/hint"
+	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/state/rule"
+)
+
+// Msg is an input of Model.Update.
+type Msg interface{ msg() }
+
+// Arrive reports a new attempt.
+type Arrive struct {
+	ID       attempt.ID
+	Deadline time.Time
+	Priority rule.Level
+}
+
+// Cancel asks that an attempt that has not started never start; the answer is Cancelled or Running.
+type Cancel struct{ ID attempt.ID }
+
+// Done reports the end of a started attempt.
+type Done struct {
+	ID      attempt.ID
+	Result  Result
+	Latency time.Duration
+}
+
+// Backend reports the announced state of the back end.
+type Backend struct{ State State }
+
+// Limits reports the rules in force for the back end.
+type Limits struct {
+	Slots  int
+	Queue  int
+	Cold   int
+	Reason refusal.Reason // ZoneOut or BackendOut while the rules take it out, else None
+}
+
+// Tick lets time pass: expired attempts leave the queue.
+type Tick struct{}
+
+func (Arrive) msg()  {}
+func (Cancel) msg()  {}
+func (Done) msg()    {}
+func (Backend) msg() {}
+func (Limits) msg()  {}
+func (Tick) msg()    {}
+
+// Cmd is an effect that Model.Update asks for.
+type Cmd interface{ cmd() }
+
+// Start lets an attempt go to the back end.
+type Start struct{ ID attempt.ID }
+
+// Refuse ends an attempt as not run; After is the wait to suggest to the caller.
+type Refuse struct {
+	ID     attempt.ID
+	Reason refusal.Reason
+	After  time.Duration
+}
+
+// Cancelled answers a Cancel: the attempt has not started and never will.
+type Cancelled struct{ ID attempt.ID }
+
+// Running answers a Cancel: the attempt has started.
+type Running struct{ ID attempt.ID }
+
+func (Start) cmd()     {}
+func (Refuse) cmd()    {}
+func (Cancelled) cmd() {}
+func (Running) cmd()   {}
+
+// View is a copy of the figures that hints and metrics need.
+type View struct {
+	Hint  hint.Hint
+	State State
+	Cap   int
+}
--- /dev/null
+++ b/core/protocol/attempt/header.go
@@ -0,0 +1,18 @@
+package attempt
+
+// Names of the HTTP headers between callers and nodes and between nodes.
+const (
+	HeaderAttempt     = "Pollenhill-Attempt"
+	HeaderIncarnation = "Pollenhill-Incarnation"
+	HeaderDeadline    = "Pollenhill-Deadline" // remaining milliseconds
+	HeaderDepth       = "Pollenhill-Depth"
+	HeaderRevision    = "Pollenhill-Revision"
+	HeaderPriority    = "Pollenhill-Priority"
+	HeaderService     = "Pollenhill-Service"
+	HeaderOutcome     = "Pollenhill-Outcome"
+	HeaderHint        = "Pollenhill-Hint"
+	HeaderClock       = "Pollenhill-Clock" // hybrid logical clock of the sender
+)
+
+// MaxDepth is the deepest call chain that nodes accept.
+const MaxDepth = 25
--- /dev/null
+++ b/core/protocol/attempt/id.go
@@ -0,0 +1,37 @@
+package attempt
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ID identifies one attempt; no two attempts of any two node incarnations share an ID.
+type ID struct {
+	Node        string
+	Incarnation uint64
+	Sequence    uint64
+}
+
+// String returns the form that Parse reads: node/incarnation/sequence.
+func (id ID) String() string {
+	return id.Node + "/" + strconv.FormatUint(id.Incarnation, 10) + "/" + strconv.FormatUint(id.Sequence, 10)
+}
+
+// Parse reads the form written by String.
+func Parse(s string) (ID, error) {
+	parts := strings.Split(s, "/")
+	if len(parts) != 3 || parts[0] == "" {
+		return ID{}, errors.Newf("parse attempt ID %q: want node/incarnation/sequence", s)
+	}
+	incarnation, err := strconv.ParseUint(parts[1], 10, 64)
+	if err != nil {
+		return ID{}, errors.Wrapf(err, "parse attempt ID %q: incarnation", s)
+	}
+	sequence, err := strconv.ParseUint(parts[2], 10, 64)
+	if err != nil {
+		return ID{}, errors.Wrapf(err, "parse attempt ID %q: sequence", s)
+	}
+	return ID{Node: parts[0], Incarnation: incarnation, Sequence: sequence}, nil
+}
--- /dev/null
+++ b/core/protocol/control/controlconnect/doc.go
@@ -0,0 +1,2 @@
+// Package controlconnect holds the generated connect-go clients and handlers of package control.
+package controlconnect
--- /dev/null
+++ b/core/state/event/kind.go
@@ -0,0 +1,25 @@
+package event
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Kind -linecomment
+
+// Kind is the number of a log event; numbers are never reused.
+type Kind int
+
+// Kinds by program: 1000 node, 2000 control, 3000 standin, 4000 lab.
+const (
+	NodeStarted    Kind = iota + 1000 // node started
+	NodeStopping                      // node stopping
+	NodeStopped                       // node stopped
+	BackendState                      // back end state changed
+	AttemptRefused                    // attempt refused
+	RulesInForce                      // rules in force
+)
+
+// Kinds of control events.
+const (
+	ControlStarted Kind = iota + 2000 // control started
+	ControlStopped                    // control stopped
+	LeaderChanged                     // leader changed
+	ChangeAccepted                    // change accepted
+	ChangeRejected                    // change rejected
+)
--- /dev/null
+++ b/core/state/rule/doc.go
@@ -0,0 +1,2 @@
+// Package rule parses, checks and compares the operators' rule file.
+package rule
--- /dev/null
+++ b/core/state/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings loads a program's JSON settings and names the path of a wrong field.
+package settings
--- /dev/null
+++ b/lab/doc.go
@@ -0,0 +1,2 @@
+// Command lab sends load, drives the demo and runs policy experiments.
+package main
--- /dev/null
+++ b/pollenhill/doc.go
@@ -0,0 +1,2 @@
+// Command pollenhill is the read-only command-line client for operators.
+package main
--- /dev/null
+++ b/pollenhill/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
