--- a/core/state/rule/set.go
+++ b/core/state/rule/set.go
@@ -4,13 +4,15 @@
 	"time"
 )
 
-// Set is the compiled form of one accepted rule file; it is immutable after Compile.
+// Set is the compiled form of one accepted rule file; it is immutable after Parse.
 type Set struct {
 	Revision uint64 // consensus revision at which the text came into force
 	Number   uint64 // number on the change line
 	Zones    map[string]Zone
 	Services map[string]Service
 	Backends map[string]bool // back ends taken out, by name
+
+	routes []route
 }
 
 // Zone is one availability zone.
@@ -37,6 +39,8 @@
 	Cold        int   // requests at once that a cold back end may get
 	Spill       Ratio // zone load above which calls spill to other zones
 	Priorities  []Priority
+
+	full bool // defaults are filled in, so that a zero is meant
 }
 
 // Match is a set of methods under a path prefix.
