Watch the operators' rule file and answer edits beside it

Cause: operators change pollenhill by saving one file; editors truncate, rename and replace it, answers get lost, and two operators use the same number.

--- /dev/null
+++ b/control/transport/operator/model.go
@@ -0,0 +1,235 @@
+package operator
+
+import (
+	"strings"
+	"time"
+
+	"pollenhill.example/core/state/rule"
+)
+
+// maxKnown bounds the hashes of accepted texts: two weeks at the target of 14,000 changes a day, in a few megabytes.
+const maxKnown = 200_000
+
+// Times are the delays of a Model; zero values mean the defaults.
+type Times struct {
+	Settle     time.Duration // a text counts once it has not changed for this long
+	Unfinished time.Duration // the same for a text without final newline, which may still be being written
+	Retry      time.Duration // pause before a submission without verdict is repeated
+}
+
+// Default delays. Editors finish a save within a few milliseconds; copies over a slow link take longer and
+// mostly stop in the middle of a line.
+const (
+	DefaultSettle     = 300 * time.Millisecond
+	DefaultUnfinished = 3 * time.Second
+	DefaultRetry      = 500 * time.Millisecond
+)
+
+func (t Times) defaults() Times {
+	if t.Settle == 0 {
+		t.Settle = DefaultSettle
+	}
+	if t.Unfinished == 0 {
+		t.Unfinished = max(DefaultUnfinished, t.Settle)
+	}
+	if t.Retry == 0 {
+		t.Retry = DefaultRetry
+	}
+	return t
+}
+
+// pending is a submission without final verdict.
+type pending struct {
+	id     uint64
+	set    *rule.Set
+	text   string
+	base   Accepted  // rules in force when it was submitted
+	repeat time.Time // zero while the submission runs
+}
+
+// Model decides what happens to the rule file of one control process. It is not safe for concurrent use.
+type Model struct {
+	times Times
+
+	force  Accepted
+	known  map[uint64]bool // hashes of accepted texts
+	order  []uint64        // the same, oldest first
+	seen   Observed
+	read   bool      // seen is valid
+	since  time.Time // first reading of seen
+	done   bool      // seen has settled and was handled
+	sent   uint64    // ID of the last submission
+	wait   *pending
+	answer string
+}
+
+// NewModel returns a Model that has seen nothing yet.
+func NewModel(times Times) *Model {
+	return &Model{times: times.defaults(), known: map[uint64]bool{}}
+}
+
+// Update takes one message and returns the effects that it asks for.
+func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	switch msg := msg.(type) {
+	case Observed:
+		return m.observed(now, msg)
+	case Accepted:
+		return m.accepted(msg)
+	case Answered:
+		return m.answered(now, msg)
+	}
+	return nil
+}
+
+func (m *Model) observed(now time.Time, file Observed) []Cmd {
+	if !m.read || file != m.seen {
+		m.seen, m.read, m.since, m.done = file, true, now, false
+		m.wait = nil
+	}
+	if due := m.since.Add(m.settle()); !m.done && now.Before(due) {
+		return []Cmd{Wake{At: due}}
+	}
+	if !m.done {
+		m.done = true
+		return m.handle()
+	}
+	if m.stale() {
+		return m.update() // the last Rewrite failed
+	}
+	return m.repeat(now)
+}
+
+// stale reports whether the file holds accepted rules that are no longer in force.
+func (m *Model) stale() bool {
+	if m.seen.Missing || m.seen.Error != "" || m.seen.Text == m.force.Text {
+		return false
+	}
+	return m.force.Number > 0 && m.known[rule.Hash(m.seen.Text)]
+}
+
+func (m *Model) settle() time.Duration {
+	if m.seen.Text != "" && !strings.HasSuffix(m.seen.Text, "\n") {
+		return m.times.Unfinished
+	}
+	return m.times.Settle
+}
+
+// repeat submits again what has no verdict yet: the same number and the same bytes get the same verdict.
+func (m *Model) repeat(now time.Time) []Cmd {
+	if m.wait == nil || m.wait.repeat.IsZero() {
+		return nil
+	}
+	if now.Before(m.wait.repeat) {
+		return []Cmd{Wake{At: m.wait.repeat}}
+	}
+	m.wait.repeat = time.Time{}
+	return m.submit()
+}
+
+// handle decides about a text that has settled.
+func (m *Model) handle() []Cmd {
+	text := m.seen.Text
+	switch {
+	case m.seen.Error != "":
+		return m.say(unreadable(m.seen.Error, m.force))
+	case m.seen.Missing:
+		return m.say(missing(m.force))
+	case m.force.Number > 0 && text == m.force.Text:
+		return m.say(inForce(m.force))
+	case m.stale():
+		return m.update()
+	}
+	set, err := rule.Parse(text)
+	if err != nil {
+		return m.say(problems(err, m.force))
+	}
+	m.wait = &pending{set: set, text: text, base: m.force}
+	return m.submit()
+}
+
+func (m *Model) submit() []Cmd {
+	m.sent++
+	m.wait.id = m.sent
+	return []Cmd{Submit{ID: m.sent, Number: m.wait.set.Number, Text: m.wait.text}}
+}
+
+// update replaces an accepted text that is no longer in force.
+func (m *Model) update() []Cmd {
+	cmds := m.say(updated(m.seen.Text, m.force))
+	return append(cmds, Rewrite{Expect: m.seen.Text, Text: m.force.Text})
+}
+
+// say writes the answer if it is a new one.
+func (m *Model) say(text string) []Cmd {
+	if text == m.answer {
+		return nil
+	}
+	m.answer = text
+	return []Cmd{Answer{Text: text}}
+}
+
+func (m *Model) learn(hash uint64) {
+	if m.known[hash] {
+		return
+	}
+	m.known[hash] = true
+	m.order = append(m.order, hash)
+	if len(m.order) > maxKnown {
+		delete(m.known, m.order[0])
+		m.order = m.order[1:]
+	}
+}
+
+func (m *Model) accepted(rules Accepted) []Cmd {
+	for _, hash := range rules.Earlier {
+		m.learn(hash)
+	}
+	m.learn(rule.Hash(rules.Text))
+	if rules.Number <= m.force.Number {
+		return nil
+	}
+	m.force = Accepted{Number: rules.Number, Text: rules.Text}
+	switch {
+	case !m.done || m.seen.Missing || m.seen.Error != "":
+		return nil
+	case m.seen.Text == rules.Text && m.wait != nil:
+		return m.finish(Verdict{Kind: Accept})
+	case m.seen.Text == rules.Text:
+		return m.say(inForce(m.force))
+	case m.stale():
+		m.wait = nil
+		return m.update()
+	}
+	return nil
+}
+
+func (m *Model) answered(now time.Time, msg Answered) []Cmd {
+	if m.wait == nil || msg.ID != m.wait.id {
+		return nil
+	}
+	if msg.Err != nil {
+		m.wait.repeat = now.Add(m.times.Retry)
+		return append(m.say(undecided(m.wait, msg.Err)), Wake{At: m.wait.repeat})
+	}
+	return m.finish(msg.Verdict)
+}
+
+// finish answers the pending submission.
+func (m *Model) finish(v Verdict) []Cmd {
+	w := m.wait
+	m.wait = nil
+	switch v.Kind {
+	case Accept:
+		m.learn(rule.Hash(w.text))
+		if w.set.Number < m.force.Number {
+			return m.update()
+		}
+		m.force = Accepted{Number: w.set.Number, Text: w.text}
+		return m.say(acceptance(w))
+	case Reject:
+		m.learn(rule.Hash(v.Text))
+		return m.say(rejection(w, v, m.force))
+	default:
+		return m.say(disorder(w, v))
+	}
+}
--- a/core/state/rule/parse.go
+++ b/core/state/rule/parse.go
@@ -81,7 +81,7 @@
 func (p *parser) encoding(text string) bool {
 	first := line{no: 1}
 	if len(text) > MaxSize {
-		p.bad(first, 0, "", "the file has %d bytes; at most %d are allowed", len(text), MaxSize)
+		p.bad(first, 0, "", "the file is larger than %d bytes", MaxSize)
 		return false
 	}
 	if strings.HasPrefix(text, bom) {
--- a/core/state/rule/parse_test.go
+++ b/core/state/rule/parse_test.go
@@ -221,7 +221,7 @@
 		"latin-1":        {ok + "# J\xf8rgen: x\n", "0xf8"},
 		"nul":            {ok + "\x00", "U+0000"},
 		"carriage":       {"format 1\rchange 7 # kari: test\r", "U+000D"},
-		"too large":      {ok + strings.Repeat("#\n", rule.MaxSize/2), "at most 1048576"},
+		"too large":      {ok + strings.Repeat("#\n", rule.MaxSize/2), "larger than 1048576"},
 		"line separator": {ok + "# a\u2028b\n", "U+2028"},
 	}
 	for name, c := range cases {
