Add the stand-in back end

Cause: nodes and the demo need a back end with slots, cold start and faults. Change: program standin with lookups, reservations, downloads, health and load probes, announcements with a lease, faults that can be set while it runs, and counts that show overload and repeated reservations.

--- /dev/null
+++ b/core/state/settings/duration.go
@@ -0,0 +1,30 @@
+package settings
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Duration is a time.Duration written in JSON as text such as "250ms".
+type Duration time.Duration
+
+// UnmarshalJSON reads the text form of time.ParseDuration.
+func (d *Duration) UnmarshalJSON(raw []byte) error {
+	var text string
+	if err := json.Unmarshal(raw, &text); err != nil {
+		return errors.Wrapf(err, "read duration %s", raw)
+	}
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		return errors.Wrapf(err, "read duration %s", raw)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalJSON writes the text form.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
--- /dev/null
+++ b/standin/state/fault/doc.go
@@ -0,0 +1,2 @@
+// Package fault holds the misbehaviour that a stand-in back end shows.
+package fault
--- /dev/null
+++ b/standin/transport/caller/admin.go
@@ -0,0 +1,64 @@
+package caller
+
+import (
+	"maps"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"pollenhill.example/standin/coordination/capacity"
+	"pollenhill.example/standin/state/fault"
+)
+
+// Stats is the body of GET /stats on the admin listener.
+type Stats struct {
+	Name    string         `json:"name"`
+	Work    capacity.Stats `json:"work"`
+	Runs    map[string]int `json:"runs"`    // reservations run, by ID
+	Probing time.Duration  `json:"probing"` // nanoseconds spent on probes
+}
+
+// Admin returns the routes for tests and the demo; they listen apart from those of the node.
+func (s *Server) Admin() *fiber.App {
+	app := fiber.New()
+	app.Get("/stats", func(c fiber.Ctx) error { return c.JSON(s.Stats()) })
+	app.Post("/fault", s.setFaults)
+	app.Post("/chill", func(c fiber.Ctx) error { return s.chill(c) })
+	app.Post("/drain", func(c fiber.Ctx) error { return s.setDrain(c, true) })
+	app.Post("/undrain", func(c fiber.Ctx) error { return s.setDrain(c, false) })
+	return app
+}
+
+// Stats returns a copy of the counts.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Stats{Name: s.cfg.Name, Work: s.work.Stats(), Runs: maps.Clone(s.runs), Probing: s.probing}
+}
+
+func (s *Server) setFaults(c fiber.Ctx) error {
+	var faults fault.Set
+	if err := c.Bind().JSON(&faults); err != nil {
+		return c.Status(fiber.StatusBadRequest).SendString(err.Error())
+	}
+	s.mu.Lock()
+	s.faults = faults
+	s.mu.Unlock()
+	return c.SendStatus(fiber.StatusNoContent)
+}
+
+// chill makes the back end cold without announcing it.
+func (s *Server) chill(c fiber.Ctx) error {
+	s.mu.Lock()
+	s.work.Chill()
+	s.mu.Unlock()
+	return c.SendStatus(fiber.StatusNoContent)
+}
+
+func (s *Server) setDrain(c fiber.Ctx, drain bool) error {
+	s.mu.Lock()
+	s.drain = drain
+	s.mu.Unlock()
+	s.notify()
+	return c.SendStatus(fiber.StatusNoContent)
+}
--- /dev/null
+++ b/standin/transport/node/announcer.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	period  = time.Second     // a third of the 3 s lease, so that one lost announcement does no harm
+	timeout = 2 * time.Second // longest wait for the node
+)
+
+// Announcement is the body of POST /announce.
+type Announcement struct {
+	Name        string `json:"name"`
+	Service     string `json:"service"`
+	Address     string `json:"address"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	Zone        string `json:"zone"`
+	State       string `json:"state"` // cold, ready, draining or leaving
+}
+
+// Announcer renews the lease of one back end at its local node.
+type Announcer struct {
+	cfg    Config
+	client *fasthttp.HostClient
+}
+
+// Config says who announces to whom.
+type Config struct {
+	Node         netip.AddrPort // local listener of the node
+	Bind         netip.Addr     // source address of the announcements
+	Announcement func() Announcement
+	Failed       func(error) // called when an announcement fails; may be nil
+}
+
+// New returns an Announcer.
+func New(cfg Config) *Announcer {
+	dialer := &net.Dialer{Timeout: timeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(cfg.Bind, 0))}
+	return &Announcer{cfg: cfg, client: &fasthttp.HostClient{
+		Addr: cfg.Node.String(),
+		Dial: func(addr string) (net.Conn, error) { return dialer.Dial("tcp", addr) },
+	}}
+}
+
+// Run announces once per period and whenever changed delivers, until ctx ends.
+func (a *Announcer) Run(ctx context.Context, changed <-chan struct{}) {
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		if err := a.Announce(); err != nil && a.cfg.Failed != nil {
+			a.cfg.Failed(err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-changed:
+		}
+	}
+}
+
+// Announce sends one announcement and returns an error that names the node if it was not accepted.
+func (a *Announcer) Announce() error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	body, err := json.Marshal(a.cfg.Announcement())
+	if err != nil {
+		return errors.Wrap(err, "encode announcement")
+	}
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + a.cfg.Node.String() + "/announce")
+	req.Header.SetContentType("application/json")
+	req.SetBody(body)
+	if err := a.client.DoTimeout(req, resp, timeout); err != nil {
+		return errors.Wrapf(err, "announce to node %s", a.cfg.Node)
+	}
+	if code := resp.StatusCode(); code >= fasthttp.StatusMultipleChoices {
+		return errors.Newf("announce to node %s: status %d: %s", a.cfg.Node, code, resp.Body())
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/transport/node/doc.go
@@ -0,0 +1,2 @@
+// Package node announces a stand-in back end to its local node.
+package node
