Add the demo: callers, a zone move and checks of the invariants

Cause: the whole path needs a run with real processes that judges what callers were told against what back ends ran.

--- /dev/null
+++ b/lab/coordination/arrival/doc.go
@@ -0,0 +1,2 @@
+// Package arrival starts requests at random times that do not wait for earlier requests.
+package arrival
--- /dev/null
+++ b/lab/demo/run.go
@@ -0,0 +1,175 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollenhill.example/lab/coordination/arrival"
+	"pollenhill.example/lab/state/tally"
+	"pollenhill.example/lab/transport/node"
+)
+
+const (
+	lookupRate   = 400.0 // a second
+	reserveRate  = 60.0
+	keyedRate    = 20.0
+	downloadRate = 4.0
+	downloadSize = 4 << 20 // bytes
+	most         = 1024    // requests at once, per kind
+	timeout      = 10 * time.Second
+	phaseTime    = 7 * time.Second
+	readyTime    = 15 * time.Second // longest wait for the first whole answer of every service
+	outLimit     = 3 * time.Second  // a zone that is out gets no new work after this time
+)
+
+// run is the state of one demonstration.
+type run struct {
+	cfg     Config
+	callers []*node.Caller
+	table   *tally.Table
+	notes   *ledger
+	mu      sync.Mutex
+	phase   string
+}
+
+// Config says where the demonstration runs and where it prints.
+type Config struct {
+	Dir string
+	Out io.Writer
+}
+
+// Run sends load through the prepared processes, takes a zone out and back, and returns an error if an invariant broke.
+func Run(ctx context.Context, cfg Config) error {
+	r := &run{cfg: cfg, table: tally.New(), notes: newLedger()}
+	for _, v := range vms() {
+		r.callers = append(r.callers, node.New(node.Config{
+			Node: v.caller(), Bind: netip.MustParseAddr(callerAddress), Timeout: timeout, Host: bookingHost,
+		}))
+	}
+	if err := r.ready(ctx); err != nil {
+		return err
+	}
+	moved, err := r.load(ctx)
+	if err != nil {
+		return err
+	}
+	if err := r.table.Write(cfg.Out); err != nil {
+		return errors.Wrap(err, "print the table")
+	}
+	return r.verify(moved)
+}
+
+// ready waits until every node answers for every service.
+func (r *run) ready(ctx context.Context) error {
+	end := time.Now().Add(readyTime)
+	for _, c := range r.callers {
+		for {
+			a, b := c.Lookup("ready"), c.Download(1)
+			if a.Whole && b.Whole {
+				break
+			}
+			if time.Now().After(end) || ctx.Err() != nil {
+				return errors.Newf("not ready in %s: lookup status %d error %v, download status %d error %v", readyTime, a.Status, a.Err, b.Status, b.Err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// move records when the zone was taken out and when it was brought back.
+type move struct {
+	out  time.Time
+	back time.Time
+	work map[string]int // requests started per back end of the zone, outLimit after it was taken out
+}
+
+func (r *run) load(ctx context.Context) (move, error) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	r.enter("steady")
+	var wg sync.WaitGroup
+	r.start(ctx, &wg)
+	m, err := r.moveZone(ctx)
+	stop()
+	wg.Wait()
+	return m, err
+}
+
+// moveZone goes through the phases while the load runs.
+func (r *run) moveZone(ctx context.Context) (move, error) {
+	var m move
+	pause(ctx, phaseTime)
+	r.enter("zone out")
+	m.out = time.Now()
+	if err := edit(r.cfg.Dir, 2, "kari: rewiring tonight", "out zone oslo-b # kari: rewiring tonight\n"); err != nil {
+		return m, err
+	}
+	pause(ctx, outLimit)
+	m.work = startedIn("oslo-b")
+	pause(ctx, phaseTime-outLimit)
+	m.back = time.Now()
+	if now := startedIn("oslo-b"); !equal(m.work, now) {
+		return m, errors.Newf("zone oslo-b got new work %s after it was taken out: %v, then %v", outLimit, m.work, now)
+	}
+	r.enter("zone back")
+	if err := edit(r.cfg.Dir, 3, "kari: rewired", ""); err != nil {
+		return m, err
+	}
+	pause(ctx, phaseTime)
+	return m, ctx.Err()
+}
+
+func (r *run) start(ctx context.Context, wg *sync.WaitGroup) {
+	loads := []struct {
+		rate float64
+		do   func(n int)
+	}{
+		{lookupRate, r.lookup},
+		{reserveRate, r.reserve},
+		{keyedRate, r.keyed},
+		{downloadRate, r.download},
+	}
+	for seed, l := range loads {
+		p := arrival.New(arrival.Config{Rate: l.rate, Most: most, Rand: rand.New(rand.NewPCG(1, uint64(seed)))})
+		wg.Go(func() {
+			if dropped := p.Run(ctx, l.do); dropped > 0 {
+				fmt.Fprintf(r.cfg.Out, "%d requests were not sent: %d at once\n", dropped, most)
+			}
+		})
+	}
+}
+
+func (r *run) enter(phase string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.phase = phase
+}
+
+func (r *run) add(kind tally.Kind, phase string, res node.Result) {
+	r.table.Add(tally.Row{Phase: phase, Kind: kind}, res.Whole, res.Outcome, res.Latency)
+}
+
+func (r *run) now() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.phase
+}
+
+func (r *run) any(n int) *node.Caller {
+	return r.callers[n%len(r.callers)]
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/lab/demo/verify.go
@@ -0,0 +1,113 @@
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/lab/state/tally"
+)
+
+const statsTimeout = 5 * time.Second
+
+// stats is the part of a stand-in's GET /stats that the checks need.
+type stats struct {
+	Name string `json:"name"`
+	Work struct {
+		Started  int       `json:"Started"`
+		Last     time.Time `json:"Last"`
+		Over     int       `json:"Over"`
+		Overcold int       `json:"Overcold"`
+	} `json:"work"`
+	Runs    map[string]int `json:"runs"`
+	Probing time.Duration  `json:"probing"`
+}
+
+func readStats(v vm) (stats, error) {
+	var s stats
+	code, body, err := fasthttp.GetTimeout(nil, "http://"+v.admin().String()+"/stats", statsTimeout)
+	if err != nil || code != fasthttp.StatusOK {
+		return s, errors.Newf("read stats of %s: status %d, error %v", v.name, code, err)
+	}
+	return s, errors.Wrapf(json.Unmarshal(body, &s), "read stats of %s", v.name)
+}
+
+// startedIn returns the requests started so far by the back ends of a zone.
+func startedIn(zone string) map[string]int {
+	started := map[string]int{}
+	for _, v := range vms() {
+		if v.zone != zone {
+			continue
+		}
+		if s, err := readStats(v); err == nil {
+			started[v.name] = s.Work.Started
+		}
+	}
+	return started
+}
+
+func equal(a, b map[string]int) bool {
+	return len(a) == len(services) && maps.Equal(a, b)
+}
+
+// verify compares what callers were told with what back ends ran.
+func (r *run) verify(m move) error {
+	runs := map[string]int{}
+	var broken []string
+	elapsed := time.Since(m.out) + phaseTime
+	for _, v := range vms() {
+		s, err := readStats(v)
+		if err != nil {
+			return err
+		}
+		for id, n := range s.Runs {
+			runs[id] += n
+		}
+		share := s.Probing.Seconds() / (elapsed.Seconds() * slots)
+		fmt.Fprintf(r.cfg.Out, "%s: %d started, %d above the slots, %d above the cold limit, probes %.3f%% of slot time\n",
+			v.name, s.Work.Started, s.Work.Over, s.Work.Overcold, share*100)
+		if s.Work.Overcold > 0 || s.Work.Over > 0 {
+			broken = append(broken, fmt.Sprintf("%s got more than it can bear", v.name))
+		}
+		if share > 0.01 {
+			broken = append(broken, fmt.Sprintf("probes of %s took more than 1%% of slot time", v.name))
+		}
+	}
+	broken = append(broken, r.notes.check(runs, r.cfg.Out)...)
+	if n := r.table.Total(tally.Lookup); n.Whole < n.Sent {
+		broken = append(broken, fmt.Sprintf("%d of %d lookups failed at a load that two zones can bear", n.Sent-n.Whole, n.Sent))
+	}
+	if n := r.table.Total(tally.Download); n.Whole < n.Sent {
+		broken = append(broken, fmt.Sprintf("%d of %d downloads were not whole", n.Sent-n.Whole, n.Sent))
+	}
+	if len(broken) > 0 {
+		return errors.Newf("invariants broken: %q", broken)
+	}
+	fmt.Fprintln(r.cfg.Out, "no invariant was broken")
+	return nil
+}
+
+// check returns the reservations whose caller was told something that is not true.
+func (l *ledger) check(runs map[string]int, w io.Writer) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var broken []string
+	counts := map[attempt.Outcome]int{}
+	for id, results := range l.notes {
+		outcome := reported(results)
+		counts[outcome]++
+		n := runs[id]
+		wrong := n > 1 || outcome == attempt.Answered && n != 1 || outcome == attempt.NotRun && n != 0
+		if wrong {
+			broken = append(broken, fmt.Sprintf("reservation %s: reported %s, ran %d times", id, outcome, n))
+		}
+	}
+	fmt.Fprintf(w, "reservations: %d run once, %d not run, %d unknown\n", counts[attempt.Answered], counts[attempt.NotRun], counts[attempt.Unknown])
+	return broken
+}
--- a/lab/main.go
+++ b/lab/main.go
@@ -1,3 +1,27 @@
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"pollenhill.example/lab/demo"
+)
+
+func main() {
+	app := &cli.Command{
+		Name:     "lab",
+		Usage:    "load, demonstration and experiments",
+		Commands: []*cli.Command{demo.Command()},
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "lab:", err)
+		os.Exit(1)
+	}
+}
