--- /dev/null
+++ b/core/state/event/event_test.go
@@ -0,0 +1,109 @@
+package event_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pollenhill.example/core/state/event"
+)
+
+const (
+	catalogue = "../../../docs/events.md"
+	highest   = 5000 // above every event number
+)
+
+// Guards against event numbers that the operators' catalogue does not explain, and against stale rows.
+func TestCatalogueMatchesKinds(t *testing.T) {
+	raw, err := os.ReadFile(catalogue)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := strings.Count(string(raw), "\n| ") - 1 // less the head of the table
+	defined := 0
+	for n := range highest {
+		name := event.Kind(n).String()
+		if strings.HasPrefix(name, "Kind(") {
+			continue
+		}
+		defined++
+		if row := fmt.Sprintf("| %d | %s |", n, name); !bytes.Contains(raw, []byte(row)) {
+			t.Errorf("docs/events.md has no row %q", row)
+		}
+	}
+	if rows != defined {
+		t.Errorf("docs/events.md has %d rows for %d events", rows, defined)
+	}
+}
+
+// Guards against two processes whose causally ordered events sort the wrong way round.
+func TestClockOrdersCauseBeforeEffect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		skew := rapid.SliceOfN(rapid.Int64Range(-5000, 5000), 2, 4).Draw(t, "skew")
+		steps := rapid.SliceOfN(rapid.IntRange(0, len(skew)-1), 2, 50).Draw(t, "steps")
+		now := int64(1_000_000)
+		clocks := make([]*event.Clock, len(skew))
+		for i := range skew {
+			clocks[i] = event.NewClock(func() time.Time { return time.UnixMicro(now + skew[i]) })
+		}
+		var last event.Stamp
+		for _, i := range steps {
+			now += rapid.Int64Range(0, 10).Draw(t, "pass")
+			clocks[i].Merge(last)
+			next := clocks[i].Next()
+			if next.Wall < last.Wall || next.Wall == last.Wall && next.Count <= last.Count {
+				t.Fatalf("stamp %v does not come after %v", next, last)
+			}
+			read, err := event.ParseStamp(next.String())
+			if err != nil || read != next {
+				t.Fatalf("stamp %v reads back as %v, error %v", next, read, err)
+			}
+			last = next
+		}
+	})
+}
+
+// Guards against event lines that the time line cannot merge.
+func TestOpenWritesStampedLines(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "events")
+	log, closing, err := event.Open("node-1", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log.Emit(event.NodeStarted)
+	log.Emit(event.NodeStopped)
+	if err := closing(); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range bytes.Lines(raw) {
+		var e struct {
+			Event   event.Kind `json:"event"`
+			Stamp   string     `json:"stamp"`
+			Process string     `json:"process"`
+		}
+		if err := json.Unmarshal(line, &e); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := event.ParseStamp(e.Stamp); err != nil || e.Process != "node-1" || e.Event == 0 {
+			t.Fatalf("line %s: error %v", line, err)
+		}
+	}
+}
+
+// Guards against a process that runs without writing the events it was told to write.
+func TestOpenRefusesAMissingFolder(t *testing.T) {
+	if _, _, err := event.Open("node-1", filepath.Join(t.TempDir(), "absent", "events")); err == nil {
+		t.Fatal("no error")
+	}
+}
