Add the replicated state machine and a single-member group

Cause: control has no durable state; the distribution of rules needs the group's signatures to build on.

--- /dev/null
+++ b/control/coordination/group/group_test.go
@@ -0,0 +1,47 @@
+package group_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"pollenhill.example/control/coordination/group"
+	"pollenhill.example/core/state/replica"
+)
+
+func single(t *testing.T, data string) *group.Group {
+	t.Helper()
+	g, err := group.Open(group.Config{
+		Name: "c1", Data: data,
+		Peers: []group.Peer{{Name: "c1", Address: netip.MustParseAddrPort("127.0.0.1:1")}},
+		Send:  func(string, [][]byte) {},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+// Guards against an accepted change that is lost by a restart.
+func TestSingleMemberKeepsChangesOverRestart(t *testing.T) {
+	data := t.TempDir()
+	g := single(t, data)
+	for n := uint64(1); n <= 3; n++ {
+		res, err := g.Propose(t.Context(), replica.Command{Kind: replica.Change, Number: n, Text: "text"})
+		if err != nil || res.Verdict != replica.Accepted {
+			t.Fatalf("change %d: %v %v", n, res.Verdict, err)
+		}
+	}
+	if err := g.Close(); err != nil {
+		t.Fatal(err)
+	}
+	g = single(t, data)
+	defer g.Close()
+	if err := g.Barrier(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	g.Read(func(r *replica.Replica) {
+		if r.Rules().Number != 3 {
+			t.Fatalf("number %d after the restart, want 3", r.Rules().Number)
+		}
+	})
+}
--- /dev/null
+++ b/core/state/replica/command.go
@@ -0,0 +1,170 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollenhill.example/core/state/field"
+)
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Kind,Verdict -linecomment -output=kind_string.go
+
+// Kind is the kind of a Command; the numbers are part of the log format.
+type Kind int
+
+// Kinds of commands.
+const (
+	None    Kind = iota // none
+	Change              // change
+	Claim               // claim
+	Finish              // finish
+	Release             // release
+	Join                // join
+	Leave               // leave
+)
+
+// Command is one input of the state machine; each kind uses only its own fields.
+type Command struct {
+	Kind Kind
+	Time time.Time // clock of the proposing control process, millisecond precision
+
+	Number uint64 // Change: number on the change line
+	Text   string // Change: whole rule file
+	Origin string // Change: control process whose file carried the change
+	Reason string // Change: comment of the change line
+
+	Service string // Claim, Finish, Release
+	Key     string // Claim, Finish, Release
+	Attempt string // Claim, Finish, Release
+	Print   uint64 // Claim: hash of method, path and body
+	Answer  Answer // Finish
+
+	Member Member // Join; Leave uses only the ID
+}
+
+// Answer is the first answer of a claimed request.
+type Answer struct {
+	Status int
+	Type   string // Content-Type
+	Body   []byte
+}
+
+// Member is one member of the control group.
+type Member struct {
+	ID      string // unique per data folder
+	Name    string
+	Address string // host:port
+	Region  string
+}
+
+// Encode returns the bytes of the command for the log.
+func (c Command) Encode() []byte {
+	var w field.Writer
+	w.Uint(1, uint64(c.Kind))
+	w.Int(2, millis(c.Time))
+	w.Uint(3, c.Number)
+	w.String(4, c.Text)
+	w.String(5, c.Origin)
+	w.String(6, c.Reason)
+	w.String(7, c.Service)
+	w.String(8, c.Key)
+	w.String(9, c.Attempt)
+	w.Uint(10, c.Print)
+	w.Nested(11, c.Answer.write)
+	w.Nested(12, c.Member.write)
+	return w.Done()
+}
+
+// DecodeCommand reads bytes written by Encode.
+func DecodeCommand(b []byte) (Command, error) {
+	var c Command
+	err := field.Read(b, func(f field.Field) error {
+		switch f.Number {
+		case 1:
+			c.Kind = Kind(f.Uint)
+		case 2:
+			c.Time = instant(f.Int())
+		case 3:
+			c.Number = f.Uint
+		case 4:
+			c.Text = f.Text()
+		case 5:
+			c.Origin = f.Text()
+		case 6:
+			c.Reason = f.Text()
+		case 7:
+			c.Service = f.Text()
+		case 8:
+			c.Key = f.Text()
+		case 9:
+			c.Attempt = f.Text()
+		case 10:
+			c.Print = f.Uint
+		case 11:
+			return c.Answer.read(f.Bytes)
+		case 12:
+			return c.Member.read(f.Bytes)
+		}
+		return nil
+	})
+	return c, errors.Wrap(err, "decode command")
+}
+
+func (a Answer) write(w *field.Writer) {
+	w.Uint(1, uint64(a.Status))
+	w.String(2, a.Type)
+	w.Bytes(3, a.Body)
+}
+
+func (a *Answer) read(b []byte) error {
+	return field.Read(b, func(f field.Field) error {
+		switch f.Number {
+		case 1:
+			a.Status = int(f.Uint)
+		case 2:
+			a.Type = f.Text()
+		case 3:
+			a.Body = f.Clone()
+		}
+		return nil
+	})
+}
+
+func (m Member) write(w *field.Writer) {
+	w.String(1, m.ID)
+	w.String(2, m.Name)
+	w.String(3, m.Address)
+	w.String(4, m.Region)
+}
+
+func (m *Member) read(b []byte) error {
+	return field.Read(b, func(f field.Field) error {
+		switch f.Number {
+		case 1:
+			m.ID = f.Text()
+		case 2:
+			m.Name = f.Text()
+		case 3:
+			m.Address = f.Text()
+		case 4:
+			m.Region = f.Text()
+		}
+		return nil
+	})
+}
+
+// millis and instant keep the zero time as 0, so that commands without a time do not move the clock.
+func millis(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+func instant(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms).UTC()
+}
--- /dev/null
+++ b/core/state/replica/doc.go
@@ -0,0 +1,2 @@
+// Package replica is the replicated state machine of the control group: rules, claims and members.
+package replica
