Share the layout of processes between lab commands

Cause: a measurement with 60 nodes needs the settings that the demo writes. Change: lab/state/layout places processes on loopback addresses and writes settings and rule files; the demo uses it. Result: lab demo prepare writes 13 settings files; not yet run with nodes.

--- a/lab/demo/layout.go
+++ b/lab/demo/layout.go
@@ -1,59 +1,46 @@
 package demo
 
-import (
-	"fmt"
-	"net/netip"
-	"path/filepath"
-
-	"github.com/samber/lo"
-)
+import "pollenhill.example/lab/state/layout"
 
 const (
-	controlAddress = "127.1.0.1:7000"
-	callerAddress  = "127.1.9.1" // source address of the callers
-	bookingHost    = "booking.example"
-	slots          = 12
-	connections    = 240
-	cold           = 2 // requests at once that a stand-in bears in cold start
-	warm           = 40
-	mean           = "10ms"
-	probe          = "6ms"
+	control       = "control-1"
+	callerAddress = "127.1.9.1" // source address of the callers
+	bookingHost   = "booking.example"
+	slots         = 12
+	movedZone     = "oslo-b"
 )
 
-// zones of the demo; two nodes run in each, the first beside a booking, the second beside a records back end.
-var zones = []string{"oslo-a", "oslo-b", "oslo-c"}
-
-var services = []string{"booking", "records"}
-
-// vm is one VM of the demo with its node and its back end.
-type vm struct {
-	name    string
-	zone    string
-	service string
-	ip      netip.Addr
+// fleet returns 1 control process and 3 zones, each with a booking and a records back end.
+func fleet(dir string) layout.Fleet {
+	return layout.Fleet{
+		Dir:      dir,
+		Zones:    []layout.Zone{{Name: "oslo-a", Region: "oslo"}, {Name: movedZone, Region: "oslo"}, {Name: "oslo-c", Region: "oslo"}},
+		Services: []string{"booking", "records"},
+		PerZone:  2,
+		Controls: 1,
+		Backend:  layout.Backend{Slots: slots, Connections: 240, Cold: 2, Warm: 40, Mean: "10ms", Probe: "6ms"},
+	}
 }
 
-func vms() []vm {
-	return lo.FlatMap(zones, func(zone string, z int) []vm {
-		return lo.Map(services, func(service string, i int) vm {
-			return vm{
-				name:    fmt.Sprintf("%s-%s", service, zone),
-				zone:    zone,
-				service: service,
-				ip:      netip.AddrFrom4([4]byte{127, 1, byte(z + 1), byte(i + 1)}),
-			}
-		})
-	})
+// Prepare writes the settings and the rule file of every process into dir.
+func Prepare(dir string) error {
+	f := fleet(dir)
+	if err := f.Write(); err != nil {
+		return err
+	}
+	return f.Edit(control, 1, "ola: first day", serviceRules)
 }
 
-func (v vm) address(port uint16) netip.AddrPort { return netip.AddrPortFrom(v.ip, port) }
-func (v vm) caller() netip.AddrPort             { return v.address(8080) }
-func (v vm) peer() netip.AddrPort               { return v.address(8081) }
-func (v vm) local() netip.AddrPort              { return v.address(8082) }
-func (v vm) backend() netip.AddrPort            { return v.address(9000) }
-func (v vm) admin() netip.AddrPort              { return v.address(9001) }
-
-// rulesFile is the file that the operators of the demo edit.
-func rulesFile(dir string) string {
-	return filepath.Join(dir, "rules.txt")
-}
+const serviceRules = `service booking host=booking.example path=/ # kari: boat booking
+service records host=booking.example path=/book # kari: logbooks to download
+limit booking slots=12 connections=240 queue=24 # ola: size of a VM
+limit records slots=12 connections=240 queue=24 # ola: size of a VM
+deadline booking 2s # kari: rowers wait outside
+deadline records 20s # kari: large files
+cold booking 2 # ola: what a new server bears
+cold records 2 # ola: what a new server bears
+probe booking 1% # ola: agreed budget
+probe records 1% # ola: agreed budget
+`
+
+const zoneOut = "out zone " + movedZone + " # kari: rewiring tonight\n"
