Add lab fleet: cost of control and time until a change is in force

Cause: the targets for 60 nodes need runs with real processes, also while the leader is killed or silent. Change: lab fleet prepare and run, fleet.sh, shell functions shared with demo.sh.

--- a/demo.sh
+++ b/demo.sh
@@ -5,19 +5,10 @@
 dir=out/demo
 rm -rf "$dir"
 mkdir -p "$dir"
+. ./processes.sh
 bin/lab demo prepare --dir "$dir"
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" || { code=$?; [ "$code" = 127 ] || echo "process $pid ended with exit code $code"; }; done
-}
-trap cleanup EXIT
-start() { # program, settings name
-  "bin/$1" --settings "$dir/$2.json" >"$dir/$2.log" 2>&1 &
-  pids+=($!)
-}
-start control control-1
-for settings in "$dir"/node-*.json; do start node "$(basename "$settings" .json)"; done
-for settings in "$dir"/standin-*.json; do start standin "$(basename "$settings" .json)"; done
+trap stop_all EXIT
+start_all
 bin/lab demo run --dir "$dir"
-bin/pollenhill timeline "$dir"/*.events >"$dir/timeline.txt" && echo "time line: $dir/timeline.txt"
+bin/pollenhill timeline "$dir"/*.events >"$dir/timeline.txt"
+echo "time line: $dir/timeline.txt"
--- /dev/null
+++ b/lab/fleet/inforce.go
@@ -0,0 +1,46 @@
+package fleet
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollenhill.example/core/state/event"
+)
+
+// record is the part of an event line that the measurement needs.
+type record struct {
+	Event  event.Kind `json:"event"`
+	Stamp  string     `json:"stamp"`
+	Number uint64     `json:"number"`
+}
+
+// inForce returns when a node applied each change, by change number.
+func inForce(path string) (map[uint64]time.Time, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read events")
+	}
+	defer f.Close()
+	times := map[uint64]time.Time{}
+	for s := bufio.NewScanner(f); s.Scan(); {
+		var r record
+		if err := json.Unmarshal(s.Bytes(), &r); err != nil {
+			return nil, errors.Wrapf(err, "read events of %s", path)
+		}
+		if r.Event != event.RulesInForce {
+			continue
+		}
+		stamp, err := event.ParseStamp(r.Stamp)
+		if err != nil {
+			return nil, errors.Wrapf(err, "read events of %s", path)
+		}
+		if _, seen := times[r.Number]; !seen {
+			times[r.Number] = time.UnixMicro(stamp.Wall)
+		}
+	}
+	return times, nil
+}
--- /dev/null
+++ b/lab/fleet/layout.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+
+	"pollenhill.example/lab/state/layout"
+)
+
+// Config sets the size and the course of a measurement.
+type Config struct {
+	Dir      string
+	Controls int
+	Nodes    int // in each zone
+	Services int
+	Idle     time.Duration
+	Changes  int
+	Interval time.Duration
+	Fault    string
+	Out      io.Writer
+}
+
+func (cfg Config) fleet() layout.Fleet {
+	return layout.Fleet{
+		Dir: cfg.Dir,
+		Zones: lo.Times(5, func(i int) layout.Zone {
+			return layout.Zone{Name: fmt.Sprintf("zone-%d", i+1), Region: fmt.Sprintf("region-%d", i/2+1)}
+		}),
+		Services: lo.Times(cfg.Services, service),
+		PerZone:  cfg.Nodes,
+		Controls: cfg.Controls,
+		Backend:  layout.Backend{Slots: 12, Connections: 240, Cold: 2, Warm: 0, Mean: "10ms", Probe: "6ms"},
+	}
+}
+
+func service(i int) string { return fmt.Sprintf("s%d", i+1) }
+
+// body returns the rules below the header; seconds varies one deadline, as a small change does.
+func (cfg Config) body(seconds int) string {
+	var b strings.Builder
+	for i := range cfg.Services {
+		name := service(i)
+		fmt.Fprintf(&b, "service %s host=%s.example path=/ # kari: service of the measurement\n", name, name)
+		fmt.Fprintf(&b, "limit %s slots=12 connections=240 queue=24 # ola: size of a VM\n", name)
+		fmt.Fprintf(&b, "deadline %s %ds # kari: varies\n", name, 1+seconds%50)
+	}
+	return b.String()
+}
+
+// Prepare writes the settings of every process and the first rules.
+func Prepare(cfg Config) error {
+	f := cfg.fleet()
+	if err := f.Write(); err != nil {
+		return err
+	}
+	return f.Edit("control-1", 1, "ola: first day", cfg.body(1))
+}
--- a/lab/main.go
+++ b/lab/main.go
@@ -10,13 +10,14 @@
 	"github.com/urfave/cli/v3"
 
 	"pollenhill.example/lab/demo"
+	"pollenhill.example/lab/fleet"
 )
 
 func main() {
 	app := &cli.Command{
 		Name:     "lab",
 		Usage:    "load, demonstration and experiments",
-		Commands: []*cli.Command{demo.Command()},
+		Commands: []*cli.Command{demo.Command(), fleet.Command()},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
