Decide admission by deadline and priority, bound probes, retries and outliers

Cause: the first models only counted requests: no queue, no growth after a cold start, no memory of cancelled attempts, and a cancel after the end of a request was answered as not run although it had run. Change: admission has a cap that starts at the cold cap and grows on completed work, a bounded queue by priority and deadline, early refusal, memory of attempt IDs for at least ten minutes and paced warming of connections; choice ages hints, compares candidates drawn in proportion to their capacity and spills out of its zone by load; new packages outlier and probe; retry shares one budget between retries and hedges and shrinks under overload.

--- a/core/coordination/admission/model.go
+++ b/core/coordination/admission/model.go
@@ -8,44 +8,232 @@
 	"pollenhill.example/core/protocol/refusal"
 )
 
+// Waits suggested to refused callers; Retry-After has a resolution of one second.
+const (
+	busyWait = time.Second
+	goneWait = 3 * time.Second // lease of a back end
+)
+
 // Model is the admission state of one back end; it is not safe for concurrent use.
 type Model struct {
 	limits  Limits
 	state   State
 	started map[attempt.ID]time.Time
+	queue   queue
+	memory  memory
+	window  window
+	warmer  warmer
 }
 
 // New returns a Model with no back end.
 func New(limits Limits) *Model {
-	return &Model{limits: limits, started: map[attempt.ID]time.Time{}}
+	limits = limits.defaults()
+	return &Model{
+		limits:  limits,
+		started: map[attempt.ID]time.Time{},
+		window:  newWindow(limits),
+	}
 }
 
 // Update applies one message at the given time and returns the effects.
 func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	cmds := m.expire(now)
 	switch msg := msg.(type) {
 	case Arrive:
-		return m.arrive(now, msg)
+		cmds = append(cmds, m.arrive(now, msg)...)
 	case Cancel:
-		return m.cancel(msg)
+		cmds = append(cmds, m.cancel(now, msg)...)
 	case Done:
-		delete(m.started, msg.ID)
+		m.done(now, msg)
 	case Backend:
-		m.state = msg.State
+		cmds = append(cmds, m.backend(msg)...)
+	case Check:
+		m.window.check(now, msg.OK)
+	case Closed:
+		m.closed(now, msg)
+	case Opened:
+		m.warmer.opened(msg.Count)
 	case Limits:
-		m.limits = msg
+		cmds = append(cmds, m.limit(msg)...)
 	}
-	return nil
+	cmds = append(cmds, m.pump(now)...)
+	return append(cmds, m.warmer.grow(now, m.limits, m.cap())...)
 }
 
 func (m *Model) arrive(now time.Time, msg Arrive) []Cmd {
-	if reason := m.refusal(now, msg); reason != refusal.None {
-		return []Cmd{Refuse{ID: msg.ID, Reason: reason, After: time.Second}}
+	switch m.memory.fate(now, msg.ID) {
+	case cancelled:
+		return []Cmd{Refuse{ID: msg.ID, Reason: refusal.Cancelled, After: busyWait}}
+	case seen, ran:
+		return []Cmd{Refuse{ID: msg.ID, Reason: refusal.Duplicate, After: busyWait}}
+	}
+	if _, ok := m.started[msg.ID]; ok {
+		return []Cmd{Refuse{ID: msg.ID, Reason: refusal.Duplicate, After: busyWait}}
+	}
+	m.memory.set(now, msg.ID, seen)
+	if reason := m.closedFor(); reason != refusal.None {
+		return []Cmd{Refuse{ID: msg.ID, Reason: reason, After: goneWait}}
+	}
+	if !m.finishes(now, msg) {
+		return []Cmd{Refuse{ID: msg.ID, Reason: refusal.Late, After: busyWait}}
+	}
+	if len(m.started) < m.cap() && len(m.queue) == 0 {
+		return []Cmd{m.start(now, msg)}
+	}
+	return m.enqueue(msg)
+}
+
+func (m *Model) enqueue(msg Arrive) []Cmd {
+	if len(m.queue) < m.limits.room(msg.Priority) {
+		m.queue.push(msg)
+		return nil
+	}
+	victim, ok := m.queue.evict(msg.Priority)
+	if !ok {
+		return []Cmd{Refuse{ID: msg.ID, Reason: m.fullReason(), After: busyWait}}
+	}
+	m.queue.push(msg)
+	return []Cmd{Refuse{ID: victim.ID, Reason: refusal.Shed, After: busyWait}}
+}
+
+// fullReason tells a full server from one that is held at its cold cap.
+func (m *Model) fullReason() refusal.Reason {
+	if m.state == Cold {
+		return refusal.Cold
 	}
+	if len(m.queue) < m.limits.Queue {
+		return refusal.Shed
+	}
+	return refusal.Full
+}
+
+func (m *Model) start(now time.Time, msg Arrive) Cmd {
 	m.started[msg.ID] = now
-	return []Cmd{Start{ID: msg.ID}}
+	m.memory.set(now, msg.ID, ran)
+	return Start{ID: msg.ID}
+}
+
+// pump starts queued attempts while the cap allows it.
+func (m *Model) pump(now time.Time) []Cmd {
+	var cmds []Cmd
+	for len(m.queue) > 0 && len(m.started) < m.cap() {
+		next := m.queue.pop()
+		if m.tooLate(now, next) {
+			cmds = append(cmds, Refuse{ID: next.ID, Reason: refusal.Late, After: busyWait})
+			continue
+		}
+		cmds = append(cmds, m.start(now, next))
+	}
+	return cmds
+}
+
+// expire refuses queued attempts that can no longer finish in time.
+func (m *Model) expire(now time.Time) []Cmd {
+	var cmds []Cmd
+	for _, a := range m.queue.remove(func(a Arrive) bool { return m.tooLate(now, a) }) {
+		cmds = append(cmds, Refuse{ID: a.ID, Reason: refusal.Late, After: busyWait})
+	}
+	return cmds
+}
+
+// flush refuses every queued attempt.
+func (m *Model) flush(reason refusal.Reason) []Cmd {
+	var cmds []Cmd
+	for _, a := range m.queue.remove(func(Arrive) bool { return true }) {
+		cmds = append(cmds, Refuse{ID: a.ID, Reason: reason, After: goneWait})
+	}
+	return cmds
+}
+
+// finishes says whether an arrival can be expected to finish before its deadline behind the queue.
+func (m *Model) finishes(now time.Time, a Arrive) bool {
+	if m.tooLate(now, a) {
+		return false
+	}
+	if len(m.started) < m.cap() {
+		return true
+	}
+	ahead := m.queue.ahead(a) + 1
+	wait := m.window.mean() * time.Duration(ahead) / time.Duration(max(1, m.cap()))
+	return now.Add(wait + m.window.median()).Before(a.Deadline)
+}
+
+// tooLate says that an attempt could not finish even if it started now. An idle back end takes any
+// attempt before its deadline, so that an outdated estimate cannot refuse everything for ever.
+func (m *Model) tooLate(now time.Time, a Arrive) bool {
+	if len(m.started) == 0 {
+		return !now.Before(a.Deadline)
+	}
+	return !now.Add(m.window.median()).Before(a.Deadline)
+}
+
+func (m *Model) cancel(now time.Time, msg Cancel) []Cmd {
+	if m.memory.fate(now, msg.ID) == ran {
+		return []Cmd{Running(msg)}
+	}
+	if _, ok := m.started[msg.ID]; ok {
+		return []Cmd{Running(msg)}
+	}
+	m.memory.set(now, msg.ID, cancelled)
+	cmds := []Cmd{Cancelled(msg)}
+	for _, a := range m.queue.remove(func(a Arrive) bool { return a.ID == msg.ID }) {
+		cmds = append(cmds, Refuse{ID: a.ID, Reason: refusal.Cancelled, After: busyWait})
+	}
+	return cmds
+}
+
+func (m *Model) done(now time.Time, msg Done) {
+	if _, ok := m.started[msg.ID]; !ok {
+		return
+	}
+	busy := len(m.started)
+	delete(m.started, msg.ID)
+	// Counted from the end, so that a cancel after a long download is still answered truthfully.
+	m.memory.set(now, msg.ID, ran)
+	m.window.done(now, msg, busy)
+	if msg.Result == Reset {
+		m.warmer.closed(1)
+	}
+}
+
+func (m *Model) backend(msg Backend) []Cmd {
+	before := m.state
+	m.state = msg.State
+	if before != msg.State {
+		m.window.restart()
+	}
+	if msg.State == Absent {
+		m.warmer = warmer{}
+	}
+	if reason := m.closedFor(); reason != refusal.None {
+		return m.flush(reason)
+	}
+	return nil
 }
 
-func (m *Model) refusal(now time.Time, msg Arrive) refusal.Reason {
+// closed handles connections that the back end closed: all of them at once mean a restart.
+func (m *Model) closed(now time.Time, msg Closed) {
+	m.warmer.closed(msg.Count)
+	if msg.All {
+		m.window.chill(now)
+	}
+}
+
+func (m *Model) limit(msg Limits) []Cmd {
+	back := m.limits.Reason != refusal.None && msg.Reason == refusal.None
+	m.limits = msg.defaults()
+	m.window.limits = m.limits
+	if back {
+		m.window.restart()
+	}
+	if reason := m.closedFor(); reason != refusal.None {
+		return m.flush(reason)
+	}
+	return nil
+}
+
+// closedFor returns why the back end gets no new work at all, or None.
+func (m *Model) closedFor() refusal.Reason {
 	switch {
 	case m.limits.Reason != refusal.None:
 		return m.limits.Reason
@@ -55,32 +243,29 @@
 		return refusal.Draining
 	case m.state == Leaving:
 		return refusal.Leaving
-	case !now.Before(msg.Deadline):
-		return refusal.Late
-	case len(m.started) >= m.cap():
-		return refusal.Full
 	}
 	return refusal.None
 }
 
-func (m *Model) cancel(msg Cancel) []Cmd {
-	if _, ok := m.started[msg.ID]; ok {
-		return []Cmd{Running(msg)}
-	}
-	return []Cmd{Cancelled(msg)}
-}
-
 func (m *Model) cap() int {
+	if m.closedFor() != refusal.None {
+		return 0
+	}
 	if m.state == Cold {
-		return m.limits.Cold
+		return min(m.limits.Cold, m.limits.Slots)
 	}
-	return m.limits.Slots
+	return m.window.cap()
 }
 
 // View returns the figures for hints and metrics.
 func (m *Model) View() View {
 	return View{
-		Hint:  hint.Hint{Inflight: len(m.started), Limit: m.cap()},
+		Hint: hint.Hint{
+			Inflight: len(m.started),
+			Queued:   len(m.queue),
+			Limit:    m.cap(),
+			Latency:  m.window.mean(),
+		},
 		State: m.state,
 		Cap:   m.cap(),
 	}
--- /dev/null
+++ b/core/coordination/admission/model_test.go
@@ -0,0 +1,277 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pollenhill.example/core/coordination/admission"
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/state/rule"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+var limits = admission.Limits{Slots: 12, Queue: 6, Cold: 2}
+
+func id(n int) attempt.ID { return attempt.ID{Node: "n", Incarnation: 1, Sequence: uint64(n)} }
+
+// checker follows what the model was told and what it answered.
+type checker struct {
+	t         *rapid.T
+	m         *admission.Model
+	now       time.Time
+	limits    admission.Limits
+	state     admission.State
+	running   map[attempt.ID]bool
+	pending   map[attempt.ID]bool // arrived and not answered
+	ran       map[attempt.ID]bool
+	never     map[attempt.ID]bool // refused or cancelled
+	duplicate attempt.ID
+}
+
+func (c *checker) send(msg admission.Msg) {
+	for _, cmd := range c.m.Update(c.now, msg) {
+		switch cmd := cmd.(type) {
+		case admission.Start:
+			c.start(cmd)
+		case admission.Refuse:
+			c.refuse(cmd)
+		case admission.Cancelled:
+			if c.ran[cmd.ID] {
+				c.t.Fatalf("%v: cancelled although it ran", cmd.ID)
+			}
+			c.never[cmd.ID] = true
+		case admission.Running:
+			if !c.ran[cmd.ID] {
+				c.t.Fatalf("%v: running although it never started", cmd.ID)
+			}
+		}
+	}
+}
+
+func (c *checker) start(cmd admission.Start) {
+	if !c.pending[cmd.ID] || c.never[cmd.ID] {
+		c.t.Fatalf("%v: started while not waiting, or after a refusal or cancel", cmd.ID)
+	}
+	if c.limits.Reason != refusal.None || (c.state != admission.Cold && c.state != admission.Ready) {
+		c.t.Fatalf("started in state %v, %v", c.state, c.limits.Reason)
+	}
+	delete(c.pending, cmd.ID)
+	c.ran[cmd.ID], c.running[cmd.ID] = true, true
+	highest := c.limits.Slots
+	if c.state == admission.Cold {
+		highest = c.limits.Cold
+	}
+	if len(c.running) > highest {
+		c.t.Fatalf("%d requests at once in state %v", len(c.running), c.state)
+	}
+}
+
+func (c *checker) refuse(cmd admission.Refuse) {
+	if cmd.Reason == refusal.Duplicate || (cmd.Reason == refusal.Cancelled && !c.pending[cmd.ID]) {
+		if cmd.ID != c.duplicate {
+			c.t.Fatalf("%v: refused as a repeat, but %v arrived", cmd.ID, c.duplicate)
+		}
+		return
+	}
+	if !c.pending[cmd.ID] {
+		c.t.Fatalf("%v: second answer %v", cmd.ID, cmd.Reason)
+	}
+	delete(c.pending, cmd.ID)
+	c.never[cmd.ID] = true
+}
+
+func (c *checker) arrive(n int) {
+	msg := admission.Arrive{
+		ID:       id(n),
+		Deadline: c.now.Add(time.Duration(rapid.IntRange(-1, 300).Draw(c.t, "deadline")) * time.Millisecond),
+		Priority: rule.Level(rapid.IntRange(0, 2).Draw(c.t, "priority")),
+	}
+	c.duplicate = msg.ID
+	if !c.ran[msg.ID] && !c.never[msg.ID] {
+		c.pending[msg.ID] = true
+	}
+	c.send(msg)
+}
+
+func (c *checker) step() {
+	c.now = c.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(c.t, "wait")) * time.Millisecond)
+	n := rapid.IntRange(0, 60).Draw(c.t, "id")
+	switch rapid.IntRange(0, 12).Draw(c.t, "step") {
+	case 0, 1, 2, 3, 4, 5:
+		c.arrive(n)
+	case 6, 7, 8:
+		delete(c.running, id(n))
+		c.send(admission.Done{
+			ID:      id(n),
+			Result:  admission.Result(rapid.SampledFrom([]int{0, 0, 0, 0, 1, 2, 3, 4}).Draw(c.t, "result")),
+			Latency: time.Duration(rapid.IntRange(1, 60).Draw(c.t, "latency")) * time.Millisecond,
+		})
+	case 9:
+		c.send(admission.Cancel{ID: id(n)})
+	case 10:
+		c.state = admission.State(rapid.SampledFrom([]int{0, 1, 2, 2, 2, 2, 3, 4}).Draw(c.t, "state"))
+		c.send(admission.Backend{State: c.state})
+	case 11:
+		c.limits.Reason = rapid.SampledFrom([]refusal.Reason{0, 0, 0, refusal.ZoneOut}).Draw(c.t, "out")
+		c.send(c.limits)
+	case 12:
+		c.send(admission.Tick{})
+	}
+}
+
+// Guards against work above the cap or the cold cap, a start after a refusal or a cancel, a false
+// "not run", and attempts with no answer or two.
+func TestEveryAttemptGetsOneAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &checker{
+			t: t, m: admission.New(limits), now: epoch, limits: limits,
+			running: map[attempt.ID]bool{}, pending: map[attempt.ID]bool{},
+			ran: map[attempt.ID]bool{}, never: map[attempt.ID]bool{},
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			c.step()
+		}
+		c.now = c.now.Add(time.Second)
+		c.send(admission.Tick{})
+		if len(c.pending) > 0 {
+			t.Fatalf("no answer after the deadline: %v", c.pending)
+		}
+	})
+}
+
+func ready() *admission.Model {
+	m := admission.New(limits)
+	m.Update(epoch, admission.Backend{State: admission.Ready})
+	return m
+}
+
+func arrive(m *admission.Model, now time.Time, n int, level rule.Level, left time.Duration) []admission.Cmd {
+	return m.Update(now, admission.Arrive{ID: id(n), Deadline: now.Add(left), Priority: level})
+}
+
+// work completes n requests of the given latency, as many at once as the model starts.
+func work(m *admission.Model, now time.Time, first, n int, latency time.Duration) time.Time {
+	var running []attempt.ID
+	take := func(cmds []admission.Cmd) {
+		for _, cmd := range cmds {
+			if s, ok := cmd.(admission.Start); ok {
+				running = append(running, s.ID)
+			}
+		}
+	}
+	for i := range n {
+		take(arrive(m, now, first+2*i, rule.High, time.Hour))
+		take(arrive(m, now, first+2*i+1, rule.High, time.Hour))
+		now = now.Add(latency / 2)
+		done := running[0]
+		running = running[1:]
+		take(m.Update(now, admission.Done{ID: done, Latency: latency}))
+	}
+	for len(running) > 0 {
+		done := running[0]
+		running = running[1:]
+		take(m.Update(now, admission.Done{ID: done, Latency: latency}))
+	}
+	return now
+}
+
+// Guards against full load on a back end that has just started, and against one that never grows.
+func TestReadyBackendGrowsFromColdCapOnCompletedWork(t *testing.T) {
+	m := ready()
+	m.Update(epoch.Add(time.Hour), admission.Tick{})
+	if got := m.View().Cap; got != limits.Cold {
+		t.Fatalf("cap %d without completed work, want %d", got, limits.Cold)
+	}
+	work(m, epoch, 0, 400, 10*time.Millisecond)
+	if got := m.View().Cap; got != limits.Slots {
+		t.Fatalf("cap %d after 400 requests, want %d", got, limits.Slots)
+	}
+}
+
+// Guards against full load on a back end that turned cold without saying so.
+func TestSignsOfColdReturnToColdCap(t *testing.T) {
+	slow := func(m *admission.Model, now time.Time) {
+		work(m, now, 5000, 8, 200*time.Millisecond)
+	}
+	tests := map[string]func(*admission.Model, time.Time){
+		"latency step": slow,
+		"reset": func(m *admission.Model, now time.Time) {
+			arrive(m, now, 5000, rule.High, time.Hour)
+			m.Update(now, admission.Done{ID: id(5000), Result: admission.Reset})
+		},
+		"failed checks": func(m *admission.Model, now time.Time) {
+			m.Update(now, admission.Check{})
+			m.Update(now, admission.Check{})
+		},
+		"all connections closed": func(m *admission.Model, now time.Time) {
+			m.Update(now, admission.Closed{Count: 3, All: true})
+		},
+		"zone returns": func(m *admission.Model, now time.Time) {
+			out := limits
+			out.Reason = refusal.ZoneOut
+			m.Update(now, out)
+			m.Update(now, limits)
+		},
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := ready()
+			now := work(m, epoch, 0, 400, 10*time.Millisecond)
+			fault(m, now)
+			if got := m.View().Cap; got != limits.Cold {
+				t.Fatalf("cap %d, want the cold cap %d", got, limits.Cold)
+			}
+		})
+	}
+}
+
+// Guards against a late arrival that runs after its caller was told "not run".
+func TestCancelledIsRememberedTenMinutes(t *testing.T) {
+	m := ready()
+	m.Update(epoch, admission.Cancel{ID: id(1)})
+	cmds := arrive(m, epoch.Add(10*time.Minute), 1, rule.High, time.Second)
+	if r, ok := cmds[0].(admission.Refuse); !ok || r.Reason != refusal.Cancelled {
+		t.Fatalf("got %+v, want a refusal as cancelled", cmds)
+	}
+}
+
+// Guards against low-priority work that keeps reservations out of a full queue.
+func TestOverloadShedsLowFirst(t *testing.T) {
+	m := ready()
+	for n := range 40 {
+		arrive(m, epoch, n, rule.Low, time.Minute)
+	}
+	shed := 0
+	for n := 100; n < 100+limits.Queue; n++ {
+		for _, cmd := range arrive(m, epoch, n, rule.High, time.Minute) {
+			r, ok := cmd.(admission.Refuse)
+			if !ok {
+				continue
+			}
+			if r.ID.Sequence >= 100 {
+				t.Fatalf("high priority refused: %v", r.Reason)
+			}
+			shed++
+		}
+	}
+	if shed != 2 {
+		t.Fatalf("%d low requests shed, want the 2 of their third of the queue", shed)
+	}
+}
+
+// Guards against waiting for an answer that cannot come in time.
+func TestRefusesEarlyWhatCannotFinish(t *testing.T) {
+	m := ready()
+	now := work(m, epoch, 0, 400, 10*time.Millisecond)
+	for n := 5000; n < 5000+limits.Slots; n++ {
+		arrive(m, now, n, rule.High, time.Second)
+	}
+	cmds := arrive(m, now, 6000, rule.High, 5*time.Millisecond)
+	if r, ok := cmds[0].(admission.Refuse); !ok || r.Reason != refusal.Late {
+		t.Fatalf("got %+v, want a refusal as late", cmds)
+	}
+}
--- a/core/coordination/admission/msg.go
+++ b/core/coordination/admission/msg.go
@@ -38,11 +38,52 @@
 	Queue  int
 	Cold   int
 	Reason refusal.Reason // ZoneOut or BackendOut while the rules take it out, else None
+
+	Connections int // connections that the back end takes; limits the warming
+}
+
+// defaults fills limits that are not set; a negative queue means none.
+func (l Limits) defaults() Limits {
+	if l.Slots <= 0 {
+		l.Slots = rule.DefaultSlots
+	}
+	if l.Cold <= 0 {
+		l.Cold = rule.DefaultCold
+	}
+	if l.Queue == 0 {
+		l.Queue = rule.DefaultQueue
+	}
+	if l.Connections <= 0 {
+		l.Connections = rule.DefaultConnections
+	}
+	return l
+}
+
+// room is the length of the queue that attempts of the level may fill: a third for low, two thirds
+// for normal, all of it for high.
+func (l Limits) room(level rule.Level) int {
+	levels := int(rule.High) + 1
+	return (l.Queue*(int(level)+1) + levels - 1) / levels
 }
 
 // Tick lets time pass: expired attempts leave the queue.
 type Tick struct{}
 
+// Check reports the result of a health check.
+type Check struct{ OK bool }
+
+// Closed reports connections that the back end closed; All says that none is left, as after a restart.
+type Closed struct {
+	Count int
+	All   bool
+}
+
+// Opened reports how many connections to the back end are open.
+type Opened struct{ Count int }
+
+func (Check) msg()   {}
+func (Closed) msg()  {}
+func (Opened) msg()  {}
 func (Arrive) msg()  {}
 func (Cancel) msg()  {}
 func (Done) msg()    {}
@@ -56,7 +97,8 @@
 // Start lets an attempt go to the back end.
 type Start struct{ ID attempt.ID }
 
-// Refuse ends an attempt as not run; After is the wait to suggest to the caller.
+// Refuse ends an attempt as not run; After is the wait to suggest to the caller. With the reason
+// Duplicate it refers to the later arrival only.
 type Refuse struct {
 	ID     attempt.ID
 	Reason refusal.Reason
@@ -69,6 +111,10 @@
 // Running answers a Cancel: the attempt has started.
 type Running struct{ ID attempt.ID }
 
+// Warm asks for new connections to the back end before they are needed.
+type Warm struct{ Count int }
+
+func (Warm) cmd()      {}
 func (Start) cmd()     {}
 func (Refuse) cmd()    {}
 func (Cancelled) cmd() {}
--- a/core/coordination/choice/model.go
+++ b/core/coordination/choice/model.go
@@ -8,54 +8,261 @@
 	"github.com/samber/lo"
 
 	"pollenhill.example/core/coordination/admission"
+	"pollenhill.example/core/coordination/outlier"
 	"pollenhill.example/core/state/rule"
 )
 
+// DefaultChoices is the number of random candidates compared for one attempt.
+const DefaultChoices = 3
+
+// DefaultHop is the one-way latency between zones assumed when the Config has none.
+const DefaultHop = time.Millisecond
+
 // Model holds what one entry node knows of the back ends; it is not safe for concurrent use.
 type Model struct {
 	cfg      Config
 	targets  map[string][]Target
+	names    map[string]string // service of each back end
 	rules    *rule.Set
-	inflight map[string]int
+	loads    map[string]*load
+	services map[string]*service
+	outliers map[string]*outlier.Model
 }
 
 // Config places the entry node and seeds its random choices.
 type Config struct {
-	Zone   string
-	Region string
-	Rand   *rand.Rand
+	Zone    string
+	Region  string
+	Rand    *rand.Rand
+	Choices int           // random candidates per attempt, zero for DefaultChoices
+	Hop     time.Duration // one-way latency between zones, zero for DefaultHop
 }
 
 // New returns a Model without targets.
 func New(cfg Config) *Model {
-	return &Model{cfg: cfg, targets: map[string][]Target{}, rules: &rule.Set{}, inflight: map[string]int{}}
+	if cfg.Choices == 0 {
+		cfg.Choices = DefaultChoices
+	}
+	if cfg.Hop == 0 {
+		cfg.Hop = DefaultHop
+	}
+	return &Model{
+		cfg:      cfg,
+		targets:  map[string][]Target{},
+		names:    map[string]string{},
+		rules:    &rule.Set{},
+		loads:    map[string]*load{},
+		services: map[string]*service{},
+		outliers: map[string]*outlier.Model{},
+	}
 }
 
 // Update applies one message at the given time.
-func (m *Model) Update(_ time.Time, msg Msg) {
+func (m *Model) Update(now time.Time, msg Msg) {
 	switch msg := msg.(type) {
 	case Members:
-		m.targets = lo.GroupBy(msg.Targets, func(t Target) string { return t.Service })
+		m.members(msg.Targets)
 	case Rules:
 		m.rules = msg.Set
 	case Begin:
-		m.inflight[msg.Backend]++
+		m.begin(now, msg)
 	case End:
-		m.inflight[msg.Backend]--
+		m.end(now, msg)
+	case Report:
+		m.report(now, msg)
+	}
+}
+
+// members keeps what is known of targets that stay; a new incarnation is a new back end.
+func (m *Model) members(targets []Target) {
+	before := map[string]Target{}
+	for _, ts := range m.targets {
+		for _, t := range ts {
+			before[t.Backend] = t
+		}
+	}
+	m.targets = lo.GroupBy(targets, func(t Target) string { return t.Service })
+	m.names = map[string]string{}
+	loads := map[string]*load{}
+	for _, t := range targets {
+		m.names[t.Backend] = t.Service
+		loads[t.Backend] = m.kept(before, t)
+	}
+	m.loads = loads
+	for name, ts := range m.targets {
+		m.outlier(name).Update(time.Time{}, outlier.Members{
+			Backends: lo.Map(ts, func(t Target, _ int) string { return t.Backend }),
+		})
+	}
+}
+
+func (m *Model) kept(before map[string]Target, t Target) *load {
+	l, ok := m.loads[t.Backend]
+	if !ok {
+		return &load{}
+	}
+	if old := before[t.Backend]; old.Incarnation != t.Incarnation || old.State != t.State {
+		return &load{inflight: l.inflight}
 	}
+	return l
+}
+
+func (m *Model) outlier(service string) *outlier.Model {
+	if m.outliers[service] == nil {
+		m.outliers[service] = outlier.New(outlier.Config{})
+	}
+	return m.outliers[service]
+}
+
+func (m *Model) service(name string) *service {
+	if m.services[name] == nil {
+		m.services[name] = &service{}
+	}
+	return m.services[name]
+}
+
+func (m *Model) begin(now time.Time, msg Begin) {
+	l, ok := m.loads[msg.Backend]
+	if !ok {
+		return
+	}
+	l.inflight++
+	o := m.outlier(m.names[msg.Backend])
+	if o.Evicted(msg.Backend) {
+		o.Update(now, outlier.Trial{Backend: msg.Backend})
+	}
+}
+
+func (m *Model) end(now time.Time, msg End) {
+	l, ok := m.loads[msg.Backend]
+	if !ok {
+		return
+	}
+	l.inflight = max(0, l.inflight-1)
+	if msg.Result == Good {
+		l.observed(msg.Latency)
+	}
+	if msg.Hint != nil {
+		m.report(now, Report{Backend: msg.Backend, Hint: *msg.Hint})
+	}
+	if kind, ok := kinds[msg.Result]; ok {
+		sample := outlier.Sample{Backend: msg.Backend, Kind: kind, Latency: msg.Latency}
+		m.outlier(m.names[msg.Backend]).Update(now, sample)
+	}
+}
+
+// kinds leaves out Cancelled: the loser of a hedge says nothing about its back end.
+var kinds = map[Result]outlier.Kind{
+	Good:    outlier.Good,
+	Refused: outlier.Full,
+	Failed:  outlier.Failed,
+	Lost:    outlier.Failed,
+}
+
+func (m *Model) report(now time.Time, msg Report) {
+	l, ok := m.loads[msg.Backend]
+	if !ok {
+		return
+	}
+	l.reported(now, msg.Hint)
+	m.service(m.names[msg.Backend]).learn(l)
 }
 
 // Pick returns the target for one attempt, or false if none may get new work.
-func (m *Model) Pick(_ time.Time, q Query) (Target, bool) {
-	open := lo.Filter(m.targets[q.Service], func(t Target, _ int) bool { return m.open(t) && !slices.Contains(q.Avoid, t.Backend) })
+func (m *Model) Pick(now time.Time, q Query) (Target, bool) {
+	open := m.candidates(now, q)
 	if len(open) == 0 {
 		return Target{}, false
 	}
-	a, b := open[m.cfg.Rand.IntN(len(open))], open[m.cfg.Rand.IntN(len(open))]
-	if m.inflight[b.Backend] < m.inflight[a.Backend] {
-		a = b
+	spill := float64(m.rules.Services[q.Service].Spill)
+	if spill == 0 {
+		spill = float64(rule.DefaultSpill)
+	}
+	near, far := lo.FilterReject(open, func(c candidate, _ int) bool { return c.Zone == m.cfg.Zone })
+	best, ok := m.best(near)
+	if ok && best.use() <= spill {
+		return best.Target, true
+	}
+	other, more := m.best(far)
+	if !ok || (more && other.cost()+2*m.cfg.Hop.Seconds() < best.cost()) {
+		return other.Target, true
+	}
+	return best.Target, true
+}
+
+// candidate is a target with its estimate.
+type candidate struct {
+	Target
+	guess
+}
+
+// candidates returns the targets that may get the attempt, in the nearest region that has any.
+func (m *Model) candidates(now time.Time, q Query) []candidate {
+	service, rules, outliers := m.service(q.Service), m.rules.Services[q.Service], m.outlier(q.Service)
+	var here, away, last []candidate
+	for _, t := range m.targets[q.Service] {
+		if !m.open(t) || slices.Contains(q.Avoid, t.Backend) {
+			continue
+		}
+		c := candidate{Target: t, guess: service.guess(now, t, m.loads[t.Backend], rules)}
+		switch {
+		case !outliers.Open(now, t.Backend), m.coldFull(c):
+			last = append(last, c)
+		case t.Region != m.cfg.Region:
+			away = append(away, c)
+		default:
+			here = append(here, c)
+		}
 	}
-	return a, true
+	for _, cs := range [][]candidate{here, away, last} {
+		if len(cs) > 0 {
+			return cs
+		}
+	}
+	return nil
+}
+
+// coldFull says that a cold back end has as much work as its destination admits.
+func (m *Model) coldFull(c candidate) bool {
+	return c.State == admission.Cold && c.use() > 1
+}
+
+// best compares random candidates, drawn in proportion to their capacity.
+func (m *Model) best(cs []candidate) (candidate, bool) {
+	if len(cs) == 0 {
+		return candidate{}, false
+	}
+	best := cs[0]
+	found := false
+	cs = slices.Clone(cs)
+	for range min(m.cfg.Choices, len(cs)) {
+		i := m.draw(cs)
+		if !found || cs[i].cost() < best.cost() {
+			best, found = cs[i], true
+		}
+		cs = slices.Delete(cs, i, i+1)
+	}
+	return best, true
+}
+
+func (m *Model) draw(cs []candidate) int {
+	total := 0.0
+	for _, c := range cs {
+		total += c.rate()
+	}
+	at := m.cfg.Rand.Float64() * total
+	for i, c := range cs {
+		at -= c.rate()
+		if at < 0 {
+			return i
+		}
+	}
+	return len(cs) - 1
+}
+
+// rate is the capacity of a back end in requests per second.
+func (g guess) rate() float64 {
+	return max(g.limit, 0.1) / g.speed
 }
 
 func (m *Model) open(t Target) bool {
--- a/core/coordination/choice/msg.go
+++ b/core/coordination/choice/msg.go
@@ -42,6 +42,13 @@
 	Hint    *hint.Hint
 }
 
+// Report brings a hint that did not come with the end of an attempt.
+type Report struct {
+	Backend string
+	Hint    hint.Hint
+}
+
+func (Report) msg()  {}
 func (Members) msg() {}
 func (Rules) msg()   {}
 func (Begin) msg()   {}
--- /dev/null
+++ b/core/coordination/probe/model_test.go
@@ -0,0 +1,101 @@
+package probe_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pollenhill.example/core/coordination/probe"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+type span struct{ start, end time.Time }
+
+// spent returns the probe time inside the window of one second from start.
+func spent(spans map[uint64]span, start time.Time) time.Duration {
+	var sum time.Duration
+	end := start.Add(time.Second)
+	for _, s := range spans {
+		from, to := s.start, s.end
+		if from.Before(start) {
+			from = start
+		}
+		if to.After(end) {
+			to = end
+		}
+		if to.After(from) {
+			sum += to.Sub(from)
+		}
+	}
+	return sum
+}
+
+// Guards against measuring that takes more back-end time than agreed (I1) in any window of one
+// second: with probes that hang, evidence and doubt from any number of callers, and a clock that steps.
+func TestBudgetHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := probe.Config{
+			Share:   rapid.SampledFrom([]float64{0.005, 0.01, 0.05}).Draw(t, "share"),
+			Slots:   rapid.IntRange(1, 20).Draw(t, "slots"),
+			Timeout: time.Duration(rapid.IntRange(1, 60).Draw(t, "timeout")) * time.Millisecond,
+		}
+		m := probe.New(cfg)
+		now, latest := epoch, epoch
+		spans := map[uint64]span{}
+		names := []string{"a", "b", "c"}
+		m.Update(now, probe.Members{Targets: names})
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(-5, 60).Draw(t, "wait")) * time.Millisecond)
+			if now.After(latest) {
+				latest = now
+			}
+			name := rapid.SampledFrom(names).Draw(t, "target")
+			msg := rapid.SampledFrom([]probe.Msg{
+				probe.Tick{}, probe.Tick{}, probe.Doubt{Target: name}, probe.Evidence{Target: name}, probe.Done{},
+			}).Draw(t, "message")
+			if _, ok := msg.(probe.Done); ok {
+				id := uint64(rapid.IntRange(1, len(spans)+1).Draw(t, "done"))
+				if s, ok := spans[id]; ok && s.end.After(latest) {
+					spans[id] = span{s.start, latest}
+				}
+				msg = probe.Done{ID: id}
+			}
+			for _, cmd := range m.Update(now, msg) {
+				if p, ok := cmd.(probe.Probe); ok {
+					spans[p.ID] = span{latest, p.Until}
+				}
+			}
+		}
+		// The most probe time lies in a window that begins with a probe or ends with one.
+		for _, s := range spans {
+			for _, start := range []time.Time{s.start, s.end.Add(-time.Second)} {
+				if got := spent(spans, start); got > m.Budget() {
+					t.Fatalf("%v of probes in one second, budget %v", got, m.Budget())
+				}
+			}
+		}
+	})
+}
+
+// Guards against spending the budget on what responses have just told.
+func TestProbesTheLeastKnownTargetFirst(t *testing.T) {
+	m := probe.New(probe.Config{Slots: 3})
+	m.Update(epoch, probe.Evidence{})
+	cmds := m.Update(epoch, probe.Members{Targets: []string{"a", "b", "c"}})
+	if len(cmds) != 1 {
+		t.Fatalf("%d probes, want the one that 30 ms cover", len(cmds))
+	}
+	m.Update(epoch, probe.Done{ID: 1})
+	m.Update(epoch, probe.Evidence{Target: "c"})
+	later := epoch.Add(2 * time.Second)
+	m.Update(later.Add(-time.Second), probe.Evidence{Target: "a"})
+	m.Update(later.Add(-time.Second), probe.Evidence{Target: "b"})
+	m.Update(later.Add(-time.Second), probe.Doubt{Target: "b"})
+	for _, cmd := range m.Update(later.Add(time.Second), probe.Tick{}) {
+		if p, ok := cmd.(probe.Probe); ok && p.Target != "b" {
+			t.Fatalf("probed %q, want the doubtful target", p.Target)
+		}
+	}
+}
--- a/core/coordination/retry/budget.go
+++ b/core/coordination/retry/budget.go
@@ -1,34 +1,111 @@
 package retry
 
-import "time"
+import (
+	"time"
 
-// Budget allows extra attempts as a share of the calls seen; it is not safe for concurrent use.
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	overloadWeight = 1.0 / 64 // of one answer in the share of overloaded answers
+	overloadLimit  = 0.1      // share of overloaded answers at which extra attempts end
+	overloadFloor  = 0.02     // share that chance refusals of stale picks reach without overload
+	// sampleWindow is the number of latencies after which the older half of them is dropped.
+	sampleWindow = 500
+	minSamples   = 50
+	refresh      = 25          // samples between two readings of the quantile
+	longest      = time.Minute // latencies above count as this
+	digits       = 1           // significant digits of latencies; a hedge needs no better
+)
+
+// Budget allows extra attempts as a share of the calls seen; it is not safe for concurrent use. One
+// Budget serves the retries and the hedges of a service.
 type Budget struct {
-	cfg    Config
-	tokens float64
+	cfg      Config
+	tokens   float64
+	hedges   float64
+	overload float64 // share of recent answers that were refusals by full servers
+	latency  *hdrhistogram.WindowedHistogram
+	samples  int // since the last rotation
+	total    int
+	delay    time.Duration // quantile at the last refresh
 }
 
 // Config sets the share and the burst of a Budget.
 type Config struct {
 	Ratio float64 // extra attempts per call
 	Burst float64 // extra attempts that may come at once
+	Hedge float64 // hedges per call, part of Ratio
+	After float64 // latency quantile after which a hedge starts, 0 to 1
 }
 
 // New returns an empty Budget: extra attempts are earned by calls.
 func New(cfg Config) *Budget {
-	return &Budget{cfg: cfg}
+	return &Budget{
+		cfg:     cfg,
+		latency: hdrhistogram.NewWindowed(2, 1, longest.Microseconds(), digits),
+	}
 }
 
 // Call earns the share of one call.
 func (b *Budget) Call(_ time.Time) {
-	b.tokens = min(b.tokens+b.cfg.Ratio, b.cfg.Burst)
+	scale := b.scale()
+	b.tokens = min(b.tokens+b.cfg.Ratio*scale, b.cfg.Burst)
+	b.hedges = min(b.hedges+b.cfg.Hedge*scale, b.cfg.Burst)
 }
 
 // Take spends one extra attempt, or returns false if none is left.
 func (b *Budget) Take(_ time.Time) bool {
-	if b.tokens < 1 {
+	if b.tokens < 1 || b.scale() == 0 {
 		return false
 	}
 	b.tokens--
 	return true
 }
+
+// Hedge spends one hedge, which is also an extra attempt, or returns false if none is left.
+func (b *Budget) Hedge(now time.Time) bool {
+	if b.hedges < 1 || !b.Take(now) {
+		return false
+	}
+	b.hedges--
+	return true
+}
+
+// Answer learns from the end of one attempt: overloaded says that a full server refused it.
+func (b *Budget) Answer(_ time.Time, overloaded bool) {
+	share := 0.0
+	if overloaded {
+		share = 1
+	}
+	b.overload += overloadWeight * (share - b.overload)
+}
+
+// Latency learns the latency of one answered attempt.
+func (b *Budget) Latency(_ time.Time, d time.Duration) {
+	us := max(1, min(d, longest).Microseconds())
+	// The value lies in the range of the histogram, so that recording it cannot fail.
+	_ = b.latency.Current.RecordValue(us)
+	b.samples++
+	b.total++
+	if b.total%refresh == 0 {
+		b.delay = time.Duration(b.latency.Merge().ValueAtQuantile(100*b.cfg.After)) * time.Microsecond
+	}
+	if b.samples >= sampleWindow {
+		b.samples = 0
+		b.latency.Rotate()
+	}
+}
+
+// Delay returns the wait before a hedge, or false while too little is known or hedges are off.
+func (b *Budget) Delay(_ time.Time) (time.Duration, bool) {
+	if b.cfg.Hedge == 0 || b.total < minSamples || b.scale() == 0 {
+		return 0, false
+	}
+	return b.delay, true
+}
+
+// scale shrinks the budget from all to nothing as overload grows.
+func (b *Budget) scale() float64 {
+	return max(0, min(1, (overloadLimit-b.overload)/(overloadLimit-overloadFloor)))
+}
--- /dev/null
+++ b/core/coordination/retry/budget_test.go
@@ -0,0 +1,82 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pollenhill.example/core/coordination/retry"
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/refusal"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// Guards against retries and hedges that add more than the agreed share to the load.
+func TestExtraAttemptsStayWithinRatio(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := retry.New(retry.Config{Ratio: 0.1, Burst: 10, Hedge: 0.05, After: 0.95})
+		calls, extra, hedges := 0, 0, 0
+		for range rapid.IntRange(1, 2000).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				b.Call(epoch)
+				calls++
+			case 1:
+				b.Answer(epoch, rapid.Bool().Draw(t, "overloaded"))
+			case 2:
+				if b.Take(epoch) {
+					extra++
+				}
+			case 3:
+				if b.Hedge(epoch) {
+					extra++
+					hedges++
+				}
+			}
+		}
+		if float64(extra) > 0.1*float64(calls)+1e-6 || float64(hedges) > 0.05*float64(calls)+1e-6 {
+			t.Fatalf("%d extra attempts, %d of them hedges, for %d calls", extra, hedges, calls)
+		}
+	})
+}
+
+// Guards against retries that keep an overloaded service overloaded.
+func TestOverloadEndsExtraAttempts(t *testing.T) {
+	b := retry.New(retry.Config{Ratio: 0.1, Burst: 10, Hedge: 0.05, After: 0.95})
+	for range 200 {
+		b.Call(epoch)
+		b.Latency(epoch, 10*time.Millisecond)
+	}
+	if delay, ok := b.Delay(epoch); !ok || delay < 9*time.Millisecond || delay > 11*time.Millisecond {
+		t.Fatalf("hedge delay %v, %v, want about 10 ms", delay, ok)
+	}
+	for i := range 100 {
+		b.Answer(epoch, i%3 == 0)
+	}
+	if _, ok := b.Delay(epoch); ok || b.Take(epoch) || b.Hedge(epoch) {
+		t.Fatal("extra attempts while a third of the attempts is refused")
+	}
+}
+
+// Guards against a refusal that every level of a call chain retries, and against a second run of a
+// request that may have run.
+func TestOnlyTheAdjacentLevelTriesAgain(t *testing.T) {
+	tests := map[string]struct {
+		failure retry.Failure
+		want    bool
+	}{
+		"refused next door":          {retry.Failure{Outcome: attempt.NotRun, Reason: refusal.Full, Level: 3, Depth: 3}, true},
+		"refused further down":       {retry.Failure{Outcome: attempt.NotRun, Reason: refusal.Full, Level: 4, Depth: 3}, false},
+		"unknown":                    {retry.Failure{Outcome: attempt.Unknown}, false},
+		"unknown but idempotent":     {retry.Failure{Outcome: attempt.Unknown, Idempotent: true}, true},
+		"answered":                   {retry.Failure{Outcome: attempt.Answered, Idempotent: true}, false},
+		"cancelled by its own entry": {retry.Failure{Outcome: attempt.NotRun, Reason: refusal.Cancelled}, false},
+	}
+	for name, test := range tests {
+		if got := retry.Again(test.failure); got != test.want {
+			t.Errorf("%s: %v, want %v", name, got, test.want)
+		}
+	}
+}
