--- /dev/null
+++ b/core/coordination/outlier/model_test.go
@@ -0,0 +1,110 @@
+package outlier_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pollenhill.example/core/coordination/outlier"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func backends(n int) []string {
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprintf("b%d", i))
+	}
+	return names
+}
+
+// play sends rounds of samples: one bad sample for b0 and good ones for its peers.
+func play(m *outlier.Model, now time.Time, names []string, rounds int, bad outlier.Sample) {
+	for range rounds {
+		for _, name := range names[1:] {
+			m.Update(now, outlier.Sample{Backend: name, Latency: 10 * time.Millisecond})
+		}
+		bad.Backend = names[0]
+		m.Update(now, bad)
+	}
+}
+
+// Guards against work for back ends that are slow or fail at once, and against taking a full server
+// or one that is merely a little slow for a failed one.
+func TestEvictsOutliersOnly(t *testing.T) {
+	tests := map[string]struct {
+		sample outlier.Sample
+		want   bool
+	}{
+		"straggler":      {outlier.Sample{Latency: 50 * time.Millisecond}, true},
+		"fails fast":     {outlier.Sample{Kind: outlier.Failed, Latency: time.Millisecond}, true},
+		"full":           {outlier.Sample{Kind: outlier.Full}, false},
+		"somewhat slow":  {outlier.Sample{Latency: 20 * time.Millisecond}, false},
+		"as fast as all": {outlier.Sample{Latency: 10 * time.Millisecond}, false},
+	}
+	for name, test := range tests {
+		m, names := outlier.New(outlier.Config{}), backends(4)
+		m.Update(epoch, outlier.Members{Backends: names})
+		play(m, epoch, names, 50, test.sample)
+		if got := m.Evicted("b0"); got != test.want {
+			t.Errorf("%s: evicted %v, want %v", name, got, test.want)
+		}
+	}
+}
+
+// Guards against evicting a recovered back end for ever and against full traffic to one that has not
+// recovered.
+func TestReturnsByTrial(t *testing.T) {
+	m, names := outlier.New(outlier.Config{}), backends(4)
+	m.Update(epoch, outlier.Members{Backends: names})
+	play(m, epoch, names, 50, outlier.Sample{Kind: outlier.Failed})
+	if m.Open(epoch, "b0") {
+		t.Fatal("open right after the eviction")
+	}
+	now := epoch.Add(2 * time.Second)
+	for i := range 3 {
+		if !m.Open(now, "b0") || !m.Evicted("b0") {
+			t.Fatalf("trial %d: not on trial", i)
+		}
+		m.Update(now, outlier.Trial{Backend: "b0"})
+		if m.Open(now, "b0") {
+			t.Fatalf("trial %d: second attempt during the trial", i)
+		}
+		m.Update(now, outlier.Sample{Backend: "b0", Latency: 10 * time.Millisecond})
+	}
+	if m.Evicted("b0") {
+		t.Fatal("still evicted after three good trials")
+	}
+}
+
+// Guards against evictions that leave too few back ends, whatever the samples say.
+func TestEvictsALimitedShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := backends(rapid.IntRange(1, 26).Draw(t, "backends"))
+		m, now := outlier.New(outlier.Config{}), epoch
+		m.Update(now, outlier.Members{Backends: names})
+		for range rapid.IntRange(1, 600).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "wait")) * time.Millisecond)
+			m.Update(now, outlier.Sample{
+				Backend: rapid.SampledFrom(names).Draw(t, "backend"),
+				Kind:    outlier.Kind(rapid.IntRange(0, 2).Draw(t, "kind")),
+				Latency: time.Duration(rapid.IntRange(1, 100).Draw(t, "latency")) * time.Millisecond,
+			})
+			if rapid.IntRange(0, 50).Draw(t, "shrink") == 0 {
+				names = names[:(len(names)+1)/2]
+				m.Update(now, outlier.Members{Backends: names})
+			}
+			evicted := 0
+			for _, name := range names {
+				if m.Evicted(name) {
+					evicted++
+				}
+			}
+			if float64(evicted) > outlier.DefaultShare*float64(len(names)) {
+				t.Fatalf("%d of %d evicted", evicted, len(names))
+			}
+		}
+	})
+}
