Add the node's client of the control processes

Cause: the node needs rules, members and claims from whichever control process is current.

Change: core/coordination/follow holds the failover decision (search by probes, leave a silent or not current control process after 1.5 s) and the last good state (revision never decreases, edits checked by hash). node/transport/control connects it to connect-go over one HTTP/2 connection per control process, bound to the configured address.

Conclusion: the API is usable by the node; no tests yet.

--- /dev/null
+++ b/core/coordination/follow/model.go
@@ -0,0 +1,236 @@
+package follow
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// Times of the failover decision.
+const (
+	Patience = 1500 * time.Millisecond // a silent or not current control process is left after this
+	window   = 100 * time.Millisecond  // wait for better answers after the first current one
+	giveUp   = time.Second             // a search ends without the missing answers after this
+	spread   = 100 * time.Millisecond  // start of searches, so that nodes do not all dial at once
+	maxDelay = 2 * time.Second         // longest pause between failed searches
+	recheck  = time.Second             // pause between searches while no control process is current
+	homeward = 30 * time.Second        // pause between searches for a current one in the own region
+)
+
+// Model is the failover decision of one node; it is not safe for concurrent use.
+type Model struct {
+	cfg     Config
+	server  string    // followed control process, empty for none
+	heard   time.Time // last message of the followed control process
+	good    time.Time // last beat that said current
+	current bool
+	search  search
+	failed  int // searches without an answer and streams without a message in a row
+}
+
+// Config lists the control processes in the order of the settings.
+type Config struct {
+	Servers []Server
+	Region  string // of the node
+	Rand    *rand.Rand
+}
+
+// Server is one control process.
+type Server struct {
+	Name   string
+	Region string
+}
+
+type search struct {
+	round   uint64
+	running bool
+	lazy    bool      // planned without trouble: trouble replaces the plan
+	start   time.Time // planned start while not running, else actual start; zero for no plan
+	first   time.Time // first current answer
+	answers map[string]bool
+	lost    int
+}
+
+// New returns a Model that follows no control process.
+func New(cfg Config) *Model {
+	return &Model{cfg: cfg}
+}
+
+// Update applies one message at the given time and returns the effects.
+func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	switch msg := msg.(type) {
+	case Heard:
+		m.hear(now, msg)
+	case Lost:
+		m.lose(now, msg)
+	case Probed:
+		m.collect(now, msg)
+	}
+	return m.step(now)
+}
+
+// View returns the followed control process and whether it is current.
+func (m *Model) View(now time.Time) View {
+	confirmed := m.server != "" && m.current && now.Sub(m.good) < Patience
+	return View{Server: m.server, Confirmed: confirmed}
+}
+
+func (m *Model) hear(now time.Time, msg Heard) {
+	if msg.Server != m.server {
+		return
+	}
+	m.heard = now
+	if !msg.Beat {
+		return
+	}
+	m.failed = 0
+	m.current = msg.Current
+	if msg.Current {
+		m.good = now
+	}
+}
+
+func (m *Model) lose(now time.Time, msg Lost) {
+	if msg.Server != m.server {
+		return
+	}
+	m.server = ""
+	m.current = false
+	if !m.search.running {
+		m.retry(now)
+	}
+}
+
+func (m *Model) collect(now time.Time, msg Probed) {
+	if !m.search.running || msg.Round != m.search.round {
+		return
+	}
+	if !msg.OK {
+		m.search.lost++
+		return
+	}
+	m.search.answers[msg.Server] = msg.Current
+	if msg.Current && m.search.first.IsZero() {
+		m.search.first = now
+	}
+}
+
+func (m *Model) step(now time.Time) []Cmd {
+	switch {
+	case m.search.running && m.searched(now):
+		return m.decide(now)
+	case m.search.running:
+		return nil
+	case m.search.start.IsZero(), m.search.lazy:
+		m.schedule(now)
+	}
+	if !m.search.start.IsZero() && !now.Before(m.search.start) {
+		return m.begin(now)
+	}
+	return nil
+}
+
+// schedule plans a search when the followed control process gives a reason for one.
+func (m *Model) schedule(now time.Time) {
+	switch {
+	case m.server == "", m.silent(now), m.stale(now):
+		m.plan(now, spread)
+	case m.search.start.IsZero() && !m.home(m.server) && m.homes():
+		m.plan(now.Add(homeward), homeward)
+		m.search.lazy = true
+	}
+}
+
+func (m *Model) silent(now time.Time) bool {
+	return now.Sub(m.heard) >= Patience
+}
+
+func (m *Model) stale(now time.Time) bool {
+	return now.Sub(m.good) >= Patience
+}
+
+// plan sets the start of the next search with jitter.
+func (m *Model) plan(earliest time.Time, jitter time.Duration) {
+	m.search.start = earliest.Add(m.jitter(jitter))
+	m.search.lazy = false
+}
+
+func (m *Model) jitter(d time.Duration) time.Duration {
+	return time.Duration(m.cfg.Rand.Int64N(int64(d)))
+}
+
+func (m *Model) begin(now time.Time) []Cmd {
+	m.search = search{round: m.search.round + 1, running: true, start: now, answers: map[string]bool{}}
+	return lo.Map(m.cfg.Servers, func(s Server, _ int) Cmd { return Probe{Server: s.Name, Round: m.search.round} })
+}
+
+func (m *Model) searched(now time.Time) bool {
+	s := m.search
+	if len(s.answers)+s.lost >= len(m.cfg.Servers) || now.Sub(s.start) >= giveUp {
+		return true
+	}
+	return !s.first.IsZero() && now.Sub(s.first) >= window
+}
+
+// decide ends a search: it follows the best control process that answered.
+func (m *Model) decide(now time.Time) []Cmd {
+	answers := m.search.answers
+	m.search = search{round: m.search.round}
+	if len(answers) == 0 {
+		m.retry(now)
+		return nil
+	}
+	best := m.best(answers)
+	if !answers[best] {
+		m.plan(now.Add(recheck), recheck)
+	}
+	if best == m.server && !m.silent(now) {
+		return nil
+	}
+	return m.attach(now, best)
+}
+
+// retry plans the next search after a failure; the pause doubles up to maxDelay.
+func (m *Model) retry(now time.Time) {
+	delay := min(spread<<min(m.failed, 8), maxDelay)
+	m.failed++
+	m.plan(now, delay)
+}
+
+func (m *Model) attach(now time.Time, server string) []Cmd {
+	m.server = server
+	m.heard = now
+	m.good = now
+	m.current = false
+	return []Cmd{Attach{Server: server}}
+}
+
+// best prefers current control processes, then the own region, then the followed one, then chance.
+func (m *Model) best(answers map[string]bool) string {
+	candidates := lo.Filter(m.cfg.Servers, func(s Server, _ int) bool { _, ok := answers[s.Name]; return ok })
+	score := func(s Server) int {
+		n := 0
+		if answers[s.Name] {
+			n += 4
+		}
+		if s.Region == m.cfg.Region {
+			n += 2
+		}
+		if s.Name == m.server {
+			n++
+		}
+		return n
+	}
+	top := score(lo.MaxBy(candidates, func(a, b Server) bool { return score(a) > score(b) }))
+	equal := lo.Filter(candidates, func(s Server, _ int) bool { return score(s) == top })
+	return equal[m.cfg.Rand.IntN(len(equal))].Name
+}
+
+func (m *Model) home(server string) bool {
+	return lo.SomeBy(m.cfg.Servers, func(s Server) bool { return s.Name == server && s.Region == m.cfg.Region })
+}
+
+func (m *Model) homes() bool {
+	return lo.SomeBy(m.cfg.Servers, func(s Server) bool { return s.Region == m.cfg.Region })
+}
--- /dev/null
+++ b/core/coordination/follow/msg.go
@@ -0,0 +1,51 @@
+package follow
+
+// Msg is an input of Model.Update.
+type Msg interface{ msg() }
+
+// Heard reports a message on the stream of a control process.
+type Heard struct {
+	Server  string
+	Beat    bool // the message is a heartbeat
+	Current bool // what the heartbeat said
+}
+
+// Lost reports the end of the stream of a control process.
+type Lost struct{ Server string }
+
+// Probed reports the answer to a Probe.
+type Probed struct {
+	Server  string
+	Round   uint64
+	OK      bool // false: no answer
+	Current bool
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Heard) msg()  {}
+func (Lost) msg()   {}
+func (Probed) msg() {}
+func (Tick) msg()   {}
+
+// Cmd is an effect that Model.Update asks for.
+type Cmd interface{ cmd() }
+
+// Probe asks a control process whether it is current.
+type Probe struct {
+	Server string
+	Round  uint64
+}
+
+// Attach opens the stream of a control process and ends the stream before it.
+type Attach struct{ Server string }
+
+func (Probe) cmd()  {}
+func (Attach) cmd() {}
+
+// View is what the node shows of its decision.
+type View struct {
+	Server    string // empty: none
+	Confirmed bool   // the control process said within Patience that it is current
+}
--- /dev/null
+++ b/core/coordination/follow/state.go
@@ -0,0 +1,107 @@
+package follow
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"pollenhill.example/core/protocol/control"
+)
+
+// State is the last good state that a node received; a State is immutable.
+type State struct {
+	Text      string // rules in force, byte for byte
+	Revision  uint64 // 0 before the first rules
+	Members   []*control.Member
+	Server    string // followed control process, empty for none
+	Confirmed bool   // a current control process confirms the rules
+}
+
+// ErrGap reports edits that do not lead from the held rules to the stated hash; the full text is needed.
+var ErrGap = errors.New("edits do not fit the held rules")
+
+// WithRules returns the state after a rules message; an older or equal revision leaves it unchanged.
+func (s *State) WithRules(msg *control.Rules) (*State, error) {
+	if msg.GetRevision() <= s.Revision {
+		return s, nil
+	}
+	text, err := s.text(msg)
+	if err != nil {
+		return s, err
+	}
+	if xxhash.Sum64String(text) != msg.GetHash() {
+		return s, errors.Wrapf(ErrGap, "hash of revision %d", msg.GetRevision())
+	}
+	return s.WithText(msg.GetRevision(), text), nil
+}
+
+// WithText returns the state with newer rules; an older or equal revision leaves it unchanged.
+func (s *State) WithText(revision uint64, text string) *State {
+	if revision <= s.Revision {
+		return s
+	}
+	next := *s
+	next.Revision = revision
+	next.Text = text
+	return &next
+}
+
+// WithMembers returns the state after a members message.
+func (s *State) WithMembers(msg *control.Members) *State {
+	known := lo.SliceToMap(s.Members, func(m *control.Member) (string, *control.Member) { return m.GetNode(), m })
+	if msg.GetFull() {
+		clear(known)
+	}
+	for _, name := range msg.GetGone() {
+		delete(known, name)
+	}
+	for _, m := range msg.GetSet() {
+		known[m.GetNode()] = m
+	}
+	next := *s
+	next.Members = lo.Values(known)
+	slices.SortFunc(next.Members, func(a, b *control.Member) int { return strings.Compare(a.GetNode(), b.GetNode()) })
+	return &next
+}
+
+// WithView returns the state with the failover decision.
+func (s *State) WithView(v View) *State {
+	if s.Server == v.Server && s.Confirmed == v.Confirmed {
+		return s
+	}
+	next := *s
+	next.Server = v.Server
+	next.Confirmed = v.Confirmed
+	return &next
+}
+
+func (s *State) text(msg *control.Rules) (string, error) {
+	if msg.GetBase() == 0 {
+		return msg.GetText(), nil
+	}
+	if msg.GetBase() != s.Revision {
+		return "", errors.Wrapf(ErrGap, "base %d, held %d", msg.GetBase(), s.Revision)
+	}
+	return patch(s.Text, msg.GetEdits())
+}
+
+// patch applies edits whose starts are line numbers of the old text in ascending order.
+func patch(old string, edits []*control.Edit) (string, error) {
+	lines := strings.SplitAfter(old, "\n")
+	var out strings.Builder
+	next := 0
+	for _, e := range edits {
+		start, end := int(e.GetStart()), int(e.GetStart())+int(e.GetCount())
+		if start < next || end > len(lines) {
+			return "", errors.Wrapf(ErrGap, "edit of lines %d to %d", start, end)
+		}
+		out.WriteString(strings.Join(lines[next:start], ""))
+		out.WriteString(strings.Join(e.GetLines(), ""))
+		next = end
+	}
+	out.WriteString(strings.Join(lines[next:], ""))
+	return out.String(), nil
+}
--- /dev/null
+++ b/node/transport/control/client.go
@@ -0,0 +1,122 @@
+package control
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"pollenhill.example/core/coordination/follow"
+	"pollenhill.example/core/protocol/control"
+)
+
+// Times of the client.
+const (
+	Renewal = time.Second            // pause between announcements; the lease lasts three times as long
+	Timeout = time.Second            // of one announcement or probe
+	tick    = 50 * time.Millisecond  // resolution of the failover decision
+	backoff = 100 * time.Millisecond // pause between tries of a claim call
+)
+
+// Config says who the node is and where the control processes are.
+type Config struct {
+	Node    string
+	Zone    string
+	Region  string
+	Bind    netip.Addr // source of outgoing connections
+	Servers []Server
+	Seed    uint64 // of the jitter; 0 takes a random one
+}
+
+// Server is one control process.
+type Server struct {
+	Name    string
+	Address netip.AddrPort
+	Region  string
+}
+
+// Client keeps the last good state from the control processes; it is safe for concurrent use.
+type Client struct {
+	cfg      Config
+	state    atomic.Pointer[follow.State]
+	sequence atomic.Uint64
+	remotes  map[string]*remote
+	inbox    chan any
+	dirty    chan struct{} // the member changed
+	mu       sync.Mutex
+	changed  chan struct{}
+	member   *control.Member
+}
+
+// New returns a Client that does nothing before Run.
+func New(cfg Config) *Client {
+	c := &Client{
+		cfg:     cfg,
+		inbox:   make(chan any, len(cfg.Servers)),
+		changed: make(chan struct{}),
+		dirty:   make(chan struct{}, 1),
+	}
+	c.state.Store(&follow.State{})
+	c.remotes = dial(cfg)
+	return c
+}
+
+// State returns the last good state; it is never nil and must not be changed.
+func (c *Client) State() *follow.State {
+	return c.state.Load()
+}
+
+// Changed returns a channel that is closed by the next change of State.
+//
+// Take the channel before reading State, so that no change is missed.
+func (c *Client) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// Announce replaces what the node announces and announces it at once.
+//
+// The client sets the sequence; the node sets the incarnation. Set gone when the node ends.
+func (c *Client) Announce(m *control.Member) {
+	c.mu.Lock()
+	c.member = proto.CloneOf(m)
+	c.mu.Unlock()
+	select {
+	case c.dirty <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Client) announced() *control.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.member
+}
+
+// Offer hands over rules from another node; older or equal revisions are ignored.
+func (c *Client) Offer(revision uint64, text string) {
+	c.update(func(s *follow.State) *follow.State { return s.WithText(revision, text) })
+}
+
+// Run announces and watches until ctx ends; its error is that of ctx.
+func (c *Client) Run(ctx context.Context) error {
+	return newSession(c).run(ctx)
+}
+
+// update publishes a new state and signals the change.
+func (c *Client) update(f func(*follow.State) *follow.State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.state.Load()
+	next := f(old)
+	if next == old {
+		return
+	}
+	c.state.Store(next)
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
--- /dev/null
+++ b/node/transport/control/remote.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"pollenhill.example/core/protocol/control/controlconnect"
+)
+
+// remote is the connection to one control process.
+type remote struct {
+	server Server
+	http   *http.Transport
+	rpc    controlconnect.ControlClient
+}
+
+// dial prepares one HTTP/2 connection per control process; the connections open on first use.
+func dial(cfg Config) map[string]*remote {
+	remotes := map[string]*remote{}
+	for _, s := range cfg.Servers {
+		t := transport(cfg)
+		rpc := controlconnect.NewControlClient(&http.Client{Transport: t}, "http://"+s.Address.String())
+		remotes[s.Name] = &remote{server: s, http: t, rpc: rpc}
+	}
+	return remotes
+}
+
+func transport(cfg Config) *http.Transport {
+	d := net.Dialer{Timeout: Timeout}
+	if cfg.Bind.IsValid() {
+		d.LocalAddr = &net.TCPAddr{IP: cfg.Bind.AsSlice()}
+	}
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		DialContext:     d.DialContext,
+		Protocols:       p,
+		IdleConnTimeout: time.Minute,
+		// Pings close connections to a silently partitioned process, which TCP keeps for minutes.
+		HTTP2: &http.HTTP2Config{SendPingTimeout: 2 * time.Second, PingTimeout: time.Second},
+	}
+}
--- /dev/null
+++ b/node/transport/control/session.go
@@ -0,0 +1,221 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
+
+	"pollenhill.example/core/coordination/follow"
+	"pollenhill.example/core/protocol/control"
+)
+
+// session is one Run of a Client; its loop owns the failover model.
+type session struct {
+	c      *Client
+	model  *follow.Model
+	stream uint64 // number of the followed stream; messages of earlier ones are dropped
+	server string
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// received is one message of a stream; err ends the stream.
+type received struct {
+	server string
+	stream uint64
+	msg    *control.WatchResponse
+	err    error
+}
+
+func newSession(c *Client) *session {
+	seed := c.cfg.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	cfg := follow.Config{
+		Servers: lo.Map(c.cfg.Servers, func(s Server, _ int) follow.Server { return follow.Server{Name: s.Name, Region: s.Region} }),
+		Region:  c.cfg.Region,
+		Rand:    rand.New(rand.NewPCG(seed, 0)),
+	}
+	return &session{c: c, model: follow.New(cfg), cancel: func() {}}
+}
+
+func (s *session) run(ctx context.Context) error {
+	defer s.close()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	renew := time.NewTicker(Renewal)
+	defer renew.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.leave(ctx)
+			return ctx.Err()
+		case m := <-s.c.inbox:
+			s.handle(ctx, m)
+		case <-ticker.C:
+			s.update(ctx, follow.Tick{})
+		case <-renew.C:
+			s.announce(ctx)
+		case <-s.c.dirty:
+			s.announce(ctx)
+		}
+	}
+}
+
+// leave repeats the last announcement of a node that ends, since ctx may have cut off the first one.
+func (s *session) leave(ctx context.Context) {
+	if s.c.announced().GetGone() {
+		s.announce(context.WithoutCancel(ctx))
+	}
+}
+
+// close ends the stream and waits for every goroutine of the session.
+func (s *session) close() {
+	s.cancel()
+	s.wg.Wait()
+	for _, r := range s.c.remotes {
+		r.http.CloseIdleConnections()
+	}
+}
+
+func (s *session) handle(ctx context.Context, m any) {
+	switch m := m.(type) {
+	case follow.Probed:
+		s.update(ctx, m)
+	case received:
+		s.receive(ctx, m)
+	}
+}
+
+func (s *session) receive(ctx context.Context, r received) {
+	if r.stream != s.stream {
+		return
+	}
+	err := r.err
+	if err == nil {
+		err = s.apply(r.msg)
+	}
+	if err != nil {
+		s.update(ctx, follow.Lost{Server: r.server})
+		return
+	}
+	beat := r.msg.GetBeat()
+	s.update(ctx, follow.Heard{Server: r.server, Beat: beat != nil, Current: beat.GetCurrent()})
+}
+
+// apply publishes a message; an error means that the stream must start again with the full text.
+func (s *session) apply(msg *control.WatchResponse) error {
+	var err error
+	s.c.update(func(st *follow.State) *follow.State {
+		switch {
+		case msg.GetRules() != nil:
+			st, err = st.WithRules(msg.GetRules())
+		case msg.GetMembers() != nil:
+			st = st.WithMembers(msg.GetMembers())
+		}
+		return st
+	})
+	return err
+}
+
+// update passes one message to the failover model and carries out its effects.
+func (s *session) update(ctx context.Context, msg follow.Msg) {
+	now := time.Now()
+	for _, cmd := range s.model.Update(now, msg) {
+		switch cmd := cmd.(type) {
+		case follow.Probe:
+			s.probe(ctx, cmd)
+		case follow.Attach:
+			s.attach(ctx, cmd)
+		}
+	}
+	v := s.model.View(now)
+	s.server = v.Server
+	s.c.update(func(st *follow.State) *follow.State { return st.WithView(v) })
+}
+
+func (s *session) probe(ctx context.Context, cmd follow.Probe) {
+	s.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, Timeout)
+		defer cancel()
+		// An announcement without a member only asks for the answer.
+		resp, err := s.c.remotes[cmd.Server].rpc.Announce(ctx, connect.NewRequest(&control.AnnounceRequest{}))
+		m := follow.Probed{Server: cmd.Server, Round: cmd.Round, OK: err == nil}
+		if err == nil {
+			m.Current = resp.Msg.GetCurrent()
+		}
+		s.send(ctx, m)
+	})
+}
+
+func (s *session) attach(ctx context.Context, cmd follow.Attach) {
+	s.cancel()
+	s.stream++
+	stream, r := s.stream, s.c.remotes[cmd.Server]
+	watching, cancel := context.WithCancel(ctx)
+	s.cancel = cancel
+	s.wg.Go(func() {
+		err := s.watch(watching, r, stream)
+		s.send(watching, received{server: cmd.Server, stream: stream, err: err})
+	})
+	s.server = cmd.Server
+	s.announce(ctx)
+}
+
+// watch passes on the messages of one stream until it ends.
+func (s *session) watch(ctx context.Context, r *remote, stream uint64) error {
+	req := &control.WatchRequest{Node: s.c.cfg.Node, Zone: s.c.cfg.Zone, Region: s.c.cfg.Region, Revision: s.c.State().Revision}
+	in, err := r.rpc.Watch(ctx, connect.NewRequest(req))
+	if err != nil {
+		return errors.Wrapf(err, "watch %s", r.server.Name)
+	}
+	defer in.Close()
+	for in.Receive() {
+		s.send(ctx, received{server: r.server.Name, stream: stream, msg: in.Msg()})
+	}
+	return errors.Wrapf(errors.CombineErrors(in.Err(), errStreamEnd), "watch %s", r.server.Name)
+}
+
+// errStreamEnd reports that a control process ended the stream, as it does when it stops.
+var errStreamEnd = errors.New("stream ended")
+
+func (s *session) send(ctx context.Context, m any) {
+	select {
+	case s.c.inbox <- m:
+	case <-ctx.Done():
+	}
+}
+
+// announce sends the member to the followed control process, or to any other if that fails.
+func (s *session) announce(ctx context.Context) {
+	m := s.c.announced()
+	if m == nil {
+		return
+	}
+	m = proto.CloneOf(m)
+	m.Sequence = s.c.sequence.Add(1)
+	order := s.c.order(s.server)
+	s.wg.Go(func() {
+		for _, r := range order {
+			if ctx.Err() != nil || s.tell(ctx, r, m) == nil {
+				return
+			}
+		}
+	})
+}
+
+func (s *session) tell(ctx context.Context, r *remote, m *control.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, Timeout)
+	defer cancel()
+	_, err := r.rpc.Announce(ctx, connect.NewRequest(&control.AnnounceRequest{Member: m}))
+	return errors.Wrapf(err, "announce to %s", r.server.Name)
+}
