--- a/core/coordination/follow/state.go
+++ b/core/coordination/follow/state.go
@@ -4,11 +4,11 @@
 	"slices"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
 	"pollenhill.example/core/protocol/control"
+	"pollenhill.example/core/state/rule"
 )
 
 // State is the last good state that a node received; a State is immutable.
@@ -32,7 +32,7 @@
 	if err != nil {
 		return s, err
 	}
-	if xxhash.Sum64String(text) != msg.GetHash() {
+	if rule.Hash(text) != msg.GetHash() {
 		return s, errors.Wrapf(ErrGap, "hash of revision %d", msg.GetRevision())
 	}
 	return s.WithText(msg.GetRevision(), text), nil
@@ -85,23 +85,9 @@
 	if msg.GetBase() != s.Revision {
 		return "", errors.Wrapf(ErrGap, "base %d, held %d", msg.GetBase(), s.Revision)
 	}
-	return patch(s.Text, msg.GetEdits())
-}
-
-// patch applies edits whose starts are line numbers of the old text in ascending order.
-func patch(old string, edits []*control.Edit) (string, error) {
-	lines := strings.SplitAfter(old, "\n")
-	var out strings.Builder
-	next := 0
-	for _, e := range edits {
-		start, end := int(e.GetStart()), int(e.GetStart())+int(e.GetCount())
-		if start < next || end > len(lines) {
-			return "", errors.Wrapf(ErrGap, "edit of lines %d to %d", start, end)
-		}
-		out.WriteString(strings.Join(lines[next:start], ""))
-		out.WriteString(strings.Join(e.GetLines(), ""))
-		next = end
-	}
-	out.WriteString(strings.Join(lines[next:], ""))
-	return out.String(), nil
+	edits := lo.Map(msg.GetEdits(), func(e *control.Edit, _ int) rule.Edit {
+		return rule.Edit{Start: int(e.GetStart()), Count: int(e.GetCount()), Lines: e.GetLines()}
+	})
+	text, err := rule.Patch(s.Text, edits, msg.GetHash())
+	return text, errors.Mark(err, ErrGap)
 }
--- /dev/null
+++ b/core/coordination/member/doc.go
@@ -0,0 +1,2 @@
+// Package member is the directory of nodes and back ends as leased soft state.
+package member
