Add the control program

Cause: nodes need a process that serves rules, members and claims.

Change: control/daemon wires settings, consensus group, directory, watchers and the connect-go servers with samber/do; the checks that change nothing come first, so that a bad start leaves nothing behind. control/coordination/watch keeps per node the subset, pending members and line deltas; control/transport/node and peer hold the handlers and the connections to the other control processes.

--- /dev/null
+++ b/control/coordination/watch/hub.go
@@ -0,0 +1,132 @@
+package watch
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/samber/lo"
+
+	"pollenhill.example/core/coordination/member"
+	"pollenhill.example/core/coordination/subset"
+	"pollenhill.example/core/protocol/control"
+)
+
+// Hub keeps what every watching node has to be told; it is safe for concurrent use.
+type Hub struct {
+	mu       sync.Mutex
+	members  map[string]*control.Member
+	services map[string][]subset.Member // sorted by node; slices are replaced, never changed
+	watchers map[*Watcher]struct{}
+	ready    bool // the members are complete, so that they may replace what a node knows
+	history  history
+}
+
+// New returns a Hub without members, rules and watchers.
+func New() *Hub {
+	return &Hub{
+		members:  map[string]*control.Member{},
+		services: map[string][]subset.Member{},
+		watchers: map[*Watcher]struct{}{},
+	}
+}
+
+// Rules publishes the rules in force; older or equal revisions are ignored.
+func (h *Hub) Rules(revision, number uint64, text string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.history.add(version{revision: revision, number: number, text: text}) {
+		return
+	}
+	for w := range h.watchers {
+		w.signal()
+	}
+}
+
+// Ready publishes that the members are complete.
+func (h *Hub) Ready() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ready = true
+	for w := range h.watchers {
+		w.full = true
+		w.signal()
+	}
+}
+
+// Members publishes changed members.
+func (h *Hub) Members(change member.Change) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	moved := map[string]struct{}{}
+	for _, m := range change.Set {
+		h.set(m.GetNode(), m, moved)
+	}
+	for _, node := range change.Gone {
+		h.set(node, nil, moved)
+	}
+	for w := range h.watchers {
+		for service := range moved {
+			w.repick(service)
+		}
+		if len(w.pending) > 0 {
+			w.signal()
+		}
+	}
+}
+
+// Watchers returns the number of watching nodes.
+func (h *Hub) Watchers() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.watchers)
+}
+
+// set replaces one member, or removes it if m is nil, and adds the services whose lists changed to moved.
+func (h *Hub) set(node string, m *control.Member, moved map[string]struct{}) {
+	old := h.members[node]
+	if m == nil {
+		delete(h.members, node)
+	} else {
+		h.members[node] = m
+	}
+	for w := range h.watchers {
+		w.touch(node, old)
+	}
+	before, after := services(old), services(m)
+	same := old != nil && m != nil && place(old) == place(m)
+	for _, s := range lo.Union(before, after) {
+		if same && slices.Contains(before, s) && slices.Contains(after, s) {
+			continue
+		}
+		h.list(s, node, m, slices.Contains(after, s))
+		moved[s] = struct{}{}
+	}
+}
+
+// list replaces or removes a node in the list of a service.
+func (h *Hub) list(service, node string, m *control.Member, in bool) {
+	old := h.services[service]
+	at, found := slices.BinarySearchFunc(old, node, func(a subset.Member, n string) int { return strings.Compare(a.Node, n) })
+	list := slices.Clone(old)
+	if found {
+		list = slices.Delete(list, at, at+1)
+	}
+	if in {
+		list = slices.Insert(list, at, subset.Member{Node: node, Place: place(m)})
+	}
+	if len(list) == 0 {
+		delete(h.services, service)
+		return
+	}
+	h.services[service] = list
+}
+
+// services returns the names of the services of a member.
+func services(m *control.Member) []string {
+	return lo.Uniq(lo.Map(m.GetBackends(), func(b *control.Backend, _ int) string { return b.GetService() }))
+}
+
+func place(m *control.Member) subset.Place {
+	return subset.Place{Zone: m.GetZone(), Region: m.GetRegion()}
+}
--- /dev/null
+++ b/control/daemon/wire.go
@@ -0,0 +1,164 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"pollenhill.example/control/coordination/directory"
+	"pollenhill.example/control/coordination/group"
+	"pollenhill.example/control/coordination/watch"
+	"pollenhill.example/control/transport/node"
+	"pollenhill.example/control/transport/peer"
+	"pollenhill.example/core/protocol/control/controlconnect"
+	"pollenhill.example/core/state/event"
+	"pollenhill.example/core/state/replica"
+	"pollenhill.example/core/state/rule"
+)
+
+// compressMin is the smallest message that is compressed; smaller ones cost more than they save.
+const compressMin = 1024
+
+// wire declares how every part is made; nothing is made before it is invoked.
+func wire(s Settings) do.Injector {
+	i := do.New()
+	do.ProvideValue(i, s)
+	do.Provide(i, newLog)
+	do.Provide(i, newListener)
+	do.Provide(i, newClients)
+	do.Provide(i, newGroup)
+	do.Provide(i, newHub)
+	do.Provide(i, newDirectory)
+	do.Provide(i, newServer)
+	return i
+}
+
+func newLog(i do.Injector) (*event.Log, error) {
+	s := do.MustInvoke[Settings](i)
+	out, err := sink(lo.CoalesceOrEmpty(s.Events, s.Log))
+	if err != nil {
+		return nil, errors.Wrap(err, "events")
+	}
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), out, zap.InfoLevel)
+	return event.New(event.Config{Process: s.Name, Zap: zap.New(core), Clock: event.NewClock(time.Now)}), nil
+}
+
+func sink(path string) (zapcore.WriteSyncer, error) {
+	if path == "" {
+		return zapcore.Lock(os.Stderr), nil
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return zapcore.Lock(f), nil
+}
+
+func newListener(i do.Injector) (net.Listener, error) {
+	s := do.MustInvoke[Settings](i)
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(s.Listen))
+	return l, errors.Wrap(err, "listen")
+}
+
+func newClients(i do.Injector) (*peer.Clients, error) {
+	s := do.MustInvoke[Settings](i)
+	peers := lo.Map(s.Peers, func(p Peer, _ int) peer.Peer { return peer.Peer{Name: p.Name, Address: p.Address} })
+	return peer.NewClients(peer.Config{Name: s.Name, Bind: s.Bind, Peers: peers}), nil
+}
+
+func newGroup(i do.Injector) (*group.Group, error) {
+	s := do.MustInvoke[Settings](i)
+	clients, err := do.Invoke[*peer.Clients](i)
+	if err != nil {
+		return nil, err
+	}
+	peers := lo.Map(s.Peers, func(p Peer, _ int) group.Peer {
+		return group.Peer{Name: p.Name, Address: p.Address, Region: p.Region}
+	})
+	return group.Open(group.Config{
+		Name: s.Name, Data: s.Data, Peers: peers, Join: s.Join,
+		Replica: replica.Config{Check: check},
+		Send:    clients.Send,
+		Forward: clients.Forward,
+	})
+}
+
+// check is the check of a rule file that every member of the group applies.
+func check(text string) error {
+	_, err := rule.Parse(text)
+	return err
+}
+
+func newHub(do.Injector) (*watch.Hub, error) { return watch.New(), nil }
+
+func newDirectory(i do.Injector) (*directory.Directory, error) {
+	clients, err := do.Invoke[*peer.Clients](i)
+	if err != nil {
+		return nil, err
+	}
+	hub, err := do.Invoke[*watch.Hub](i)
+	if err != nil {
+		return nil, err
+	}
+	return directory.New(directory.Config{
+		Name: do.MustInvoke[Settings](i).Name, Peers: clients.Names(),
+		Send: clients.Exchange, Change: hub.Members, Ready: hub.Ready,
+	}), nil
+}
+
+func newServer(i do.Injector) (*http.Server, error) {
+	g, err := do.Invoke[*group.Group](i)
+	if err != nil {
+		return nil, err
+	}
+	d, err := do.Invoke[*directory.Directory](i)
+	if err != nil {
+		return nil, err
+	}
+	hub, err := do.Invoke[*watch.Hub](i)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(controlconnect.NewControlHandler(&node.Handler{Group: g, Directory: d, Hub: hub}, connect.WithCompressMinBytes(compressMin)))
+	mux.Handle(controlconnect.NewPeerHandler(&peer.Handler{Group: g, Directory: d}, connect.WithCompressMinBytes(compressMin)))
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           mux,
+		Protocols:         p,
+		ReadHeaderTimeout: 5 * time.Second,
+		// Pings end the streams of nodes that vanished without closing their connections.
+		HTTP2: &http.HTTP2Config{SendPingTimeout: 5 * time.Second, PingTimeout: 2 * time.Second, MaxConcurrentStreams: 1000},
+	}, nil
+}
+
+// serve runs the server until ctx ends, which also ends its streams.
+func serve(ctx context.Context, srv *http.Server, l net.Listener) error {
+	srv.BaseContext = func(net.Listener) context.Context { return ctx }
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(l) }()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), drain)
+	defer cancel()
+	if srv.Shutdown(stop) != nil {
+		return srv.Close()
+	}
+	return nil
+}
--- a/control/main.go
+++ b/control/main.go
@@ -1,3 +1,11 @@
 package main
 
-func main() {}
+import (
+	"os"
+
+	"pollenhill.example/control/daemon"
+)
+
+func main() {
+	os.Exit(daemon.Main(os.Args, os.Stderr))
+}
--- /dev/null
+++ b/control/transport/node/doc.go
@@ -0,0 +1,2 @@
+// Package node serves nodes and the command-line client.
+package node
--- /dev/null
+++ b/control/transport/node/handler.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"pollenhill.example/control/coordination/group"
+	"pollenhill.example/control/coordination/watch"
+	"pollenhill.example/core/protocol/control"
+	"pollenhill.example/core/state/replica"
+	"pollenhill.example/core/state/rule"
+)
+
+// Times of the streams to nodes.
+const (
+	Beat   = 500 * time.Millisecond // heartbeat; a node leaves after three are missing
+	gather = 25 * time.Millisecond  // pause between deltas, so that a burst of changes makes few messages
+)
+
+// Group is the part of the consensus group that nodes reach.
+type Group interface {
+	Propose(ctx context.Context, cmd replica.Command) (replica.Result, error)
+	View() group.View
+	Read(f func(*replica.Replica))
+}
+
+// Directory is the part of the directory that nodes reach.
+type Directory interface {
+	Announce(ctx context.Context, m *control.Member) error
+	Members(ctx context.Context) ([]*control.Member, error)
+}
+
+// Handler serves nodes and the command-line client.
+type Handler struct {
+	Group     Group
+	Directory Directory
+	Hub       *watch.Hub
+}
+
+// Announce renews the lease of a node; without a member it only answers.
+func (h *Handler) Announce(ctx context.Context, req *connect.Request[control.AnnounceRequest]) (*connect.Response[control.AnnounceResponse], error) {
+	if m := req.Msg.GetMember(); m != nil {
+		if err := check(m); err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+		if err := h.Directory.Announce(ctx, m); err != nil {
+			return nil, connect.NewError(connect.CodeUnavailable, err)
+		}
+	}
+	return connect.NewResponse(&control.AnnounceResponse{Revision: h.rules().Revision, Current: h.Group.View().Current}), nil
+}
+
+func check(m *control.Member) error {
+	if m.GetNode() == "" || m.GetIncarnation() == 0 || m.GetSequence() == 0 {
+		return errors.Newf("announce %q: node, incarnation and sequence are required", m.GetNode())
+	}
+	return nil
+}
+
+// Watch streams rules, members and heartbeats until the node or this process ends it.
+func (h *Handler) Watch(ctx context.Context, req *connect.Request[control.WatchRequest], out *connect.ServerStream[control.WatchResponse]) error {
+	w := h.Hub.Watch(req.Msg)
+	defer w.Close()
+	if err := out.Send(h.beat()); err != nil {
+		return err
+	}
+	beat := time.NewTicker(Beat)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-beat.C:
+			if err := out.Send(h.beat()); err != nil {
+				return err
+			}
+		case <-w.Wake():
+			if err := flush(ctx, w, out); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// flush sends everything due and then waits for gather.
+func flush(ctx context.Context, w *watch.Watcher, out *connect.ServerStream[control.WatchResponse]) error {
+	for _, m := range w.Take() {
+		if err := out.Send(m); err != nil {
+			return err
+		}
+	}
+	pause(ctx, gather)
+	return nil
+}
+
+func (h *Handler) beat() *control.WatchResponse {
+	v := h.Group.View()
+	return &control.WatchResponse{Event: &control.WatchResponse_Beat{Beat: &control.Beat{
+		Current: v.Current, Revision: h.rules().Revision, Leader: v.Leader, Term: v.Term,
+	}}}
+}
+
+func (h *Handler) rules() replica.Rules {
+	var r replica.Rules
+	h.Group.Read(func(s *replica.Replica) { r = s.Rules() })
+	return r
+}
+
+// Status reads the local state.
+func (h *Handler) Status(ctx context.Context, _ *connect.Request[control.StatusRequest]) (*connect.Response[control.StatusResponse], error) {
+	members, err := h.Directory.Members(ctx)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	v := h.Group.View()
+	resp := &control.StatusResponse{
+		Id: v.ID, Leader: v.Leader, Term: v.Term, Commit: v.Commit, Applied: v.Applied, Current: v.Current,
+		Voters: v.Voters, Learners: v.Learners, Members: members,
+	}
+	h.Group.Read(func(s *replica.Replica) {
+		resp.Revision = s.Rules().Revision
+		resp.Number = s.Rules().Number
+		resp.Claims = uint64(s.Claims())
+	})
+	return connect.NewResponse(resp), nil
+}
+
+// Rules reads the accepted rules and the history of changes.
+func (h *Handler) Rules(context.Context, *connect.Request[control.RulesRequest]) (*connect.Response[control.RulesResponse], error) {
+	resp := &control.RulesResponse{}
+	h.Group.Read(func(s *replica.Replica) {
+		r := s.Rules()
+		resp.Rules = &control.Rules{Revision: r.Revision, Number: r.Number, Text: r.Text, Hash: rule.Hash(r.Text)}
+		resp.Changes = lo.Map(s.Changes(), func(c replica.Record, _ int) *control.Change { return change(c) })
+	})
+	return connect.NewResponse(resp), nil
+}
+
+func change(c replica.Record) *control.Change {
+	return &control.Change{
+		Revision: c.Revision, Number: c.Number, Hash: c.Hash, Time: c.Time.UnixMilli(), Origin: c.Origin, Reason: c.Reason,
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/control/transport/peer/client.go
@@ -0,0 +1,188 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"pollenhill.example/control/coordination/group"
+	"pollenhill.example/core/protocol/control"
+	"pollenhill.example/core/protocol/control/controlconnect"
+)
+
+// Times and bounds of the connections between control processes.
+const (
+	dialTimeout = 500 * time.Millisecond
+	raftTimeout = 500 * time.Millisecond // of one batch; consensus sends again what is lost
+	backlog     = 256                    // batches that wait for a slow peer, then batches are dropped
+)
+
+// Clients holds the connections to the other control processes; it is safe for concurrent use.
+type Clients struct {
+	name  string
+	peers map[string]*client
+}
+
+// Config names the control processes.
+type Config struct {
+	Name  string // of this process
+	Bind  netip.Addr
+	Peers []Peer // this process may be among them
+}
+
+// Peer is one control process.
+type Peer struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// client has one connection for consensus, so that a large exchange does not delay heartbeats, and one for the rest.
+type client struct {
+	name string
+	raft controlconnect.PeerClient
+	rest controlconnect.PeerClient
+	http []*http.Transport
+	out  chan [][]byte
+}
+
+// NewClients returns Clients; connections open on first use.
+func NewClients(cfg Config) *Clients {
+	c := &Clients{name: cfg.Name, peers: map[string]*client{}}
+	for _, p := range cfg.Peers {
+		if p.Name != cfg.Name {
+			c.peers[p.Name] = newClient(cfg, p)
+		}
+	}
+	return c
+}
+
+func newClient(cfg Config, p Peer) *client {
+	url := "http://" + p.Address.String()
+	raft, rest := transport(cfg.Bind), transport(cfg.Bind)
+	return &client{
+		name: p.Name,
+		raft: controlconnect.NewPeerClient(&http.Client{Transport: raft}, url),
+		rest: controlconnect.NewPeerClient(&http.Client{Transport: rest}, url),
+		http: []*http.Transport{raft, rest},
+		out:  make(chan [][]byte, backlog),
+	}
+}
+
+func transport(bind netip.Addr) *http.Transport {
+	d := net.Dialer{Timeout: dialTimeout}
+	if bind.IsValid() {
+		d.LocalAddr = &net.TCPAddr{IP: bind.AsSlice()}
+	}
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		DialContext: d.DialContext,
+		Protocols:   p,
+		// Pings close connections to a silently partitioned process, which TCP keeps for minutes.
+		HTTP2: &http.HTTP2Config{SendPingTimeout: time.Second, PingTimeout: time.Second},
+	}
+}
+
+// Names returns the names of the other control processes.
+func (c *Clients) Names() []string {
+	names := make([]string, 0, len(c.peers))
+	for name := range c.peers {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Run sends queued consensus messages until ctx ends.
+func (c *Clients) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, p := range c.peers {
+		g.Go(func() error { return p.run(ctx, c.name) })
+	}
+	err := g.Wait()
+	for _, p := range c.peers {
+		for _, t := range p.http {
+			t.CloseIdleConnections()
+		}
+	}
+	return err
+}
+
+func (p *client) run(ctx context.Context, from string) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case batch := <-p.out:
+			// A lost batch needs no report: consensus sends again.
+			_ = p.deliver(ctx, &control.RaftRequest{From: from, Messages: p.gather(batch)})
+		}
+	}
+}
+
+// gather adds everything queued to a batch.
+func (p *client) gather(batch [][]byte) [][]byte {
+	for {
+		select {
+		case more := <-p.out:
+			batch = append(batch, more...)
+		default:
+			return batch
+		}
+	}
+}
+
+func (p *client) deliver(ctx context.Context, req *control.RaftRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, raftTimeout)
+	defer cancel()
+	_, err := p.raft.Raft(ctx, connect.NewRequest(req))
+	return errors.Wrapf(err, "raft to %s", p.name)
+}
+
+// Send queues consensus messages; it does not block and drops them if the queue is full.
+func (c *Clients) Send(to string, messages [][]byte) {
+	p, ok := c.peers[to]
+	if !ok {
+		return
+	}
+	select {
+	case p.out <- messages:
+	default:
+	}
+}
+
+// Exchange sends directory deltas.
+func (c *Clients) Exchange(ctx context.Context, to string, req *control.ExchangeRequest) (*control.ExchangeResponse, error) {
+	p, ok := c.peers[to]
+	if !ok {
+		return nil, errors.Newf("exchange with %s: not among the peers", to)
+	}
+	resp, err := p.rest.Exchange(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, errors.Wrapf(err, "exchange with %s", to)
+	}
+	return resp.Msg, nil
+}
+
+// Forward proposes an encoded command at another control process and returns the encoded result.
+//
+// The error is a NotLeader only if the command was certainly not proposed.
+func (c *Clients) Forward(ctx context.Context, to string, command []byte) ([]byte, error) {
+	p, ok := c.peers[to]
+	if !ok {
+		return nil, &group.NotLeader{}
+	}
+	resp, err := p.rest.Forward(ctx, connect.NewRequest(&control.ForwardRequest{Command: command}))
+	if connect.CodeOf(err) == connect.CodeFailedPrecondition {
+		return nil, &group.NotLeader{}
+	}
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "forward to %s", to), group.ErrUnknown)
+	}
+	return resp.Msg.GetResult(), nil
+}
