Add lab load: one kind of request at a fixed rate, compared with direct calls

Cause: latency added by nodes has to be measured with real processes. Change: lab load sends the same open-loop load through nodes and straight to a back end in one run and prints both rows.

--- a/lab/main.go
+++ b/lab/main.go
@@ -11,13 +11,14 @@
 
 	"pollenhill.example/lab/demo"
 	"pollenhill.example/lab/fleet"
+	"pollenhill.example/lab/load"
 )
 
 func main() {
 	app := &cli.Command{
 		Name:     "lab",
 		Usage:    "load, demonstration and experiments",
-		Commands: []*cli.Command{demo.Command(), fleet.Command()},
+		Commands: []*cli.Command{demo.Command(), fleet.Command(), load.Command()},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
