--- /dev/null
+++ b/lab/state/layout/settings.go
@@ -0,0 +1,109 @@
+package layout
+
+import (
+	"encoding/json"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+)
+
+// process is one entry of the control list of a node and of the peers of a control process.
+type process struct {
+	Name    string         `json:"name"`
+	Address netip.AddrPort `json:"address"`
+	Region  string         `json:"region"`
+}
+
+type controlSettings struct {
+	Name   string         `json:"name"`
+	Zone   string         `json:"zone"`
+	Region string         `json:"region"`
+	Listen netip.AddrPort `json:"listen"`
+	Bind   netip.Addr     `json:"bind"`
+	Data   string         `json:"data"`
+	Rules  string         `json:"rules"`
+	Peers  []process      `json:"peers"`
+	Events string         `json:"events"`
+}
+
+type nodeSettings struct {
+	Name    string         `json:"name"`
+	Zone    string         `json:"zone"`
+	Region  string         `json:"region"`
+	Caller  netip.AddrPort `json:"caller"`
+	Peer    netip.AddrPort `json:"peer"`
+	Local   netip.AddrPort `json:"local"`
+	Bind    netip.Addr     `json:"bind"`
+	Control []process      `json:"control"`
+	Events  string         `json:"events"`
+}
+
+type standinSettings struct {
+	Name        string         `json:"name"`
+	Service     string         `json:"service"`
+	Zone        string         `json:"zone"`
+	Listen      netip.AddrPort `json:"listen"`
+	Admin       netip.AddrPort `json:"admin"`
+	Node        netip.AddrPort `json:"node"`
+	Slots       int            `json:"slots"`
+	Connections int            `json:"connections"`
+	Cold        int            `json:"cold"`
+	Warm        int            `json:"warm"`
+	Mean        string         `json:"mean"`
+	Probe       string         `json:"probe"`
+}
+
+// Write writes the settings of every process into the folder of the fleet.
+func (f Fleet) Write() error {
+	peers := lo.Map(f.ControlList(), func(c Control, _ int) process {
+		return process{Name: c.Name, Address: c.Address, Region: c.Zone.Region}
+	})
+	for _, c := range f.ControlList() {
+		if err := f.writeControl(c, peers); err != nil {
+			return err
+		}
+	}
+	for _, v := range f.VMs() {
+		if err := f.writeVM(v, peers); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f Fleet) writeControl(c Control, peers []process) error {
+	data := filepath.Join(f.Dir, c.Name+".data")
+	if err := os.MkdirAll(data, 0o755); err != nil {
+		return errors.Wrapf(err, "make the data folder of %s", c.Name)
+	}
+	return f.write(c.Name, controlSettings{
+		Name: c.Name, Zone: c.Zone.Name, Region: c.Zone.Region, Listen: c.Address, Bind: c.Address.Addr(),
+		Data: data, Rules: f.Rules(c.Name), Peers: peers, Events: f.Events(c.Name),
+	})
+}
+
+func (f Fleet) writeVM(v VM, peers []process) error {
+	err := f.write(v.Node(), nodeSettings{
+		Name: v.Node(), Zone: v.Zone.Name, Region: v.Zone.Region, Caller: v.Caller(), Peer: v.Peer(), Local: v.Local(),
+		Bind: v.IP, Control: peers, Events: f.Events(v.Node()),
+	})
+	if err != nil {
+		return err
+	}
+	return f.write(v.Standin(), standinSettings{
+		Name: v.Name, Service: v.Service, Zone: v.Zone.Name, Listen: v.Address(), Admin: v.Admin(), Node: v.Local(),
+		Slots: f.Backend.Slots, Connections: f.Backend.Connections, Cold: f.Backend.Cold, Warm: f.Backend.Warm,
+		Mean: f.Backend.Mean, Probe: f.Backend.Probe,
+	})
+}
+
+func (f Fleet) write(name string, settings any) error {
+	raw, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return errors.Wrapf(err, "encode settings of %s", name)
+	}
+	return errors.Wrapf(os.WriteFile(filepath.Join(f.Dir, name+".json"), raw, 0o600), "write settings of %s", name)
+}
