Take verdicts of the state machine, and complete a rejection when its text arrives

Cause: the replicated state machine keeps the number, hash, origin and reason of an accepted change but not its text, so a rejection reaches the operator's VM before the text does; and it can find a text invalid.

Change: FromResult converts its results.

Conclusion: covered by two more cases of TestModel and by TestFromResult.

--- a/control/transport/operator/answer.go
+++ b/control/transport/operator/answer.go
@@ -61,12 +61,26 @@
 	if force.Number > v.Number {
 		newest = force
 	}
+	line := fmt.Sprintf("change %d # %s", v.Number, v.Reason)
+	if v.Text != "" {
+		line = changeLine(v.Text)
+	}
 	text := fmt.Sprintf("rejected: another edit was accepted as change %d first.\n\n", w.set.Number)
-	text += fmt.Sprintf("accepted change%s:\n\n    %s\n\n", provenance(v), changeLine(v.Text))
-	text += comparison("your file", w.text, v.Text)
-	text += "\nYour file was not touched. To keep your edit, add it to the text below,\n"
-	text += fmt.Sprintf("write \"change %d\" on line 2 and save.\n\n", newest.Number+1)
-	return text + fmt.Sprintf("text of change %d:\n\n%s", newest.Number, newest.Text)
+	text += fmt.Sprintf("accepted change%s:\n\n    %s\n\n", provenance(v), line)
+	if v.Text != "" {
+		text += comparison("your file", w.text, v.Text) + "\n"
+	}
+	text += "Your file was not touched. To keep your edit, add it to the newest accepted rules,\n"
+	text += fmt.Sprintf("write \"change %d\" on line 2 and save.\n", newest.Number+1)
+	if newest.Text == "" {
+		return text
+	}
+	return text + fmt.Sprintf("\ntext of change %d:\n\n%s", newest.Number, newest.Text)
+}
+
+func invalid(w *pending, v Verdict) string {
+	return fmt.Sprintf("refused: the control group found problems in change %d.\n\n%s\n\n", w.set.Number, v.Problem) +
+		inForceLine(w.base) + "The file was not touched. Correct it and save it again.\n"
 }
 
 func provenance(v Verdict) string {
@@ -83,6 +97,7 @@
 func disorder(w *pending, v Verdict) string {
 	text := fmt.Sprintf("rejected: change %d does not follow change %d, which is in force.\n\n", w.set.Number, v.Number)
 	text += fmt.Sprintf("Your file was not touched. Write \"change %d\" on line 2, check that the rest still fits, and save.\n", v.Number+1)
+	text += "The same bytes get the same verdict, even when the number has become right; change at least the comment then.\n"
 	if w.base.Number == v.Number {
 		text += "\n" + comparison(fmt.Sprintf("change %d", v.Number), w.base.Text, w.text)
 	}
--- a/control/transport/operator/kind_string.go
+++ b/control/transport/operator/kind_string.go
@@ -11,11 +11,12 @@
 	_ = x[Accept-0]
 	_ = x[Reject-1]
 	_ = x[Order-2]
+	_ = x[Invalid-3]
 }
 
-const _Kind_name = "acceptedrejectedout of order"
+const _Kind_name = "acceptedrejectedout of orderinvalid"
 
-var _Kind_index = [...]uint8{0, 8, 16, 28}
+var _Kind_index = [...]uint8{0, 8, 16, 28, 35}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/control/transport/operator/model.go
+++ b/control/transport/operator/model.go
@@ -47,6 +47,12 @@
 	repeat time.Time // zero while the submission runs
 }
 
+// rejected is an edit whose number went to another one.
+type rejected struct {
+	edit    *pending
+	verdict Verdict
+}
+
 // Model decides what happens to the rule file of one control process. It is not safe for concurrent use.
 type Model struct {
 	times Times
@@ -60,6 +66,7 @@
 	done   bool      // seen has settled and was handled
 	sent   uint64    // ID of the last submission
 	wait   *pending
+	lost   *rejected // what the file holds, if it was rejected
 	answer string
 }
 
@@ -84,7 +91,7 @@
 func (m *Model) observed(now time.Time, file Observed) []Cmd {
 	if !m.read || file != m.seen {
 		m.seen, m.read, m.since, m.done = file, true, now, false
-		m.wait = nil
+		m.wait, m.lost = nil, nil
 	}
 	if due := m.since.Add(m.settle()); !m.done && now.Before(due) {
 		return []Cmd{Wake{At: due}}
@@ -199,10 +206,21 @@
 	case m.stale():
 		m.wait = nil
 		return m.update()
+	case m.lost != nil:
+		return m.reject()
 	}
 	return nil
 }
 
+// reject answers a rejected edit, again whenever newer rules arrive, because the edit has to be added to those.
+func (m *Model) reject() []Cmd {
+	v := &m.lost.verdict
+	if v.Text == "" && v.Number == m.force.Number {
+		v.Text = m.force.Text
+	}
+	return m.say(rejection(m.lost.edit, *v, m.force))
+}
+
 func (m *Model) answered(now time.Time, msg Answered) []Cmd {
 	if m.wait == nil || msg.ID != m.wait.id {
 		return nil
@@ -227,8 +245,10 @@
 		m.force = Accepted{Number: w.set.Number, Text: w.text}
 		return m.say(acceptance(w))
 	case Reject:
-		m.learn(rule.Hash(v.Text))
-		return m.say(rejection(w, v, m.force))
+		m.lost = &rejected{edit: w, verdict: v}
+		return m.reject()
+	case Invalid:
+		return m.say(invalid(w, v))
 	default:
 		return m.say(disorder(w, v))
 	}
--- a/control/transport/operator/model_test.go
+++ b/control/transport/operator/model_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"pollenhill.example/control/transport/operator"
+	"pollenhill.example/core/state/replica"
 	"pollenhill.example/core/state/rule"
 )
 
@@ -81,7 +82,7 @@
 		{0, accepted(8, "theirs"), ""},
 		{0, answered(1, operator.Verdict{Kind: operator.Reject, Number: 8, Text: text(8, "theirs")}), "rejected"},
 		{time.Second, observed(text(8, "mine")), ""},
-		{0, accepted(9, "more"), ""},
+		{0, accepted(9, "more"), "rejected"},
 		{time.Second, observed(text(8, "mine")), ""},
 	},
 	"a lost answer leads to the same submission": {
@@ -179,6 +180,20 @@
 		{settle, observed(text(8, "b")), "submit 8"},
 		{0, answered(2, operator.Verdict{Kind: operator.Reject, Number: 8, Text: text(8, "a")}), "rejected"},
 	},
+	"a rejection known before the accepted text is completed later": {
+		{0, accepted(7, "a"), ""},
+		{0, observed(text(8, "mine")), "wake"},
+		{settle, observed(text(8, "mine")), "submit 8"},
+		{0, answered(1, operator.Verdict{Kind: operator.Reject, Number: 8, Reason: "ola: theirs"}), "rejected"},
+		{0, accepted(8, "theirs"), "rejected"},
+		{time.Second, observed(text(8, "mine")), ""},
+	},
+	"problems that only the group knows are answered": {
+		{0, observed(text(8, "b")), "wake"},
+		{settle, observed(text(8, "b")), "submit 8"},
+		{0, answered(1, operator.Verdict{Kind: operator.Invalid, Problem: "newer check"}), "refused"},
+		{time.Second, observed(text(8, "b")), ""},
+	},
 	"a number out of order is answered": {
 		{0, accepted(7, "a"), ""},
 		{0, observed(text(12, "b")), "wake"},
@@ -242,6 +257,29 @@
 	}
 }
 
+// Guards against a verdict of the state machine that is reported as another one.
+func TestFromResult(t *testing.T) {
+	at := time.UnixMilli(1_800_000_000_000)
+	taken := replica.Record{Revision: 3, Number: 8, Origin: "control-2", Reason: "ola: x", Time: at}
+	cases := []struct {
+		result replica.Result
+		want   operator.Verdict
+	}{
+		{replica.Result{Verdict: replica.Accepted, Change: taken}, operator.Verdict{Kind: operator.Accept, Revision: 3}},
+		{replica.Result{Verdict: replica.Rejected, Change: taken}, operator.Verdict{Kind: operator.Reject, Number: 8, Origin: "control-2", Reason: "ola: x", Time: at}},
+		{replica.Result{Verdict: replica.OutOfOrder, Next: 8}, operator.Verdict{Kind: operator.Order, Number: 7}},
+		{replica.Result{Verdict: replica.Invalid, Problem: "p"}, operator.Verdict{Kind: operator.Invalid, Problem: "p"}},
+	}
+	for _, c := range cases {
+		if got, err := operator.FromResult(c.result); err != nil || got != c.want {
+			t.Errorf("%v: got %+v, %v", c.result.Verdict, got, err)
+		}
+	}
+	if _, err := operator.FromResult(replica.Result{Verdict: replica.Granted}); err == nil {
+		t.Error("a claim's verdict is taken for one about a change")
+	}
+}
+
 // group is a control group with its verdicts, as the replicated state machine keeps them.
 type group struct {
 	texts []string // accepted text of change i+1
--- a/control/transport/operator/verdict.go
+++ b/control/transport/operator/verdict.go
@@ -2,6 +2,10 @@
 
 import (
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollenhill.example/core/state/replica"
 )
 
 //go:generate go tool -modfile=../../../tools/go.mod stringer -type=Kind -linecomment
@@ -11,9 +15,10 @@
 
 // Kinds of verdicts.
 const (
-	Accept Kind = iota // accepted
-	Reject             // rejected
-	Order              // out of order
+	Accept  Kind = iota // accepted
+	Reject              // rejected
+	Order               // out of order
+	Invalid             // invalid
 )
 
 // Verdict is the decision of the control group about one submission; a resend gets the first one again.
@@ -21,7 +26,25 @@
 	Kind     Kind
 	Revision uint64    // Accept: consensus revision of the change
 	Number   uint64    // Reject: number of the accepted change; Order: number in force
-	Text     string    // Reject: accepted text of that number
+	Text     string    // Reject: accepted text of that number, empty if the group no longer has it
+	Reason   string    // Reject: comment of its change line
 	Origin   string    // Reject: control process whose file carried it
 	Time     time.Time // Reject: when it was proposed
+	Problem  string    // Invalid: what the group found
+}
+
+// FromResult returns the verdict that the replicated state machine gave.
+func FromResult(r replica.Result) (Verdict, error) {
+	switch r.Verdict {
+	case replica.Accepted:
+		return Verdict{Kind: Accept, Revision: r.Change.Revision}, nil
+	case replica.Rejected:
+		c := r.Change
+		return Verdict{Kind: Reject, Number: c.Number, Reason: c.Reason, Origin: c.Origin, Time: c.Time}, nil
+	case replica.OutOfOrder:
+		return Verdict{Kind: Order, Number: r.Next - 1}, nil
+	case replica.Invalid:
+		return Verdict{Kind: Invalid, Problem: r.Problem}, nil
+	}
+	return Verdict{}, errors.Newf("verdict %v does not belong to a change", r.Verdict)
 }
--- a/core/state/rule/credit.go
+++ b/core/state/rule/credit.go
@@ -25,6 +25,15 @@
 	return list
 }
 
+// Reason returns the comment of the change line of an accepted text, "who: why".
+func Reason(text string) string {
+	credits := Credits(text)
+	if len(credits) < 2 || credits[1].Who == "" {
+		return ""
+	}
+	return credits[1].Who + ": " + credits[1].Why
+}
+
 // Since returns, for every line of text, the number of the change that brought it.
 // It takes the result for the text before and the number of the change that leads from there to text;
 // without a usable result the lines of the old text count as not known.
--- a/core/state/rule/diff_test.go
+++ b/core/state/rule/diff_test.go
@@ -83,3 +83,13 @@
 		t.Fatalf("after the third change: %v", since)
 	}
 }
+
+// Guards against a change whose reason is lost in the history of changes.
+func TestReason(t *testing.T) {
+	if got := rule.Reason(base); got != "kari: test" {
+		t.Errorf("got %q", got)
+	}
+	if got := rule.Reason("format 1\n"); got != "" {
+		t.Errorf("without change line: %q", got)
+	}
+}
