--- a/core/state/rule/credit.go
+++ b/core/state/rule/credit.go
@@ -4,6 +4,7 @@
 type Credit struct {
 	Line  int    `json:"line"` // 1-based
 	Rule  string `json:"rule"` // the line without its ending
+	Bare  string `json:"-"`    // the same without its comment
 	Verb  string `json:"verb"` // empty on lines without a rule
 	Who   string `json:"who"`
 	Why   string `json:"why"`
@@ -16,7 +17,7 @@
 	list := make([]Credit, len(raw))
 	for i, one := range raw {
 		l := newLine(i+1, one)
-		list[i] = Credit{Line: l.no, Rule: l.text}
+		list[i] = Credit{Line: l.no, Rule: l.text, Bare: l.text[:l.end()]}
 		if len(l.words) > 0 {
 			list[i].Verb = l.words[0].text
 			list[i].Who, list[i].Why, _ = l.who()
--- a/core/state/rule/parse.go
+++ b/core/state/rule/parse.go
@@ -205,8 +205,8 @@
 	v, known := verbs[w.text]
 	if !known {
 		near := nearest(w.text, verbNames())
-		example := verbs["zone"].example
-		if near != "" {
+		example := verbs[cmp.Or(near, "zone")].example
+		if _, _, ok := l.who(); ok && near != "" && len(l.words) > 2 {
 			example = l.with(w, near)
 		}
 		p.bad(l, w.at, example, "%q is not a rule; rules are %s", w.text, strings.Join(verbNames(), ", "))
--- /dev/null
+++ b/pollenhill/transport/control/doc.go
@@ -0,0 +1,2 @@
+// Package control asks control processes for their state, without the leader.
+package control
