--- a/pollenhill/command/run_test.go
+++ b/pollenhill/command/run_test.go
@@ -76,7 +76,7 @@
 		rules: inForce(7, rules),
 		status: &control.StatusResponse{
 			Id: "control-1", Leader: "control-1", Term: 3, Applied: 42, Current: true, Revision: 107, Number: 7,
-			Voters: []string{"control-1", "control-2"},
+			Voters: []string{"control-1", "control-2"}, Learners: []string{"control-3"},
 			Members: []*control.Member{
 				{Node: "node-2", Zone: "oslo-b", Region: "oslo", Address: "127.0.0.2:81", Backends: []*control.Backend{backend("booking-2", control.State_STATE_COLD)}},
 				{Node: "node-1", Zone: "oslo-a", Region: "oslo", Address: "127.0.0.1:81", Backends: []*control.Backend{backend("booking-3", control.State_STATE_READY)}},
@@ -224,6 +224,7 @@
 	address := serve(t, healthy())
 	code, out, _ := run(t, "", "status", "--control", address+",127.0.0.1:1")
 	want(t, code, command.ExitOK, out, "leader", "no answer", "connection refused",
+		"voters: control-1, control-2\nlearners: control-3\n",
 		"oslo-b  oslo    out", "in, not in the rules", "ready, out", "booking-2")
 
 	code, out, _ = run(t, "", "status", "--control", address, "--zone", "oslo-b", "--service", "booking")
--- a/pollenhill/command/status.go
+++ b/pollenhill/command/status.go
@@ -9,7 +9,6 @@
 	"text/tabwriter"
 
 	"github.com/cockroachdb/errors"
-	"github.com/samber/lo"
 	"github.com/urfave/cli/v3"
 
 	"pollenhill.example/core/protocol/control"
@@ -22,6 +21,8 @@
 	Control []process `json:"control"`
 	Zones   []zone    `json:"zones"`
 	Nodes   []node    `json:"nodes"`
+
+	group *control.StatusResponse // most current answer
 }
 
 // process is one control process.
@@ -105,7 +106,10 @@
 	if err != nil {
 		return fail(ExitUnreachable, err)
 	}
-	s := &status{Control: lo.Map(answers, func(a client.Answer[*control.StatusResponse], _ int) process { return newProcess(a) })}
+	s := &status{group: best}
+	for _, a := range answers {
+		s.Control = append(s.Control, newProcess(a))
+	}
 	s.fill(best.GetMembers(), rulesOf(ctx, asked), c.String("zone"), c.String("service"))
 	if c.Bool("json") {
 		err = printJSON(c, s)
@@ -256,6 +260,8 @@
 		}
 		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\n", p.Name, p.Address, p.role(), p.Term, p.Applied, p.Number, p.Claims)
 	}
+	table.Flush()
+	s.printGroup(c)
 	fmt.Fprintln(table, "\nzone\tregion\tservice\tnodes\tready\tcold\tdraining\tleaving\tslots")
 	for _, z := range s.Zones {
 		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n", z.Name, z.Region, z.service(), z.Nodes, z.Ready, z.Cold, z.Draining, z.Leaving, z.Slots)
@@ -278,6 +284,14 @@
 	printf(c, "\n")
 }
 
+// printGroup lists the members of the group as the most current process knows them.
+func (s *status) printGroup(c *cli.Command) {
+	printf(c, "voters: %s\n", strings.Join(s.group.Voters, ", "))
+	if len(s.group.Learners) > 0 {
+		printf(c, "learners: %s\n", strings.Join(s.group.Learners, ", "))
+	}
+}
+
 func (p process) role() string {
 	role := "follower"
 	switch {
