Add the consensus model and the engine that runs it on a log

Cause: rules and claims must be agreed by 1 to 7 control processes that crash, lose disks and are partitioned at any moment. Member IDs are unique per data folder; a first voter takes part only after every other first voter confirmed its ID, so a voter that lost its disk is refused and comes back as a learner.

--- /dev/null
+++ b/core/coordination/engine/identity.go
@@ -0,0 +1,61 @@
+package engine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"pollenhill.example/core/coordination/raft"
+	"pollenhill.example/core/state/field"
+)
+
+// identity is what a data folder says about its member; it is written before any message is sent.
+type identity struct {
+	id       string
+	founders []string // IDs of the first voters; empty while they are not known and for a member that joined
+	joined   bool
+}
+
+// newID returns the ID of a new data folder: the number tells it from every earlier folder of the same name.
+func newID(name string, r *rand.Rand) string {
+	return fmt.Sprintf("%s/%016x", name, r.Uint64())
+}
+
+// NameOf returns the name of the control process of a member ID.
+func NameOf(id string) string {
+	name, _, _ := strings.Cut(id, "/")
+	return name
+}
+
+func (i identity) encode() []byte {
+	var w field.Writer
+	w.String(1, i.id)
+	for _, id := range i.founders {
+		w.String(2, id)
+	}
+	if i.joined {
+		w.Uint(3, 1)
+	}
+	return w.Done()
+}
+
+func (i *identity) decode(b []byte) error {
+	err := field.Read(b, func(f field.Field) error {
+		switch f.Number {
+		case 1:
+			i.id = f.Text()
+		case 2:
+			i.founders = append(i.founders, f.Text())
+		case 3:
+			i.joined = f.Uint == 1
+		}
+		return nil
+	})
+	return errors.Wrap(err, "decode identity")
+}
+
+func (i identity) founded() bool { return i.joined || len(i.founders) > 0 }
+
+func (i identity) membership() raft.Membership { return raft.Membership{Voters: i.founders} }
--- /dev/null
+++ b/core/coordination/engine/sim_test.go
@@ -0,0 +1,357 @@
+package engine_test
+
+import (
+	"bytes"
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"testing"
+	"time"
+
+	"pollenhill.example/core/coordination/engine"
+	"pollenhill.example/core/coordination/raft"
+	"pollenhill.example/core/state/disk"
+	"pollenhill.example/core/state/replica"
+)
+
+const (
+	tickEvery = 20 * time.Millisecond
+	dataDir   = "/data"
+)
+
+// sim runs a whole group in virtual time over a network and disks that fail, all drawn from one seed.
+type sim struct {
+	r        *rand.Rand
+	now      time.Time
+	started  time.Time
+	events   events
+	order    int
+	vms      []*vm
+	founders int                // the first VMs, which found the group
+	cut      map[[2]string]bool // one-way
+	loss     float64
+	repeat   float64
+	delay    time.Duration // longest; messages overtake each other
+	entries  uint64        // snapshot after
+
+	leaders  map[uint64]string        // by term
+	accepted map[uint64]replica.Rules // by number
+	problem  string
+	calls    map[call]func(engine.Outcome)
+	tokens   uint64
+}
+
+// vm is one VM with its disk and, while it is up, its process.
+type vm struct {
+	name    string
+	disk    *disk.Fake
+	process *engine.Engine
+	join    bool
+	starts  int
+	number  uint64 // newest change seen by the running process
+	broken  bool   // the disk has a fault that a restart must refuse
+}
+
+type call struct {
+	vm    string
+	start int
+	token uint64
+}
+
+type event struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].order < q[j].order
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(e any)   { *q = append(*q, e.(event)) }
+func (q *events) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+func newSim(seed uint64, n int) *sim {
+	start := time.UnixMilli(1_700_000_000_000)
+	s := &sim{
+		r: rand.New(rand.NewPCG(seed, 7)), now: start, started: start, cut: map[[2]string]bool{}, entries: 12,
+		delay: 3 * time.Millisecond, founders: n, leaders: map[uint64]string{}, accepted: map[uint64]replica.Rules{},
+		calls: map[call]func(engine.Outcome){},
+	}
+	for i := range n {
+		s.add(fmt.Sprintf("c%d", i+1), false)
+	}
+	for _, v := range s.vms {
+		s.start(v)
+	}
+	return s
+}
+
+func (s *sim) add(name string, join bool) *vm {
+	v := &vm{name: name, join: join, disk: disk.NewFake(rand.New(rand.NewPCG(s.r.Uint64(), 1)))}
+	s.vms = append(s.vms, v)
+	return v
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.order++
+	heap.Push(&s.events, event{s.now.Add(d), s.order, run})
+}
+
+// run lets virtual time pass until the condition holds or the limit is reached.
+func (s *sim) run(limit time.Duration, until func() bool) bool {
+	end := s.now.Add(limit)
+	for s.problem == "" && len(s.events) > 0 && !s.events[0].at.After(end) {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.run()
+		if until != nil && until() {
+			return true
+		}
+	}
+	s.now = end
+	return false
+}
+
+func (s *sim) fail(format string, args ...any) {
+	if s.problem == "" {
+		s.problem = fmt.Sprintf("after %v: ", s.now.Sub(s.started)) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (s *sim) peers() []engine.Peer {
+	var list []engine.Peer
+	for _, v := range s.vms {
+		list = append(list, engine.Peer{Name: v.name})
+	}
+	return list
+}
+
+// start starts the process of a VM; a folder that cannot be verified is replaced by an empty one, as an operator would.
+func (s *sim) start(v *vm) {
+	if v.process != nil {
+		return
+	}
+	peers := s.peers()
+	if !v.join {
+		peers = peers[:s.founders]
+	}
+	p, err := engine.Open(engine.Config{
+		Name: v.name, FS: v.disk, Dir: dataDir, Peers: peers, Join: v.join, Entries: s.entries,
+		Rand: rand.New(rand.NewPCG(s.r.Uint64(), 2)),
+		Send: func(to string, messages [][]byte) { s.send(v.name, to, messages) },
+	}, s.now)
+	switch {
+	case errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EIO):
+		s.stop(v, s.r.IntN(2) == 0)
+		s.after(300*time.Millisecond, func() { s.start(v) })
+		return
+	case err != nil && v.broken:
+		s.replace(v)
+		return
+	case err != nil:
+		s.fail("%s cannot start: %v", v.name, err)
+		return
+	}
+	if v.broken {
+		s.fail("%s starts from a damaged folder", v.name)
+		return
+	}
+	v.process = p
+	v.starts++
+	v.number = 0
+	s.tick(v, v.starts)
+}
+
+// replace puts in an empty disk and starts a joining process.
+func (s *sim) replace(v *vm) {
+	v.disk.Wipe()
+	v.broken = false
+	v.join = true
+	s.start(v)
+}
+
+func (s *sim) tick(v *vm, start int) {
+	if v.process == nil || v.starts != start {
+		return
+	}
+	s.step(v, engine.Tick{})
+	s.after(tickEvery, func() { s.tick(v, start) })
+}
+
+func (s *sim) stop(v *vm, whole bool) {
+	v.process = nil
+	if whole {
+		v.disk.Crash()
+		return
+	}
+	v.disk.Kill()
+}
+
+func (s *sim) vm(name string) *vm {
+	for _, v := range s.vms {
+		if v.name == name {
+			return v
+		}
+	}
+	return nil
+}
+
+func (s *sim) send(from, to string, messages [][]byte) {
+	for _, raw := range messages {
+		copies := 1
+		if s.r.Float64() < s.repeat {
+			copies = 2
+		}
+		for range copies {
+			if s.cut[[2]string{from, to}] || s.r.Float64() < s.loss {
+				continue
+			}
+			s.after(time.Duration(s.r.Int64N(int64(s.delay))), func() { s.deliver(to, raw) })
+		}
+	}
+}
+
+func (s *sim) deliver(to string, raw []byte) {
+	if v := s.vm(to); v != nil && v.process != nil {
+		s.step(v, engine.Receive{Message: raw})
+	}
+}
+
+// step runs one step of a process and checks what can be seen from outside.
+func (s *sim) step(v *vm, in engine.Input) {
+	p := v.process
+	outcomes := p.Step(s.now, in)
+	for _, o := range outcomes {
+		id := call{v.name, v.starts, o.Token}
+		if done := s.calls[id]; done != nil {
+			delete(s.calls, id)
+			done(o)
+		}
+	}
+	if p.Err() == nil {
+		s.check(v, p)
+		return
+	}
+	s.stop(v, s.r.IntN(2) == 0)
+	s.after(300*time.Millisecond, func() { s.start(v) })
+}
+
+func (s *sim) check(v *vm, p *engine.Engine) {
+	view := p.View(s.now)
+	if view.Role == raft.Leader {
+		if other := s.leaders[view.Term]; other != "" && other != p.ID() {
+			s.fail("%s and %s lead in term %d", other, p.ID(), view.Term)
+		}
+		s.leaders[view.Term] = p.ID()
+	}
+	rules := p.Replica().Rules()
+	if rules.Number < v.number {
+		s.fail("%s went from change %d back to %d", v.name, v.number, rules.Number)
+	}
+	v.number = rules.Number
+	if rules.Number == 0 {
+		return
+	}
+	if known, ok := s.accepted[rules.Number]; ok && known != rules {
+		s.fail("%s has change %+v, another had %+v", v.name, rules, known)
+	}
+	s.accepted[rules.Number] = rules
+}
+
+// call passes an input with a token to a process and returns false if it is down.
+func (s *sim) call(v *vm, input func(token uint64) engine.Input, done func(engine.Outcome)) bool {
+	if v.process == nil {
+		return false
+	}
+	s.tokens++
+	s.calls[call{v.name, v.starts, s.tokens}] = done
+	s.step(v, input(s.tokens))
+	return true
+}
+
+// leader returns the VM whose process leads with a quorum, or nil.
+func (s *sim) leader() *vm {
+	for _, v := range s.vms {
+		if v.process == nil {
+			continue
+		}
+		if view := v.process.View(s.now); view.Role == raft.Leader && view.Current {
+			return v
+		}
+	}
+	return nil
+}
+
+// settle ends all faults, starts everything and waits until all members have applied the same log.
+func (s *sim) settle() {
+	s.cut = map[[2]string]bool{}
+	s.loss, s.repeat = 0, 0
+	for _, v := range s.vms {
+		v.disk.Limit(-1)
+		v.disk.FailSync(-1)
+		s.start(v)
+	}
+	if !s.run(30*time.Second, s.settled) {
+		s.fail("the group does not settle: %s", s.describe())
+	}
+}
+
+func (s *sim) settled() bool {
+	l := s.leader()
+	if l == nil {
+		return false
+	}
+	view := l.process.View(s.now)
+	if view.Applied != view.Last || len(view.Members.Learners) > 0 {
+		return false
+	}
+	for _, id := range view.Members.Voters {
+		v := s.vm(engine.NameOf(id))
+		if v.process == nil || v.process.ID() != id || v.process.View(s.now).Applied != view.Applied {
+			return false
+		}
+	}
+	return true
+}
+
+// equal checks that all voters have the same state byte for byte.
+func (s *sim) equal() {
+	var first []byte
+	for _, id := range s.leader().process.View(s.now).Members.Voters {
+		state := s.vm(engine.NameOf(id)).process.Replica().Snapshot()
+		if first != nil && !bytes.Equal(first, state) {
+			s.fail("%s has another state", id)
+		}
+		first = state
+	}
+}
+
+func (s *sim) describe() string {
+	text := ""
+	for _, v := range s.vms {
+		if v.process == nil {
+			text += fmt.Sprintf("%s down; ", v.name)
+			continue
+		}
+		text += fmt.Sprintf("%s %+v; ", v.process.ID(), v.process.View(s.now))
+	}
+	return text
+}
+
+func (s *sim) report(t testing.TB, seed uint64) {
+	t.Helper()
+	if s.problem != "" {
+		t.Fatalf("seed %d: %s", seed, s.problem)
+	}
+}
--- /dev/null
+++ b/core/coordination/raft/member.go
@@ -0,0 +1,103 @@
+package raft
+
+import (
+	"time"
+
+	"pollenhill.example/core/state/wal"
+)
+
+// members returns the newest membership in the log, which counts from the moment it is there.
+func (m *Model) members() Membership { return m.sets[len(m.sets)-1].set }
+
+// noteMembers takes the membership of an entry that has just been added to the log.
+func (m *Model) noteMembers(e wal.Entry) error {
+	if e.Kind != Members {
+		return nil
+	}
+	set, _, err := DecodeMembership(e.Data)
+	if err != nil {
+		return err
+	}
+	m.sets = append(m.sets, membershipAt{e.Index, set})
+	return nil
+}
+
+// alterable returns whether the last membership and an entry of this term are committed. Without either,
+// two quorums that do not meet could be in force at once.
+func (m *Model) alterable() bool {
+	term, _ := m.log.term(m.commit)
+	return m.role == Leader && m.sets[len(m.sets)-1].index <= m.commit && term == m.state.Term
+}
+
+func (m *Model) alter(msg Alter) {
+	set := m.members()
+	next := set.with(msg.Member)
+	if msg.Remove {
+		next = set.drop(msg.Member)
+	}
+	switch {
+	case m.role != Leader:
+		m.emit(Reject{msg.Token, NotLeader})
+	case set.has(msg.Member) != msg.Remove || len(next.Voters) == 0:
+		m.emit(Reject{msg.Token, Refused})
+	case !m.alterable():
+		m.emit(Reject{msg.Token, Busy})
+	default:
+		m.emit(Proposed{msg.Token, m.log.last() + 1, m.state.Term})
+		m.setMembers(next, msg.Data)
+	}
+}
+
+func (m *Model) setMembers(set Membership, command []byte) {
+	m.sets = append(m.sets, membershipAt{m.log.last() + 1, set})
+	m.append(wal.Entry{Kind: Members, Data: set.encode(command)})
+	m.syncPeers()
+	m.replicate()
+}
+
+// promote makes a voter of one learner that has synced everything committed and is in contact.
+func (m *Model) promote() {
+	if !m.alterable() {
+		return
+	}
+	for _, id := range m.members().Learners {
+		p := m.lead.peers[id]
+		if p == nil || p.match < m.commit || !m.now.Before(p.contact.Add(m.cfg.Election)) {
+			continue
+		}
+		m.setMembers(m.members().promote(id), nil)
+		return
+	}
+}
+
+// View is a copy of the state for status and tests.
+type View struct {
+	Role    Role
+	Term    uint64
+	Vote    string
+	Leader  string
+	Last    uint64
+	Commit  uint64
+	Applied uint64
+	Base    uint64 // index of the last snapshot
+	Current bool   // leader with a quorum, or heard one, within the election timeout
+	Members Membership
+}
+
+// View returns the state at the given time.
+func (m *Model) View(now time.Time) View {
+	if now.After(m.now) {
+		m.now = now
+	}
+	return View{
+		Role: m.role, Term: m.state.Term, Vote: m.state.Vote, Leader: m.leader, Last: m.log.last(),
+		Commit: m.commit, Applied: m.applied, Base: m.snapshot.Index, Current: m.current(), Members: m.members(),
+	}
+}
+
+func (m *Model) current() bool {
+	if m.role == Leader {
+		return m.inContact(time.Time{})
+	}
+	return m.leader != "" && m.now.Before(m.currentAt.Add(m.cfg.Election))
+}
--- /dev/null
+++ b/core/coordination/raft/msg.go
@@ -0,0 +1,109 @@
+package raft
+
+import "pollenhill.example/core/state/wal"
+
+// Msg is an input of Model.Update.
+type Msg interface{ msg() }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Receive delivers a message of another member.
+type Receive struct{ Message Message }
+
+// Propose asks for entries; the answer to each is Proposed or Reject.
+type Propose struct{ Proposals []Proposal }
+
+// Proposal is one command with the token of its answer.
+type Proposal struct {
+	Token uint64
+	Data  []byte
+}
+
+// Alter asks for a membership change; the answer is Proposed or Reject.
+type Alter struct {
+	Token  uint64
+	Member string
+	Remove bool   // otherwise the member is added as a learner
+	Data   []byte // command applied with the change
+}
+
+// Read asks for linearizable reads; the answer to each token is Ready or Reject.
+type Read struct{ Tokens []uint64 }
+
+// Persisted reports that everything up to the effect with this sequence number is durable.
+type Persisted struct{ Sequence uint64 }
+
+// Compact reports a snapshot of the application at an applied index.
+type Compact struct {
+	Index uint64
+	Data  []byte
+}
+
+func (Tick) msg()      {}
+func (Receive) msg()   {}
+func (Propose) msg()   {}
+func (Alter) msg()     {}
+func (Read) msg()      {}
+func (Persisted) msg() {}
+func (Compact) msg()   {}
+
+// Cmd is an effect that Model.Update asks for; effects are carried out in order, except that Send need not
+// wait for a Save or Rewrite before it.
+type Cmd interface{ cmd() }
+
+// Send passes a message to another member.
+type Send struct{ Message Message }
+
+// Save appends to the log and is answered by Persisted.
+type Save struct {
+	Sequence uint64
+	State    wal.State
+	Entries  []wal.Entry
+}
+
+// Rewrite replaces the content of the data folder and is answered by Persisted.
+type Rewrite struct {
+	Sequence uint64
+	State    wal.State
+	Snapshot wal.Snapshot
+	Entries  []wal.Entry
+}
+
+// Restore replaces the state of the application.
+type Restore struct{ Snapshot wal.Snapshot }
+
+// Apply runs committed entries on the application.
+type Apply struct{ Entries []wal.Entry }
+
+// Proposed says at which index and term an entry will be applied, if it is.
+type Proposed struct {
+	Token uint64
+	Index uint64
+	Term  uint64
+}
+
+// Ready says that a read may be answered once Index is applied.
+type Ready struct {
+	Token uint64
+	Index uint64
+}
+
+// Reject says that a proposal or read had no effect.
+type Reject struct {
+	Token  uint64
+	Reason Reason
+}
+
+// Fail says that the log contradicts another member's and that this member must stop.
+type Fail struct{ Problem string }
+
+func (Send) cmd()     {}
+func (Save) cmd()     {}
+func (Rewrite) cmd()  {}
+func (Restore) cmd()  {}
+func (Apply) cmd()    {}
+func (Proposed) cmd() {}
+func (Ready) cmd()    {}
+func (Reject) cmd()   {}
+func (Fail) cmd()     {}
