Test directory, subset and watchers; choose subsets outside the hub lock

Cause: repicking every subset under the lock of the hub would hold up rules when a zone goes: 110 services x 967 watchers x 9 us per pick is about 1 s.

Change: the hub only marks changed nodes and moved services; each stream chooses its own subsets.

--- a/control/coordination/watch/hub.go
+++ b/control/coordination/watch/hub.go
@@ -58,20 +58,14 @@
 func (h *Hub) Members(change member.Change) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	moved := map[string]struct{}{}
 	for _, m := range change.Set {
-		h.set(m.GetNode(), m, moved)
+		h.set(m.GetNode(), m)
 	}
 	for _, node := range change.Gone {
-		h.set(node, nil, moved)
+		h.set(node, nil)
 	}
 	for w := range h.watchers {
-		for service := range moved {
-			w.repick(service)
-		}
-		if len(w.pending) > 0 {
-			w.signal()
-		}
+		w.signal()
 	}
 }
 
@@ -82,25 +76,28 @@
 	return len(h.watchers)
 }
 
-// set replaces one member, or removes it if m is nil, and adds the services whose lists changed to moved.
-func (h *Hub) set(node string, m *control.Member, moved map[string]struct{}) {
+// set replaces one member, or removes it if m is nil.
+func (h *Hub) set(node string, m *control.Member) {
 	old := h.members[node]
 	if m == nil {
 		delete(h.members, node)
 	} else {
 		h.members[node] = m
 	}
+	before, after := services(old), services(m)
+	touched := lo.Union(before, after)
 	for w := range h.watchers {
-		w.touch(node, old)
+		w.changed[node] = lo.Union(w.changed[node], touched)
 	}
-	before, after := services(old), services(m)
 	same := old != nil && m != nil && place(old) == place(m)
-	for _, s := range lo.Union(before, after) {
+	for _, s := range touched {
 		if same && slices.Contains(before, s) && slices.Contains(after, s) {
 			continue
 		}
 		h.list(s, node, m, slices.Contains(after, s))
-		moved[s] = struct{}{}
+		for w := range h.watchers {
+			w.moved[s] = struct{}{}
+		}
 	}
 }
 
--- /dev/null
+++ b/control/coordination/watch/hub_test.go
@@ -0,0 +1,156 @@
+package watch_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/samber/lo"
+	"pgregory.net/rapid"
+
+	"pollenhill.example/control/coordination/watch"
+	"pollenhill.example/core/coordination/follow"
+	"pollenhill.example/core/coordination/member"
+	"pollenhill.example/core/coordination/subset"
+	"pollenhill.example/core/protocol/control"
+)
+
+func made(node int, zone string, state control.State, services ...string) *control.Member {
+	m := &control.Member{Node: fmt.Sprintf("n%02d", node), Zone: zone, Region: "r", Incarnation: 1, Sequence: 1}
+	for _, s := range services {
+		m.Backends = append(m.Backends, &control.Backend{Name: m.GetNode() + s, Service: s, State: state})
+	}
+	return m
+}
+
+// drain applies everything due to a node's state.
+func drain(t *rapid.T, w *watch.Watcher, s *follow.State) *follow.State {
+	for _, msg := range w.Take() {
+		if r := msg.GetRules(); r != nil {
+			next, err := s.WithRules(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s = next
+		}
+		if m := msg.GetMembers(); m != nil {
+			s = s.WithMembers(m)
+		}
+	}
+	return s
+}
+
+// expected returns what a node must know: the union of its subsets.
+func expected(node string, at subset.Place, all map[string]*control.Member) []string {
+	lists := map[string][]subset.Member{}
+	for _, m := range all {
+		for _, b := range m.GetBackends() {
+			lists[b.GetService()] = append(lists[b.GetService()], subset.Member{
+				Node: m.GetNode(), Place: subset.Place{Zone: m.GetZone(), Region: m.GetRegion()},
+			})
+		}
+	}
+	var names []string
+	for _, l := range lists {
+		names = append(names, subset.Pick(node, at, l, subset.Size)...)
+	}
+	names = lo.Uniq(names)
+	slices.Sort(names)
+	return names
+}
+
+// Guards against a node whose members or rules differ from the hub after any sequence of deltas, at any pace.
+func TestDeltasLeadToTheState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hub := watch.New()
+		all := map[string]*control.Member{}
+		if rapid.Bool().Draw(t, "ready") {
+			hub.Ready()
+		}
+		w := hub.Watch(&control.WatchRequest{Node: "n", Zone: "a", Region: "r"})
+		defer w.Close()
+		state := &follow.State{}
+		text := ""
+		for revision := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			m := made(
+				rapid.IntRange(0, 20).Draw(t, "node"),
+				rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"),
+				rapid.SampledFrom([]control.State{control.State_STATE_COLD, control.State_STATE_READY}).Draw(t, "state"),
+				rapid.SampledFrom([][]string{{"s"}, {"t"}, {"s", "t"}}).Draw(t, "services")...,
+			)
+			if rapid.IntRange(0, 3).Draw(t, "gone") == 0 {
+				delete(all, m.GetNode())
+				hub.Members(member.Change{Gone: []string{m.GetNode()}})
+			} else {
+				all[m.GetNode()] = m
+				hub.Members(member.Change{Set: []*control.Member{m}})
+			}
+			text += fmt.Sprintf("line %d\n", revision)
+			hub.Rules(uint64(revision+1), uint64(revision+1), text)
+			if rapid.Bool().Draw(t, "take") {
+				state = drain(t, w, state)
+			}
+		}
+		state = drain(t, w, state)
+		if state.Text != text {
+			t.Fatalf("text %q, want %q", state.Text, text)
+		}
+		got := lo.Map(state.Members, func(m *control.Member, _ int) string { return m.GetNode() })
+		if want := expected("n", subset.Place{Zone: "a", Region: "r"}, all); !slices.Equal(got, want) {
+			t.Fatalf("members %v, want %v", got, want)
+		}
+		for _, m := range state.Members {
+			if m != all[m.GetNode()] {
+				t.Fatalf("%s is stale", m.GetNode())
+			}
+		}
+	})
+}
+
+// Guards against a restarted, still empty control process that takes away the members a node knows.
+func TestMembersReplaceOnlyWhenReady(t *testing.T) {
+	hub := watch.New()
+	hub.Members(member.Change{Set: []*control.Member{made(1, "a", control.State_STATE_READY, "s")}})
+	w := hub.Watch(&control.WatchRequest{Node: "n", Zone: "a", Region: "r"})
+	defer w.Close()
+	if got := w.Take(); len(got) != 1 || got[0].GetMembers().GetFull() {
+		t.Fatalf("before ready: %v", got)
+	}
+	hub.Ready()
+	if got := w.Take(); len(got) != 1 || !got[0].GetMembers().GetFull() {
+		t.Fatalf("after ready: %v", got)
+	}
+}
+
+// Guards against whole texts where a line delta is enough, and against a delta from a base that is not kept.
+func TestRulesDeltas(t *testing.T) {
+	hub := watch.New()
+	base := strings.Repeat("a line of the file\n", 100)
+	for revision := uint64(1); revision <= 100; revision++ {
+		hub.Rules(revision, revision, base+fmt.Sprintf("change %d\n", revision))
+	}
+	tests := []struct {
+		held  uint64
+		delta bool
+		none  bool
+	}{
+		{held: 0}, {held: 1}, {held: 99, delta: true}, {held: 60, delta: true}, {held: 100, none: true}, {held: 500, none: true},
+	}
+	for _, tt := range tests {
+		w := hub.Watch(&control.WatchRequest{Node: "n", Revision: tt.held})
+		got := w.Take()
+		w.Close()
+		if (len(got) == 0) != tt.none {
+			t.Errorf("held %d: got %d messages", tt.held, len(got))
+			continue
+		}
+		if tt.none {
+			continue
+		}
+		r := got[0].GetRules()
+		if isDelta := r.GetBase() == tt.held && r.GetText() == "" && len(r.GetEdits()) > 0; isDelta != tt.delta {
+			t.Errorf("held %d: base %d, %d bytes of text", tt.held, r.GetBase(), len(r.GetText()))
+		}
+	}
+}
--- a/control/coordination/watch/watcher.go
+++ b/control/coordination/watch/watcher.go
@@ -10,16 +10,21 @@
 	"pollenhill.example/core/protocol/control"
 )
 
-// Watcher is one stream to a node.
+// Watcher is one stream to a node; Take and Close are for one goroutine.
 type Watcher struct {
-	hub      *Hub
-	node     string
-	place    subset.Place
+	hub   *Hub
+	node  string
+	place subset.Place
+	wake  chan struct{}
+
+	// Owned by the goroutine of the stream, so that choosing subsets does not hold up the hub.
 	revision uint64              // rules that the node has
 	picks    map[string][]string // nodes of the subset by service, sorted
-	pending  map[string]struct{} // nodes whose state the stream has to tell
-	full     bool                // the next members replace everything
-	wake     chan struct{}
+
+	// Guarded by the mutex of the hub.
+	changed map[string][]string // changed nodes with the services they had or have
+	moved   map[string]struct{} // services whose lists changed
+	full    bool                // the next members replace everything
 }
 
 // Watch starts the stream of a node; end it with Close.
@@ -28,16 +33,14 @@
 		hub:      h,
 		node:     req.GetNode(),
 		place:    subset.Place{Zone: req.GetZone(), Region: req.GetRegion()},
+		wake:     make(chan struct{}, 1),
 		revision: req.GetRevision(),
 		picks:    map[string][]string{},
-		pending:  map[string]struct{}{},
-		wake:     make(chan struct{}, 1),
+		changed:  map[string][]string{},
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for service := range h.services {
-		w.repick(service)
-	}
+	w.moved = lo.Keyify(lo.Keys(h.services))
 	w.full = h.ready
 	h.watchers[w] = struct{}{}
 	w.signal()
@@ -51,67 +54,74 @@
 	delete(w.hub.watchers, w)
 }
 
-// Wake returns a channel that receives when Take has something new.
+// Wake returns a channel that receives when Take may have something new.
 func (w *Watcher) Wake() <-chan struct{} { return w.wake }
 
 // Take returns the messages due for the node, rules first.
 func (w *Watcher) Take() []*control.WatchResponse {
-	w.hub.mu.Lock()
-	defer w.hub.mu.Unlock()
 	var out []*control.WatchResponse
-	if r := w.hub.history.rules(w.revision); r != nil {
-		w.revision = r.GetRevision()
-		out = append(out, &control.WatchResponse{Event: &control.WatchResponse_Rules{Rules: r}})
+	work, rules := w.work()
+	if rules != nil {
+		w.revision = rules.GetRevision()
+		out = append(out, &control.WatchResponse{Event: &control.WatchResponse_Rules{Rules: rules}})
 	}
-	if m := w.members(); m != nil {
+	if m := w.members(work); m != nil {
 		out = append(out, &control.WatchResponse{Event: &control.WatchResponse_Members{Members: m}})
 	}
 	return out
 }
 
-func (w *Watcher) members() *control.Members {
-	if !w.full && len(w.pending) == 0 {
-		return nil
+// work is what one Take has to look at.
+type work struct {
+	changed map[string][]string
+	moved   map[string][]subset.Member // new lists by service
+	full    bool
+}
+
+// work takes everything pending.
+func (w *Watcher) work() (work, *control.Rules) {
+	w.hub.mu.Lock()
+	defer w.hub.mu.Unlock()
+	k := work{changed: w.changed, full: w.full}
+	k.moved = lo.MapEntries(w.moved, func(s string, _ struct{}) (string, []subset.Member) { return s, w.hub.services[s] })
+	w.changed = map[string][]string{}
+	w.moved = map[string]struct{}{}
+	w.full = false
+	return k, w.hub.history.rules(w.revision)
+}
+
+// members updates the subsets and returns the message for the node, or nil if nothing changed for it.
+func (w *Watcher) members(k work) *control.Members {
+	nodes := map[string]struct{}{}
+	w.collect(nodes, k)
+	for service, list := range k.moved {
+		w.repick(nodes, service, list)
 	}
-	m := &control.Members{Full: w.full}
-	nodes := w.pending
-	if w.full {
+	w.collect(nodes, k)
+	if k.full {
 		nodes = lo.Keyify(slices.Concat(lo.Values(w.picks)...))
 	}
-	for _, node := range slices.Sorted(maps.Keys(nodes)) {
-		if in := w.hub.members[node]; in != nil && w.has(node, in) {
-			m.Set = append(m.Set, in)
-		} else {
-			m.Gone = append(m.Gone, node)
-		}
+	if len(nodes) == 0 && !k.full {
+		return nil
 	}
-	w.full = false
-	clear(w.pending)
-	return m
+	return w.message(slices.Sorted(maps.Keys(nodes)), k.full)
 }
 
-// has reports whether the node is in the subset of any service of its member m.
-func (w *Watcher) has(node string, m *control.Member) bool {
-	return lo.SomeBy(services(m), func(s string) bool {
-		_, ok := slices.BinarySearch(w.picks[s], node)
-		return ok
-	})
-}
-
-// touch marks a changed member that the node knows.
-func (w *Watcher) touch(node string, old *control.Member) {
-	if old != nil && w.has(node, old) {
-		w.pending[node] = struct{}{}
+// collect adds the changed nodes that are in the subset.
+func (w *Watcher) collect(nodes map[string]struct{}, k work) {
+	for node, services := range k.changed {
+		if w.has(node, services) {
+			nodes[node] = struct{}{}
+		}
 	}
 }
 
-// repick chooses the subset of a service again and marks the differences.
-func (w *Watcher) repick(service string) {
-	old := w.picks[service]
-	picked := subset.Pick(w.node, w.place, w.hub.services[service], subset.Size)
-	gone, added := lo.Difference(old, picked)
+// repick chooses the subset of a service again and adds the differences to nodes.
+func (w *Watcher) repick(nodes map[string]struct{}, service string, list []subset.Member) {
+	picked := subset.Pick(w.node, w.place, list, subset.Size)
+	gone, added := lo.Difference(w.picks[service], picked)
 	for _, node := range slices.Concat(gone, added) {
-		w.pending[node] = struct{}{}
+		nodes[node] = struct{}{}
 	}
 	if len(picked) == 0 {
 		delete(w.picks, service)
@@ -120,6 +130,31 @@
 	w.picks[service] = picked
 }
 
+func (w *Watcher) message(nodes []string, full bool) *control.Members {
+	w.hub.mu.Lock()
+	defer w.hub.mu.Unlock()
+	msg := &control.Members{Full: full}
+	for _, node := range nodes {
+		m := w.hub.members[node]
+		// A node that changed since work is decided about by the next Take, unless it is gone.
+		_, again := w.changed[node]
+		if m != nil && (again || w.has(node, services(m))) {
+			msg.Set = append(msg.Set, m)
+		} else {
+			msg.Gone = append(msg.Gone, node)
+		}
+	}
+	return msg
+}
+
+// has reports whether the node is in the subset of any of the services.
+func (w *Watcher) has(node string, services []string) bool {
+	return lo.SomeBy(services, func(s string) bool {
+		_, ok := slices.BinarySearch(w.picks[s], node)
+		return ok
+	})
+}
+
 func (w *Watcher) signal() {
 	select {
 	case w.wake <- struct{}{}:
