--- a/core/coordination/follow/model.go
+++ b/core/coordination/follow/model.go
@@ -22,6 +22,7 @@
 type Model struct {
 	cfg     Config
 	server  string    // followed control process, empty for none
+	since   time.Time // start of the stream
 	heard   time.Time // last message of the followed control process
 	good    time.Time // last beat that said current
 	current bool
@@ -84,7 +85,9 @@
 	if !msg.Beat {
 		return
 	}
-	m.failed = 0
+	if now.Sub(m.since) >= maxDelay {
+		m.failed = 0
+	}
 	m.current = msg.Current
 	if msg.Current {
 		m.good = now
@@ -200,6 +203,7 @@
 
 func (m *Model) attach(now time.Time, server string) []Cmd {
 	m.server = server
+	m.since = now
 	m.heard = now
 	m.good = now
 	m.current = false
--- /dev/null
+++ b/core/coordination/follow/state_test.go
@@ -0,0 +1,87 @@
+package follow_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+	"pgregory.net/rapid"
+
+	"pollenhill.example/core/coordination/follow"
+	"pollenhill.example/core/protocol/control"
+	"pollenhill.example/core/state/rule"
+)
+
+func text(revision uint64) string { return fmt.Sprintf("first\nrevision %d\nlast\n", revision) }
+
+func whole(revision uint64) *control.Rules {
+	return &control.Rules{Revision: revision, Text: text(revision), Hash: rule.Hash(text(revision))}
+}
+
+func delta(base, revision uint64) *control.Rules {
+	edits := lo.Map(rule.Diff(text(base), text(revision)), func(e rule.Edit, _ int) *control.Edit {
+		return &control.Edit{Start: uint32(e.Start), Count: uint32(e.Count), Lines: e.Lines}
+	})
+	return &control.Rules{Revision: revision, Base: base, Edits: edits, Hash: rule.Hash(text(revision))}
+}
+
+// Guards against rules that go back, and against text that no control process accepted, under faults of the delivery.
+func TestRules(t *testing.T) {
+	wrong := whole(9)
+	wrong.Text += "extra\n"
+	outside := delta(5, 6)
+	outside.Edits[0].Start = 1000
+	tests := []struct {
+		name string
+		msg  *control.Rules
+		want uint64
+		gap  bool
+	}{
+		{"whole text", whole(8), 8, false},
+		{"delta from the held revision", delta(5, 6), 6, false},
+		{"duplicate", whole(5), 5, false},
+		{"older, as after a restart with older state", whole(3), 5, false},
+		{"older delta that arrives late", delta(3, 4), 5, false},
+		{"delta after a lost one", delta(6, 7), 5, true},
+		{"wrong hash", wrong, 5, true},
+		{"edit outside the text", outside, 5, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := (&follow.State{}).WithText(5, text(5))
+			got, err := s.WithRules(tt.msg)
+			if errors.Is(err, follow.ErrGap) != tt.gap || (err != nil) != tt.gap {
+				t.Errorf("error %v, want a gap: %v", err, tt.gap)
+			}
+			if got.Revision != tt.want || got.Text != text(tt.want) {
+				t.Errorf("revision %d with %q, want %d", got.Revision, got.Text, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a revision that decreases, or a text that does not belong to it, at any observer.
+func TestRevisionNeverDecreases(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &follow.State{}
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			before := s.Revision
+			revision := rapid.Uint64Range(1, 20).Draw(t, "revision")
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				s, _ = s.WithRules(whole(revision))
+			case 1:
+				s, _ = s.WithRules(delta(rapid.Uint64Range(1, 20).Draw(t, "base"), revision))
+			case 2:
+				s = s.WithText(revision, text(revision))
+			}
+			if s.Revision < before {
+				t.Fatalf("revision went from %d to %d", before, s.Revision)
+			}
+			if s.Revision > 0 && s.Text != text(s.Revision) {
+				t.Fatalf("revision %d has text %q", s.Revision, s.Text)
+			}
+		}
+	})
+}
--- a/node/transport/control/claim.go
+++ b/node/transport/control/claim.go
@@ -81,7 +81,7 @@
 // permanent reports whether another control process would give the same answer.
 func permanent(err error) bool {
 	switch connect.CodeOf(err) {
-	case connect.CodeInvalidArgument, connect.CodeUnimplemented, connect.CodeFailedPrecondition:
+	case connect.CodeInvalidArgument, connect.CodeUnimplemented, connect.CodeResourceExhausted:
 		return true
 	}
 	return false
--- a/node/transport/control/client.go
+++ b/node/transport/control/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,9 @@
 	Bind    netip.Addr // source of outgoing connections
 	Servers []Server
 	Seed    uint64 // of the jitter; 0 takes a random one
+
+	// Dial replaces the TCP dialer, for tests on in-memory connections.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Server is one control process.
@@ -44,7 +48,6 @@
 	state    atomic.Pointer[follow.State]
 	sequence atomic.Uint64
 	remotes  map[string]*remote
-	inbox    chan any
 	dirty    chan struct{} // the member changed
 	mu       sync.Mutex
 	changed  chan struct{}
@@ -55,7 +58,6 @@
 func New(cfg Config) *Client {
 	c := &Client{
 		cfg:     cfg,
-		inbox:   make(chan any, len(cfg.Servers)),
 		changed: make(chan struct{}),
 		dirty:   make(chan struct{}, 1),
 	}
--- a/node/transport/control/remote.go
+++ b/node/transport/control/remote.go
@@ -31,10 +31,14 @@
 	if cfg.Bind.IsValid() {
 		d.LocalAddr = &net.TCPAddr{IP: cfg.Bind.AsSlice()}
 	}
+	dial := d.DialContext
+	if cfg.Dial != nil {
+		dial = cfg.Dial
+	}
 	p := new(http.Protocols)
 	p.SetUnencryptedHTTP2(true)
 	return &http.Transport{
-		DialContext:     d.DialContext,
+		DialContext:     dial,
 		Protocols:       p,
 		IdleConnTimeout: time.Minute,
 		// Pings close connections to a silently partitioned process, which TCP keeps for minutes.
--- a/node/transport/control/session.go
+++ b/node/transport/control/session.go
@@ -18,9 +18,11 @@
 // session is one Run of a Client; its loop owns the failover model.
 type session struct {
 	c      *Client
+	inbox  chan any // follow.Probed or received
 	model  *follow.Model
 	stream uint64 // number of the followed stream; messages of earlier ones are dropped
 	server string
+	whole  bool // the next stream asks for the whole text
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
@@ -43,7 +45,7 @@
 		Region:  c.cfg.Region,
 		Rand:    rand.New(rand.NewPCG(seed, 0)),
 	}
-	return &session{c: c, model: follow.New(cfg), cancel: func() {}}
+	return &session{c: c, model: follow.New(cfg), inbox: make(chan any), cancel: func() {}}
 }
 
 func (s *session) run(ctx context.Context) error {
@@ -59,7 +61,7 @@
 		case <-ctx.Done():
 			s.leave(ctx)
 			return ctx.Err()
-		case m := <-s.c.inbox:
+		case m := <-s.inbox:
 			s.handle(ctx, m)
 		case <-ticker.C:
 			s.update(ctx, follow.Tick{})
@@ -105,6 +107,9 @@
 		err = s.apply(r.msg)
 	}
 	if err != nil {
+		s.cancel()
+		s.stream++
+		s.whole = s.whole || errors.Is(err, follow.ErrGap)
 		s.update(ctx, follow.Lost{Server: r.server})
 		return
 	}
@@ -163,17 +168,26 @@
 	stream, r := s.stream, s.c.remotes[cmd.Server]
 	watching, cancel := context.WithCancel(ctx)
 	s.cancel = cancel
+	req := s.request()
 	s.wg.Go(func() {
-		err := s.watch(watching, r, stream)
+		err := s.watch(watching, r, stream, req)
 		s.send(watching, received{server: cmd.Server, stream: stream, err: err})
 	})
 	s.server = cmd.Server
 	s.announce(ctx)
 }
 
-// watch passes on the messages of one stream until it ends.
-func (s *session) watch(ctx context.Context, r *remote, stream uint64) error {
+func (s *session) request() *control.WatchRequest {
 	req := &control.WatchRequest{Node: s.c.cfg.Node, Zone: s.c.cfg.Zone, Region: s.c.cfg.Region, Revision: s.c.State().Revision}
+	if s.whole {
+		req.Revision = 0
+		s.whole = false
+	}
+	return req
+}
+
+// watch passes on the messages of one stream until it ends.
+func (s *session) watch(ctx context.Context, r *remote, stream uint64, req *control.WatchRequest) error {
 	in, err := r.rpc.Watch(ctx, connect.NewRequest(req))
 	if err != nil {
 		return errors.Wrapf(err, "watch %s", r.server.Name)
@@ -190,7 +204,7 @@
 
 func (s *session) send(ctx context.Context, m any) {
 	select {
-	case s.c.inbox <- m:
+	case s.inbox <- m:
 	case <-ctx.Done():
 	}
 }
