--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -57,6 +57,9 @@
 	if d.listener, err = do.Invoke[net.Listener](i); err != nil {
 		return err
 	}
+	if err = checkRules(d.settings.Rules); err != nil {
+		return err
+	}
 	if err = prepare(d.settings.Data); err != nil {
 		return err
 	}
--- a/control/daemon/file.go
+++ b/control/daemon/file.go
@@ -28,9 +28,6 @@
 
 func newFile(i do.Injector) (*file, error) {
 	s := do.MustInvoke[Settings](i)
-	if info, err := os.Stat(filepath.Dir(s.Rules)); err != nil || !info.IsDir() {
-		return nil, errors.Newf("rules: the folder of %s does not exist", s.Rules)
-	}
 	g, err := do.Invoke[*group.Group](i)
 	if err != nil {
 		return nil, err
@@ -40,6 +37,15 @@
 	return f, nil
 }
 
+// checkRules checks that the folder of the rule file exists; the file may come later.
+func checkRules(path string) error {
+	info, err := os.Stat(filepath.Dir(path))
+	if path == "" || err == nil && info.IsDir() {
+		return nil
+	}
+	return errors.Newf("rules: the folder of %s does not exist", path)
+}
+
 // submit proposes an edit and logs a verdict other than accepted; accepted changes are logged when they are applied.
 func (f *file) submit(ctx context.Context, number uint64, text string) (operator.Verdict, error) {
 	res, err := submit(ctx, f.group, f.name, number, text)
