--- /dev/null
+++ b/control/daemon/file.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"pollenhill.example/control/coordination/group"
+	"pollenhill.example/control/transport/operator"
+	"pollenhill.example/core/state/event"
+	"pollenhill.example/core/state/replica"
+)
+
+// file connects the operators' rule file to the group.
+type file struct {
+	name    string // of this process
+	group   *group.Group
+	log     *event.Log
+	watcher *operator.Watcher
+}
+
+func newFile(i do.Injector) (*file, error) {
+	s := do.MustInvoke[Settings](i)
+	g, err := do.Invoke[*group.Group](i)
+	if err != nil {
+		return nil, err
+	}
+	f := &file{name: s.Name, group: g, log: do.MustInvoke[*event.Log](i)}
+	f.watcher = operator.New(operator.Config{Path: s.Rules, Submit: f.submit})
+	return f, nil
+}
+
+// checkRules checks that the folder of the rule file exists; the file may come later.
+func checkRules(path string) error {
+	info, err := os.Stat(filepath.Dir(path))
+	if path == "" || err == nil && info.IsDir() {
+		return nil
+	}
+	return errors.Newf("rules: the folder of %s does not exist", path)
+}
+
+// submit proposes an edit and logs a verdict other than accepted; accepted changes are logged when they are applied.
+func (f *file) submit(ctx context.Context, number uint64, text string) (operator.Verdict, error) {
+	res, err := submit(ctx, f.group, f.name, number, text)
+	if err != nil {
+		return operator.Verdict{}, err
+	}
+	if res.Verdict != replica.Accepted {
+		f.log.Emit(event.ChangeRejected, zap.Uint64("number", number), zap.Stringer("verdict", res.Verdict), zap.String("problem", res.Problem))
+	}
+	return operator.FromResult(res)
+}
+
+// accept tells the watcher about the rules in force and the changes since the last call.
+func (f *file) accept(r replica.Rules, changes []replica.Record) {
+	hashes := lo.Map(changes, func(c replica.Record, _ int) uint64 { return c.Hash })
+	f.watcher.Accept(operator.Accepted{Number: r.Number, Text: r.Text, Earlier: hashes})
+}
+
+// Submit proposes a rule file as the change with the given number.
+func (d *Daemon) Submit(ctx context.Context, number uint64, text string) (replica.Result, error) {
+	return submit(ctx, d.group, d.settings.Name, number, text)
+}
+
+func submit(ctx context.Context, g *group.Group, origin string, number uint64, text string) (replica.Result, error) {
+	return g.Propose(ctx, replica.Command{
+		Kind: replica.Change, Time: time.Now(), Number: number, Text: text, Origin: origin, Reason: reason(text),
+	})
+}
+
+// reason returns the comment of the change line, which is the second line of a rule file.
+func reason(text string) string {
+	_, rest, _ := strings.Cut(text, "\n")
+	line, _, _ := strings.Cut(rest, "\n")
+	_, comment, _ := strings.Cut(line, "#")
+	return strings.TrimSpace(comment)
+}
--- a/control/daemon/wire.go
+++ b/control/daemon/wire.go
@@ -4,15 +4,12 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"pollenhill.example/control/coordination/directory"
 	"pollenhill.example/control/coordination/group"
@@ -39,30 +36,15 @@
 	do.Provide(i, newHub)
 	do.Provide(i, newDirectory)
 	do.Provide(i, newServer)
+	do.Provide(i, newFile)
 	return i
 }
 
 func newLog(i do.Injector) (*event.Log, error) {
 	s := do.MustInvoke[Settings](i)
-	out, err := sink(lo.CoalesceOrEmpty(s.Events, s.Log))
-	if err != nil {
-		return nil, errors.Wrap(err, "events")
-	}
-	cfg := zap.NewProductionEncoderConfig()
-	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), out, zap.InfoLevel)
-	return event.New(event.Config{Process: s.Name, Zap: zap.New(core), Clock: event.NewClock(time.Now)}), nil
-}
-
-func sink(path string) (zapcore.WriteSyncer, error) {
-	if path == "" {
-		return zapcore.Lock(os.Stderr), nil
-	}
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return nil, err
-	}
-	return zapcore.Lock(f), nil
+	// The file stays open until the process ends, so that the last events are written too.
+	log, _, err := event.Open(s.Name, lo.CoalesceOrEmpty(s.Events, s.Log))
+	return log, err
 }
 
 func newListener(i do.Injector) (net.Listener, error) {
