Add lab model: policy experiments in virtual time

Cause: the policies had no measurement. Change: queue models of back ends, entry and destination nodes that run the models of core, three baselines, a bound with perfect knowledge, and tables of loads and faults; repeatable by seed.

--- /dev/null
+++ b/lab/model/deployment.go
@@ -0,0 +1,56 @@
+package model
+
+import "time"
+
+// Deployment is a set of zones with the upstreams of one service; sizes are those of the design page.
+type Deployment struct {
+	Name      string
+	Zones     int
+	Regions   int
+	Hop       time.Duration // one way between zones
+	Upstreams int
+	Slots     int
+	Entries   int // entry nodes that send to the service
+}
+
+const (
+	inZone   = 100 * time.Microsecond // one way between VMs of a zone
+	inRegion = 5 * time.Millisecond   // one way between regions
+)
+
+// Deployments lists the services that the experiments cover. The sampled service of the target gets
+// its calls from many entry nodes, each of which sees few of them.
+func Deployments() []Deployment {
+	return []Deployment{
+		{Name: "booking", Zones: 3, Regions: 1, Hop: time.Millisecond, Upstreams: 6, Slots: 12, Entries: 10},
+		{Name: "records", Zones: 3, Regions: 1, Hop: time.Millisecond, Upstreams: 4, Slots: 12, Entries: 10},
+		{Name: "desk", Zones: 4, Regions: 1, Hop: time.Millisecond, Upstreams: 7, Slots: 17, Entries: 11},
+		{Name: "drawings", Zones: 4, Regions: 1, Hop: time.Millisecond, Upstreams: 4, Slots: 17, Entries: 11},
+		{Name: "sampled", Zones: 4, Regions: 2, Hop: time.Millisecond, Upstreams: 26, Slots: 12, Entries: 104},
+	}
+}
+
+// capacity returns the calls per second of all upstreams at full speed.
+func (d Deployment) capacity() float64 {
+	return float64(d.Upstreams*d.Slots) / meanDemand.Seconds()
+}
+
+// place is where a VM stands.
+type place struct{ zone, region string }
+
+func (d Deployment) place(i int) place {
+	return place{
+		zone:   "z" + string(rune('a'+i%d.Zones)),
+		region: "r" + string(rune('a'+i%d.Zones%d.Regions)),
+	}
+}
+
+func (d Deployment) delay(a, b place) time.Duration {
+	switch {
+	case a.region != b.region:
+		return inRegion
+	case a.zone != b.zone:
+		return d.Hop
+	}
+	return inZone
+}
--- /dev/null
+++ b/lab/model/table.go
@@ -0,0 +1,146 @@
+package model
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Options selects and places the experiments of one invocation.
+type Options struct {
+	Seed     uint64
+	Out      string
+	Tables   []string
+	Parallel int
+}
+
+// Table is a set of runs that belong together.
+type Table struct {
+	Name string
+	Text string // what the table shows and which target applies
+	Runs []Run
+	row  func(Run) string
+}
+
+var policies = []Policy{Pollenhill, RoundRobin, LeastOutstanding, TwoChoices, Bound}
+
+// Tables returns the experiments with the given seed.
+func Tables(seed uint64) []Table {
+	tables := []Table{loads(seed), ages(seed), overload(seed), chains(seed)}
+	for _, f := range Faults()[1:] {
+		tables = append(tables, faults(seed, f))
+	}
+	return tables
+}
+
+func loads(seed uint64) Table {
+	t := Table{Name: "load", Text: "No fault; load from 50% to 95%."}
+	t.row = func(r Run) string { return fmt.Sprintf("%s %.0f%%", r.Deployment.Name, 100*r.Load) }
+	for _, d := range Deployments() {
+		for _, load := range []float64{0.5, 0.65, 0.8, 0.95} {
+			t.add(Run{Deployment: d, Load: load, Seed: seed})
+		}
+	}
+	return t
+}
+
+func ages(seed uint64) Table {
+	t := Table{Name: "age", Text: "Straggler at 80% load; reports of load are older by the given time."}
+	t.row = func(r Run) string { return fmt.Sprintf("%s %v", r.Deployment.Name, r.Age) }
+	for _, d := range Deployments()[:3] {
+		for _, age := range []time.Duration{1, 10, 50, 100, 500} {
+			t.add(Run{Deployment: d, Load: 0.8, Age: age * time.Millisecond, Seed: seed, Fault: FaultNamed("straggler")})
+		}
+	}
+	return t
+}
+
+func overload(seed uint64) Table {
+	t := Table{Name: "overload", Text: "150% of the capacity offered. Target: goodput at least 0.9 of capacity, amplification at most 1.1."}
+	t.row = func(r Run) string { return r.Deployment.Name }
+	for _, d := range Deployments() {
+		t.add(Run{Deployment: d, Load: 1.5, Seed: seed})
+	}
+	return t
+}
+
+// chains overloads one level of a chain of 25 services with two upstreams each.
+func chains(seed uint64) Table {
+	t := Table{Name: "chain", Text: "Chains 25 deep, 150% of the capacity of one level offered. Target: amplification at most 1.1 at every level."}
+	t.row = func(r Run) string { return fmt.Sprintf("level %d", r.Narrow) }
+	d := Deployment{Name: "chain", Zones: 2, Regions: 1, Hop: time.Millisecond, Upstreams: 2, Slots: 12, Entries: 10}
+	for _, level := range []int{1, 13, 25} {
+		t.Runs = append(t.Runs, Run{Deployment: d, Load: 1.5, Seed: seed, Chain: 25, Narrow: level})
+	}
+	return t
+}
+
+func faults(seed uint64, f Fault) Table {
+	t := Table{Name: strings.ReplaceAll(f.Name, " ", "-"), Text: "Fault: " + f.Name + ", at 60% and 80% load."}
+	t.row = func(r Run) string { return fmt.Sprintf("%s %.0f%%", r.Deployment.Name, 100*r.Load) }
+	for _, d := range Deployments() {
+		for _, load := range []float64{0.6, 0.8} {
+			t.add(Run{Deployment: d, Load: load, Seed: seed, Fault: f})
+		}
+	}
+	return t
+}
+
+// add adds the run under every policy.
+func (t *Table) add(run Run) {
+	for _, p := range policies {
+		run.Policy = p
+		t.Runs = append(t.Runs, run)
+	}
+}
+
+// run runs all experiments of the table, some at once.
+func (t *Table) run(parallel int) []*Result {
+	results := make([]*Result, len(t.Runs))
+	var g errgroup.Group
+	g.SetLimit(max(1, parallel))
+	for i, run := range t.Runs {
+		g.Go(func() error {
+			results[i] = Do(run)
+			return nil
+		})
+	}
+	_ = g.Wait() // no run returns an error
+	return results
+}
+
+func write(w io.Writer, opt Options) error {
+	for _, t := range Tables(opt.Seed) {
+		if len(opt.Tables) > 0 && !slices.Contains(opt.Tables, t.Name) {
+			continue
+		}
+		if _, err := io.WriteString(w, t.markdown(t.run(opt.Parallel))); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *Table) markdown(results []*Result) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "\n## %s\n\n%s\n\n", t.Name, t.Text)
+	b.WriteString("| case | policy | steady p99 | p50 | p99 | p99.9 | good | refused | failed | late | retries | hedges | amplification | probe | over cold cap (after a sign) |\n")
+	b.WriteString("|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|\n")
+	for i, run := range t.Runs {
+		b.WriteString(t.line(run, results[i]))
+	}
+	return b.String()
+}
+
+func (t *Table) line(run Run, r *Result) string {
+	return fmt.Sprintf("| %s | %s | %s | %s | %s | %s | %d | %d | %d | %d | %d | %d | %.3f | %s | %d (%d) |\n",
+		t.row(run), run.Policy, ms(r.SteadyQuantile(0.99)), ms(r.Quantile(0.5)), ms(r.Quantile(0.99)), ms(r.Quantile(0.999)),
+		r.Endings[answered], r.Endings[refused], r.Endings[failed], r.Endings[late],
+		r.Retries, r.Hedges, r.Amplification(), ms(r.Probe), r.Over, r.Known)
+}
+
+func ms(d time.Duration) string { return fmt.Sprintf("%.1f", float64(d)/float64(time.Millisecond)) }
