--- a/core/protocol/refusal/reason.go
+++ b/core/protocol/refusal/reason.go
@@ -24,4 +24,13 @@
 	Budget                    // budget
 	NoQuorum                  // no-quorum
 	Route                     // route
+	Broken                    // broken
+	Timeout                   // timeout
+	Large                     // large
+	Header                    // header
+	Malformed                 // malformed
+	Held                      // held
+	Mismatch                  // mismatch
+	Upgrade                   // upgrade
+	Internal                  // internal
 )
--- a/core/protocol/refusal/reason_string.go
+++ b/core/protocol/refusal/reason_string.go
@@ -25,11 +25,20 @@
 	_ = x[Budget-14]
 	_ = x[NoQuorum-15]
 	_ = x[Route-16]
+	_ = x[Broken-17]
+	_ = x[Timeout-18]
+	_ = x[Large-19]
+	_ = x[Header-20]
+	_ = x[Malformed-21]
+	_ = x[Held-22]
+	_ = x[Mismatch-23]
+	_ = x[Upgrade-24]
+	_ = x[Internal-25]
 }
 
-const _Reason_name = "nonefulllatecolddrainingleavingzone-outbackend-outabsentincarnationcancelledduplicatedeepshedbudgetno-quorumroute"
+const _Reason_name = "nonefulllatecolddrainingleavingzone-outbackend-outabsentincarnationcancelledduplicatedeepshedbudgetno-quorumroutebrokentimeoutlargeheadermalformedheldmismatchupgradeinternal"
 
-var _Reason_index = [...]uint8{0, 4, 8, 12, 16, 24, 31, 39, 50, 56, 67, 76, 85, 89, 93, 99, 108, 113}
+var _Reason_index = [...]uint8{0, 4, 8, 12, 16, 24, 31, 39, 50, 56, 67, 76, 85, 89, 93, 99, 108, 113, 119, 126, 131, 137, 146, 150, 158, 165, 173}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/core/transport/tcp/error.go
@@ -0,0 +1,38 @@
+package tcp
+
+import (
+	"fmt"
+	"net/netip"
+)
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Step -linecomment
+
+// Step is the part of an exchange in which an error occurred.
+type Step int
+
+// Steps of an exchange.
+const (
+	Wait    Step = iota // wait for a connection
+	Connect             // connect
+	Write               // write request
+	Read                // read response header
+	Body                // read response body
+)
+
+// Error is a failed step of an exchange with Peer.
+type Error struct {
+	Step  Step
+	Peer  netip.AddrPort
+	Wrote bool // at least one byte of the request was handed to the kernel
+	Err   error
+}
+
+// Error names the step and the peer.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s %s: %v", e.Step, e.Peer, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
--- /dev/null
+++ b/core/transport/tcp/exchange.go
@@ -0,0 +1,214 @@
+package tcp
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http/httputil"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Response is a response whose header has arrived.
+type Response struct {
+	Header fasthttp.ResponseHeader
+	Length int // bytes of the body, Chunked if unknown, 0 if none
+	// Body gives back its connection when read to the end; closed earlier, it closes the connection.
+	// A body that ends early returns io.ErrUnexpectedEOF.
+	Body io.ReadCloser
+}
+
+// Chunked is the Length of a response with a chunked body.
+const Chunked = -1
+
+// Exchange sends req with body on a connection of p and reads the response header.
+// When ctx ends before the body was read, the connection is closed.
+func (p *Pool) Exchange(ctx context.Context, req *fasthttp.RequestHeader, body []byte) (*Response, error) {
+	c, err := p.Get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	stop := c.watch(ctx)
+	resp, err := c.exchange(req, body, stop)
+	if err == nil {
+		return resp, nil
+	}
+	stop()
+	wrote := c.out.n > 0
+	c.finish(false)
+	if ctx.Err() != nil {
+		err = errors.WithSecondaryError(context.Cause(ctx), err)
+	}
+	step := Write
+	if c.w.Buffered() == 0 && wrote {
+		step = Read
+	}
+	return nil, &Error{Step: step, Peer: p.cfg.Address, Wrote: wrote, Err: err}
+}
+
+func (c *Conn) exchange(req *fasthttp.RequestHeader, body []byte, stop func() bool) (*Response, error) {
+	if err := c.send(req, body); err != nil {
+		return nil, err
+	}
+	resp := &Response{}
+	if err := c.head(&resp.Header); err != nil {
+		return nil, err
+	}
+	b, err := c.body(resp, req.IsHead())
+	if err != nil {
+		return nil, err
+	}
+	b.stop = stop
+	resp.Body = b
+	if b.r == nil {
+		b.end()
+	}
+	return resp, nil
+}
+
+func (c *Conn) send(req *fasthttp.RequestHeader, body []byte) error {
+	if _, err := c.w.Write(req.Header()); err != nil {
+		return err
+	}
+	if _, err := c.w.Write(body); err != nil {
+		return err
+	}
+	return c.w.Flush()
+}
+
+// head reads the final response header; interim ones are dropped.
+func (c *Conn) head(h *fasthttp.ResponseHeader) error {
+	for {
+		h.Reset()
+		h.SetNoDefaultContentType(true)
+		block, err := peekBlock(c.r)
+		if err != nil {
+			return err
+		}
+		if err := CheckBlock(block); err != nil {
+			return err
+		}
+		if err := h.Read(c.r); err != nil {
+			return err
+		}
+		if code := h.StatusCode(); code == fasthttp.StatusSwitchingProtocols || code >= fasthttp.StatusOK {
+			break
+		}
+	}
+	if h.StatusCode() == fasthttp.StatusSwitchingProtocols {
+		return errors.New("response switches protocols")
+	}
+	return nil
+}
+
+func (c *Conn) body(resp *Response, head bool) (*body, error) {
+	code := resp.Header.StatusCode()
+	keep := !resp.Header.ConnectionClose()
+	none := head || code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified
+	switch n := resp.Header.ContentLength(); {
+	case none:
+		return &body{c: c, keep: keep}, nil
+	case n == 0:
+		return &body{c: c, keep: keep}, nil
+	case n > 0:
+		resp.Length = n
+		return &body{c: c, keep: keep, r: &exact{r: c.r, left: n}}, nil
+	case n == Chunked:
+		resp.Length = Chunked
+		return &body{c: c, keep: keep, r: &chunks{r: httputil.NewChunkedReader(c.r), c: c}}, nil
+	}
+	// The end of a body that is delimited only by closing cannot be told from a cut.
+	return nil, errors.New("response has neither a length nor chunks")
+}
+
+// exact reads a body of known length.
+type exact struct {
+	r    io.Reader
+	left int
+}
+
+func (e *exact) Read(b []byte) (int, error) {
+	if e.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := e.r.Read(b[:min(len(b), e.left)])
+	e.left -= n
+	if e.left == 0 {
+		return n, io.EOF
+	}
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// chunks reads a chunked body and its trailer, which is dropped.
+type chunks struct {
+	r io.Reader
+	c *Conn
+}
+
+func (k *chunks) Read(b []byte) (int, error) {
+	n, err := k.r.Read(b)
+	if errors.Is(err, io.EOF) {
+		if err := k.trailer(); err != nil {
+			return n, err
+		}
+	}
+	return n, err
+}
+
+func (k *chunks) trailer() error {
+	for {
+		line, err := k.c.r.ReadSlice('\n')
+		if errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return nil
+		}
+	}
+}
+
+// body ends the exchange when it has been read or closed.
+type body struct {
+	c    *Conn
+	r    io.Reader // nil once there is nothing left
+	keep bool
+	stop func() bool
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	if b.r == nil {
+		return 0, io.EOF
+	}
+	n, err := b.r.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		b.end()
+	case err != nil:
+		b.c.finish(false)
+		err = &Error{Step: Body, Peer: b.c.pool.cfg.Address, Wrote: true, Err: err}
+	}
+	return n, err
+}
+
+func (b *body) end() {
+	b.r = nil
+	// A false stop means that the socket is being closed.
+	b.c.finish(b.stop() && b.keep)
+}
+
+// Close abandons what has not been read, and with it the connection.
+func (b *body) Close() error {
+	if b.r != nil {
+		b.r = nil
+		b.stop()
+		b.c.finish(false)
+	}
+	return nil
+}
--- /dev/null
+++ b/node/coordination/arrival/msg.go
@@ -0,0 +1,106 @@
+package arrival
+
+import (
+	"time"
+
+	"pollenhill.example/core/coordination/admission"
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/state/rule"
+)
+
+// Msg is an input of Model.Update.
+type Msg interface{ msg() }
+
+// Arrive reports a completely received attempt.
+type Arrive struct {
+	ID          attempt.ID
+	Incarnation uint64 // of the destination node that the entry node addressed
+	Service     string
+	Deadline    time.Time
+	Level       rule.Level
+	Depth       int
+}
+
+// Cancel reports that the entry node gave up an attempt; the answer is Verdict.
+type Cancel struct {
+	ID          attempt.ID
+	Incarnation uint64
+}
+
+// Lost reports that the connection of an attempt to its entry node broke.
+type Lost struct{ ID attempt.ID }
+
+// Done reports the end of an attempt that was told to Start.
+type Done struct {
+	ID      attempt.ID
+	Result  admission.Result
+	Latency time.Duration
+	NotRun  bool // no byte reached the back end, or the back end refused it as not run
+}
+
+// Backend replaces what the local back end announced; an expired lease is the zero Backend.
+type Backend struct {
+	Name    string
+	Service string
+	Slots   int
+	State   admission.State
+}
+
+// Rules replaces the rules in force.
+type Rules struct{ Set *rule.Set }
+
+// Leave makes the node refuse every new attempt: it is shutting down.
+type Leave struct{}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Arrive) msg()  {}
+func (Cancel) msg()  {}
+func (Lost) msg()    {}
+func (Done) msg()    {}
+func (Backend) msg() {}
+func (Rules) msg()   {}
+func (Leave) msg()   {}
+func (Tick) msg()    {}
+
+// Cmd is an effect that Model.Update asks for.
+type Cmd interface{ cmd() }
+
+// Start lets an attempt go to the back end.
+type Start struct{ ID attempt.ID }
+
+// Refuse ends an attempt without the back end.
+type Refuse struct {
+	ID      attempt.ID
+	Reason  refusal.Reason
+	Outcome attempt.Outcome
+	After   time.Duration
+}
+
+// Abort ends a started attempt by closing its connection to the back end.
+type Abort struct{ ID attempt.ID }
+
+// Verdict answers a Cancel.
+type Verdict struct {
+	ID     attempt.ID
+	Answer Answer
+}
+
+func (Start) cmd()   {}
+func (Refuse) cmd()  {}
+func (Abort) cmd()   {}
+func (Verdict) cmd() {}
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Answer -linecomment
+
+// Answer is what a destination node knows about a cancelled attempt.
+type Answer int
+
+// Answers to a Cancel.
+const (
+	Unsure Answer = iota // unknown
+	NotRun               // not-run
+	Begun                // started
+)
--- /dev/null
+++ b/node/coordination/call/attempt.go
@@ -0,0 +1,165 @@
+package call
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"pollenhill.example/core/coordination/choice"
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/refusal"
+)
+
+// head handles the first news of an attempt.
+func (m *Model) head(now time.Time, s *state, t *try, msg Head) []Cmd {
+	if !t.open {
+		return nil
+	}
+	t.open = false
+	t.outcome = msg.Outcome
+	var cmds []Cmd
+	if msg.Outcome != attempt.Answered || !msg.Reply {
+		m.end(now, t, msg.Result, msg)
+	}
+	if s.phase == delivered {
+		if !t.ended {
+			cmds = append(cmds, Abort{Call: s.Call, Attempt: t.id})
+		}
+		return append(cmds, m.settle(s)...)
+	}
+	switch msg.Outcome {
+	case attempt.Answered:
+		return m.deliver(now, s, t)
+	case attempt.NotRun:
+		return m.refused(now, s, msg)
+	case attempt.Unknown:
+	}
+	return m.failed(now, s, t, msg)
+}
+
+// deliver gives the caller the first answer and abandons the other attempts.
+func (m *Model) deliver(now time.Time, s *state, t *try) []Cmd {
+	s.phase = delivered
+	m.service(s.Service).delay.add(now.Sub(t.begun))
+	cmds := []Cmd{Deliver{Call: s.Call, Attempt: t.id}}
+	cmds = append(cmds, m.abort(s, t.id)...)
+	return append(cmds, m.settle(s)...)
+}
+
+// refused tries another back end after a proof that the attempt did not run.
+func (m *Model) refused(now time.Time, s *state, msg Head) []Cmd {
+	s.last = msg.Refusal
+	if s.phase == expiring {
+		return m.conclude(s)
+	}
+	// A refusal from deeper in the chain was already retried there, next to the refusing destination.
+	if msg.Refusal.Level <= s.Depth {
+		if cmds := m.again(now, s); len(cmds) > 0 {
+			return cmds
+		}
+	}
+	return m.conclude(s)
+}
+
+// failed handles an attempt that may have run.
+func (m *Model) failed(now time.Time, s *state, t *try, msg Head) []Cmd {
+	s.last = msg.Refusal
+	if s.phase == expiring {
+		return m.conclude(s)
+	}
+	if s.Idempotent && msg.Refusal.Level <= s.Depth {
+		if cmds := m.again(now, s); len(cmds) > 0 {
+			return cmds
+		}
+		return m.conclude(s)
+	}
+	if !msg.Reply && !t.asked {
+		t.asked = true
+		return []Cmd{Ask{Call: s.Call, Attempt: t.id}}
+	}
+	return m.conclude(s)
+}
+
+// again starts one more attempt if the retry budget allows it.
+func (m *Model) again(now time.Time, s *state) []Cmd {
+	if s.phase != active || !now.Before(s.Deadline) {
+		return nil
+	}
+	if !s.Idempotent && s.unproven() {
+		return nil
+	}
+	if !m.service(s.Service).retry.Take(now) {
+		return nil
+	}
+	return m.send(now, s)
+}
+
+// unproven says whether an attempt may run or have run.
+func (s *state) unproven() bool {
+	return lo.SomeBy(s.attempts, func(t *try) bool { return t.outcome != attempt.NotRun })
+}
+
+// conclude answers the caller once no attempt can change the answer any more.
+func (m *Model) conclude(s *state) []Cmd {
+	pending := lo.SomeBy(s.attempts, func(t *try) bool { return t.open || t.asked && t.outcome == attempt.Unknown })
+	if pending {
+		return nil
+	}
+	if !s.unproven() {
+		return m.notRun(s, reason(s.last.Reason))
+	}
+	return m.refuse(s, reason(s.last.Reason), attempt.Unknown)
+}
+
+func reason(r refusal.Reason) refusal.Reason {
+	if r == refusal.None {
+		return refusal.Broken
+	}
+	return r
+}
+
+// proof handles the answer to Ask.
+func (m *Model) proof(now time.Time, s *state, t *try, notRun bool) []Cmd {
+	if !t.asked {
+		return nil
+	}
+	t.asked = false
+	if t.outcome == attempt.Answered || s.phase == delivered {
+		return nil
+	}
+	var cmds []Cmd
+	if t.open {
+		// The destination answered the cancel first; the attempt itself has nothing more to tell.
+		t.open = false
+		m.end(now, t, choice.Cancelled, Head{})
+		cmds = append(cmds, Abort{Call: s.Call, Attempt: t.id})
+	}
+	if notRun {
+		t.outcome = attempt.NotRun
+		if more := m.again(now, s); len(more) > 0 {
+			return append(cmds, more...)
+		}
+	}
+	return append(cmds, m.conclude(s)...)
+}
+
+// ended handles the end of a delivered or abandoned body.
+func (m *Model) ended(now time.Time, s *state, t *try, result choice.Result) []Cmd {
+	t.open = false
+	m.end(now, t, result, Head{})
+	return m.settle(s)
+}
+
+// end reports the attempt to choice once.
+func (m *Model) end(now time.Time, t *try, result choice.Result, msg Head) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	m.cfg.Choice.Update(now, choice.End{
+		Backend: t.target.Backend,
+		Result:  result,
+		Latency: now.Sub(t.begun),
+		Hint:    msg.Hint,
+	})
+}
--- /dev/null
+++ b/node/coordination/call/model.go
@@ -0,0 +1,329 @@
+package call
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"pollenhill.example/core/coordination/choice"
+	"pollenhill.example/core/coordination/retry"
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/state/rule"
+)
+
+// MaxAttempts bounds the attempts of one call, hedges included.
+const MaxAttempts = 4
+
+// Grace is how long past its deadline a call waits for a proof that it did not run.
+const Grace = 100 * time.Millisecond
+
+// Model is the entry side of all calls at one node; it is not safe for concurrent use.
+type Model struct {
+	cfg      Config
+	rules    *rule.Set
+	calls    map[ID]*state
+	owners   map[attempt.ID]*state
+	services map[string]*service
+	sequence uint64
+}
+
+// Config identifies the node and holds the model that picks destinations.
+type Config struct {
+	Node        string
+	Incarnation uint64
+	Choice      *choice.Model
+}
+
+// service holds the budgets and the latency of one service.
+type service struct {
+	retry *retry.Budget
+	hedge *retry.Budget
+	delay *quantile
+}
+
+// state is one call.
+type state struct {
+	Begin
+	phase    phase
+	begun    time.Time
+	hedge    time.Time // when a hedge may start, zero for never
+	tried    []string  // back ends
+	attempts []*try
+	last     refusal.Refusal // newest refusal
+	claim    bool            // a verdict on the claim is still to come
+}
+
+type phase int
+
+const (
+	claiming  phase = iota // waits for the verdict on its key
+	active                 // waits for a response header
+	expiring               // deadline passed, waits for proofs
+	delivered              // its caller has an answer
+)
+
+// try is one attempt.
+type try struct {
+	id      attempt.ID
+	target  choice.Target
+	begun   time.Time
+	outcome attempt.Outcome
+	open    bool // no response header yet
+	ended   bool
+	asked   bool
+}
+
+// New returns a Model without calls.
+func New(cfg Config) *Model {
+	return &Model{
+		cfg:      cfg,
+		rules:    &rule.Set{},
+		calls:    map[ID]*state{},
+		owners:   map[attempt.ID]*state{},
+		services: map[string]*service{},
+	}
+}
+
+// Open returns the number of calls that are not forgotten.
+func (m *Model) Open() int {
+	return len(m.calls)
+}
+
+// Members replaces the targets.
+func (m *Model) Members(now time.Time, targets []choice.Target) {
+	m.cfg.Choice.Update(now, choice.Members{Targets: targets})
+}
+
+// Rules replaces the rules in force and, with them, the budgets.
+func (m *Model) Rules(now time.Time, set *rule.Set) {
+	m.rules = set
+	m.services = map[string]*service{}
+	m.cfg.Choice.Update(now, choice.Rules{Set: set})
+}
+
+// Update applies one message at the given time and returns the effects.
+func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	switch msg := msg.(type) {
+	case Begin:
+		return m.begin(now, msg)
+	case Claimed:
+		return m.with(msg.Call, func(s *state) []Cmd { return m.claimed(now, s, msg.Verdict) })
+	case Timer:
+		return m.with(msg.Call, func(s *state) []Cmd { return m.timer(now, s) })
+	case Gone:
+		return m.with(msg.Call, func(s *state) []Cmd { return m.gone(now, s) })
+	case Head:
+		return m.own(msg.Attempt, func(s *state, t *try) []Cmd { return m.head(now, s, t, msg) })
+	case Ended:
+		return m.own(msg.Attempt, func(s *state, t *try) []Cmd { return m.ended(now, s, t, msg.Result) })
+	case Proof:
+		return m.own(msg.Attempt, func(s *state, t *try) []Cmd { return m.proof(now, s, t, msg.NotRun) })
+	}
+	return nil
+}
+
+func (m *Model) with(id ID, f func(*state) []Cmd) []Cmd {
+	s, ok := m.calls[id]
+	if !ok {
+		return nil
+	}
+	return f(s)
+}
+
+func (m *Model) own(id attempt.ID, f func(*state, *try) []Cmd) []Cmd {
+	s, ok := m.owners[id]
+	if !ok {
+		return nil
+	}
+	t, _ := lo.Find(s.attempts, func(t *try) bool { return t.id == id })
+	return f(s, t)
+}
+
+func (m *Model) begin(now time.Time, msg Begin) []Cmd {
+	s := &state{Begin: msg, begun: now}
+	m.calls[msg.Call] = s
+	m.service(msg.Service).call(now)
+	switch {
+	case msg.Depth > attempt.MaxDepth:
+		return m.refuse(s, refusal.Deep, attempt.NotRun)
+	case !now.Before(msg.Deadline):
+		return m.refuse(s, refusal.Late, attempt.NotRun)
+	case msg.Keyed:
+		s.claim = true
+		return []Cmd{Claim{msg.Call}, Wake{msg.Call, msg.Deadline}}
+	}
+	return m.start(now, s)
+}
+
+func (m *Model) claimed(now time.Time, s *state, verdict Verdict) []Cmd {
+	if !s.claim {
+		return nil
+	}
+	s.claim = false
+	if s.phase == delivered {
+		var cmds []Cmd
+		if verdict == Granted {
+			cmds = append(cmds, Release{s.Call})
+		}
+		return append(cmds, m.settle(s)...)
+	}
+	switch verdict {
+	case Granted:
+		if !now.Before(s.Deadline) {
+			return append([]Cmd{Release{s.Call}}, m.refuse(s, refusal.Late, attempt.NotRun)...)
+		}
+		return m.start(now, s)
+	case Held:
+		return m.refuse(s, refusal.Held, attempt.Unknown)
+	case Mismatch:
+		return m.refuse(s, refusal.Mismatch, attempt.NotRun)
+	case Repeat:
+		s.phase = delivered
+		return m.settle(s)
+	case Failed:
+	}
+	return m.refuse(s, refusal.NoQuorum, attempt.NotRun)
+}
+
+func (m *Model) start(now time.Time, s *state) []Cmd {
+	s.phase = active
+	cmds := m.send(now, s)
+	if len(cmds) == 0 {
+		return m.notRun(s, refusal.Absent)
+	}
+	if s.Idempotent && !s.Keyed {
+		s.hedge = m.service(s.Service).hedgeAt(now)
+	}
+	return append(cmds, s.wake())
+}
+
+// send starts an attempt at a back end that this call has not tried; no effects if there is none.
+func (m *Model) send(now time.Time, s *state) []Cmd {
+	if len(s.attempts) >= MaxAttempts {
+		return nil
+	}
+	target, ok := m.cfg.Choice.Pick(now, choice.Query{Service: s.Service, Avoid: s.tried})
+	if !ok {
+		return nil
+	}
+	m.sequence++
+	id := attempt.ID{Node: m.cfg.Node, Incarnation: m.cfg.Incarnation, Sequence: m.sequence}
+	s.attempts = append(s.attempts, &try{id: id, target: target, begun: now, open: true})
+	s.tried = append(s.tried, target.Backend)
+	m.owners[id] = s
+	m.cfg.Choice.Update(now, choice.Begin{Backend: target.Backend})
+	return []Cmd{Send{Call: s.Call, Attempt: id, Target: target}}
+}
+
+func (s *state) wake() Cmd {
+	at := s.Deadline
+	if s.phase == expiring {
+		at = at.Add(Grace)
+	} else if !s.hedge.IsZero() && s.hedge.Before(at) {
+		at = s.hedge
+	}
+	return Wake{Call: s.Call, At: at}
+}
+
+func (m *Model) timer(now time.Time, s *state) []Cmd {
+	switch {
+	case s.phase == claiming && !now.Before(s.Deadline):
+		// Nothing was sent; a claim that is granted later is released.
+		return m.refuse(s, refusal.Late, attempt.NotRun)
+	case s.phase == active && !now.Before(s.Deadline):
+		return m.expire(s)
+	case s.phase == expiring && !now.Before(s.Deadline.Add(Grace)):
+		return m.refuse(s, refusal.Timeout, attempt.Unknown)
+	case s.phase == active && !s.hedge.IsZero() && !now.Before(s.hedge):
+		return m.startHedge(now, s)
+	}
+	return nil
+}
+
+func (m *Model) startHedge(now time.Time, s *state) []Cmd {
+	s.hedge = time.Time{}
+	cmds := []Cmd{s.wake()}
+	if m.service(s.Service).hedge.Take(now) {
+		cmds = append(m.send(now, s), cmds...)
+	}
+	return cmds
+}
+
+// expire asks every open attempt's destination whether it ran.
+func (m *Model) expire(s *state) []Cmd {
+	s.phase = expiring
+	s.last = refusal.Refusal{Reason: refusal.Timeout}
+	cmds := s.ask()
+	if len(cmds) == 0 {
+		return m.conclude(s)
+	}
+	return append(cmds, s.wake())
+}
+
+func (s *state) ask() []Cmd {
+	var cmds []Cmd
+	for _, t := range s.attempts {
+		if t.outcome == attempt.Unknown && !t.asked {
+			t.asked = true
+			cmds = append(cmds, Ask{Call: s.Call, Attempt: t.id})
+		}
+	}
+	return cmds
+}
+
+// gone cancels the attempts of a call whose caller has left.
+func (m *Model) gone(now time.Time, s *state) []Cmd {
+	if s.phase == claiming || s.phase == delivered {
+		s.phase = delivered
+		return append(m.abort(s, attempt.ID{}), m.settle(s)...)
+	}
+	if s.Keyed {
+		// The claim is given up only with a proof, so the call lives on for a moment.
+		s.Deadline = now
+		s.phase = active
+		return m.expire(s)
+	}
+	s.phase = delivered
+	return append(m.abort(s, attempt.ID{}), m.settle(s)...)
+}
+
+// abort abandons every attempt but the given one.
+func (m *Model) abort(s *state, except attempt.ID) []Cmd {
+	var cmds []Cmd
+	for _, t := range s.attempts {
+		if t.id != except && !t.ended {
+			cmds = append(cmds, Abort{Call: s.Call, Attempt: t.id})
+		}
+	}
+	return cmds
+}
+
+// refuse answers the caller and abandons what is still open.
+func (m *Model) refuse(s *state, reason refusal.Reason, outcome attempt.Outcome) []Cmd {
+	s.phase = delivered
+	cmds := m.abort(s, attempt.ID{})
+	cmds = append(cmds, Refuse{Call: s.Call, Reason: reason, Outcome: outcome, After: max(s.last.After, time.Second)})
+	return append(cmds, m.settle(s)...)
+}
+
+// notRun answers a call that is proven not run.
+func (m *Model) notRun(s *state, reason refusal.Reason) []Cmd {
+	var cmds []Cmd
+	if s.Keyed {
+		cmds = append(cmds, Release{s.Call})
+	}
+	return append(cmds, m.refuse(s, reason, attempt.NotRun)...)
+}
+
+// settle forgets the call once it has an answer and no attempt.
+func (m *Model) settle(s *state) []Cmd {
+	if s.phase != delivered || s.claim || lo.SomeBy(s.attempts, func(t *try) bool { return !t.ended }) {
+		return nil
+	}
+	delete(m.calls, s.Call)
+	for _, t := range s.attempts {
+		delete(m.owners, t.id)
+	}
+	return []Cmd{Forget{s.Call}}
+}
--- /dev/null
+++ b/node/coordination/call/msg.go
@@ -0,0 +1,143 @@
+package call
+
+import (
+	"time"
+
+	"pollenhill.example/core/coordination/choice"
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/hint"
+	"pollenhill.example/core/protocol/refusal"
+)
+
+// ID numbers the calls of one entry node incarnation.
+type ID uint64
+
+// Msg is an input of Model.Update.
+type Msg interface{ msg() }
+
+// Begin reports a new call.
+type Begin struct {
+	Call       ID
+	Service    string
+	Idempotent bool
+	Keyed      bool
+	Deadline   time.Time
+	Depth      int
+}
+
+// Claimed reports the verdict on the claim of a keyed call.
+type Claimed struct {
+	Call    ID
+	Verdict Verdict
+}
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Verdict -linecomment
+
+// Verdict is the result of a claim.
+type Verdict int
+
+// Results of a claim.
+const (
+	Failed   Verdict = iota // no-quorum
+	Granted                 // granted
+	Held                    // held
+	Repeat                  // done
+	Mismatch                // mismatch
+)
+
+// Head reports the response header of an attempt, or its failure before one.
+type Head struct {
+	Attempt attempt.ID
+	Outcome attempt.Outcome
+	Result  choice.Result
+	Refusal refusal.Refusal // if Outcome is not Answered
+	Reply   bool            // there is a response to deliver
+	Hint    *hint.Hint
+}
+
+// Ended reports the end of an attempt: its body was read, or abandoned.
+type Ended struct {
+	Attempt attempt.ID
+	Result  choice.Result
+}
+
+// Proof answers Ask.
+type Proof struct {
+	Attempt attempt.ID
+	NotRun  bool
+}
+
+// Timer reports that the time of a Wake has come.
+type Timer struct{ Call ID }
+
+// Gone reports that the caller disconnected.
+type Gone struct{ Call ID }
+
+func (Begin) msg()   {}
+func (Claimed) msg() {}
+func (Head) msg()    {}
+func (Ended) msg()   {}
+func (Proof) msg()   {}
+func (Timer) msg()   {}
+func (Gone) msg()    {}
+
+// Cmd is an effect that Model.Update asks for.
+type Cmd interface{ cmd() }
+
+// Claim asks the control group for the key of a call.
+type Claim struct{ Call ID }
+
+// Send starts an attempt.
+type Send struct {
+	Call    ID
+	Attempt attempt.ID
+	Target  choice.Target
+}
+
+// Abort abandons an attempt: its connection is closed and its destination told.
+type Abort struct {
+	Call    ID
+	Attempt attempt.ID
+}
+
+// Ask cancels an attempt at its destination to learn whether it ran; the answer is Proof.
+type Ask struct {
+	Call    ID
+	Attempt attempt.ID
+}
+
+// Wake asks for a Timer; a later Wake of the same call replaces it.
+type Wake struct {
+	Call ID
+	At   time.Time
+}
+
+// Deliver passes the response of an attempt to the caller.
+type Deliver struct {
+	Call    ID
+	Attempt attempt.ID
+}
+
+// Refuse answers the caller without a response.
+type Refuse struct {
+	Call    ID
+	Reason  refusal.Reason
+	Outcome attempt.Outcome
+	After   time.Duration
+}
+
+// Release gives up the claim of a call that is proven not run.
+type Release struct{ Call ID }
+
+// Forget is the last effect of a call.
+type Forget struct{ Call ID }
+
+func (Claim) cmd()   {}
+func (Send) cmd()    {}
+func (Abort) cmd()   {}
+func (Ask) cmd()     {}
+func (Wake) cmd()    {}
+func (Deliver) cmd() {}
+func (Refuse) cmd()  {}
+func (Release) cmd() {}
+func (Forget) cmd()  {}
--- /dev/null
+++ b/node/protocol/message/attempt.go
@@ -0,0 +1,118 @@
+package message
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/hint"
+	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/state/rule"
+)
+
+// Attempt is what the headers of a node-to-node attempt say.
+type Attempt struct {
+	ID          attempt.ID
+	Incarnation uint64 // of the destination node addressed
+	Deadline    time.Time
+	Depth       int
+	Revision    uint64
+	Level       rule.Level
+	Service     string
+}
+
+// Write sets the headers of a on h; now turns the deadline into remaining milliseconds.
+func (a Attempt) Write(h *fasthttp.RequestHeader, now time.Time) {
+	h.Set(attempt.HeaderAttempt, a.ID.String())
+	h.Set(attempt.HeaderIncarnation, strconv.FormatUint(a.Incarnation, 10))
+	h.Set(attempt.HeaderDeadline, Remaining(a.Deadline, now))
+	h.Set(attempt.HeaderDepth, strconv.Itoa(a.Depth))
+	h.Set(attempt.HeaderRevision, strconv.FormatUint(a.Revision, 10))
+	h.Set(attempt.HeaderPriority, a.Level.String())
+	h.Set(attempt.HeaderService, a.Service)
+}
+
+// ReadAttempt reads the headers that Write set.
+func ReadAttempt(h *fasthttp.RequestHeader, now time.Time) (Attempt, error) {
+	var a Attempt
+	var err error
+	if a.ID, err = attempt.Parse(string(h.Peek(attempt.HeaderAttempt))); err != nil {
+		return a, err
+	}
+	if a.Incarnation, err = number(h, attempt.HeaderIncarnation); err != nil {
+		return a, err
+	}
+	if a.Revision, err = number(h, attempt.HeaderRevision); err != nil {
+		return a, err
+	}
+	remaining, err := number(h, attempt.HeaderDeadline)
+	if err != nil {
+		return a, err
+	}
+	depth, err := number(h, attempt.HeaderDepth)
+	if err != nil {
+		return a, err
+	}
+	a.Depth = int(min(depth, attempt.MaxDepth+1))
+	a.Deadline = now.Add(time.Duration(min(remaining, maxDeadline)) * time.Millisecond)
+	a.Level = level(string(h.Peek(attempt.HeaderPriority)))
+	a.Service = string(h.Peek(attempt.HeaderService))
+	return a, nil
+}
+
+// maxDeadline is the longest deadline that nodes pass on, in milliseconds: one day.
+const maxDeadline = 24 * 60 * 60 * 1000
+
+func number(h *fasthttp.RequestHeader, name string) (uint64, error) {
+	n, err := strconv.ParseUint(string(h.Peek(name)), 10, 64)
+	return n, errors.Wrapf(err, "read header %s", name)
+}
+
+func level(name string) rule.Level {
+	for _, l := range []rule.Level{rule.Low, rule.High} {
+		if l.String() == name {
+			return l
+		}
+	}
+	return rule.Normal
+}
+
+// Remaining returns the value of HeaderDeadline at the time now.
+func Remaining(deadline, now time.Time) string {
+	return strconv.FormatInt(max(0, deadline.Sub(now).Milliseconds()), 10)
+}
+
+// ReadOutcome fills in the outcome of a reply from its headers; depth is that of the attempt.
+// A refusal without a level was made by the back end itself.
+func ReadOutcome(r *Reply, depth int) {
+	r.Outcome = attempt.Answered
+	value := string(r.Header.Peek(attempt.HeaderOutcome))
+	if value == "" || value == attempt.Answered.String() {
+		return
+	}
+	r.Refusal = refusal.Refusal{Reason: refusal.Shed, Level: depth}
+	if f, ok := refusal.ParseStatus(string(r.Header.Peek(refusal.HeaderStatus))); ok {
+		r.Refusal = f
+	}
+	r.Outcome = attempt.Unknown
+	if value == attempt.NotRun.String() {
+		r.Outcome = attempt.NotRun
+	}
+	r.Refusal.Outcome = r.Outcome
+}
+
+// ReadHint returns the hint of a response, or nil.
+func ReadHint(h *fasthttp.ResponseHeader) *hint.Hint {
+	value := h.Peek(attempt.HeaderHint)
+	if len(value) == 0 {
+		return nil
+	}
+	parsed, err := hint.Parse(string(value))
+	if err != nil {
+		return nil
+	}
+	return &parsed
+}
--- /dev/null
+++ b/node/protocol/message/doc.go
@@ -0,0 +1,2 @@
+// Package message holds the requests and replies that a node carries and the rules for their headers.
+package message
--- /dev/null
+++ b/node/protocol/message/message.go
@@ -0,0 +1,92 @@
+package message
+
+import (
+	"io"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pollenhill.example/core/coordination/choice"
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/hint"
+	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/state/rule"
+)
+
+// Request is a completely received request without hop-by-hop headers; it is not changed after that.
+type Request struct {
+	Header     fasthttp.RequestHeader
+	Body       []byte
+	Service    string
+	Idempotent bool
+	Level      rule.Level
+	Deadline   time.Time // for the response header
+	Depth      int       // of the attempts for this request
+	Key        string    // Idempotency-Key, empty if none
+}
+
+// Reply is a response whose body is still to be read, or a refusal without a body.
+type Reply struct {
+	Header  fasthttp.ResponseHeader
+	Length  int           // of Body, tcp.Chunked if unknown
+	Body    io.ReadCloser // nil for none
+	Outcome attempt.Outcome
+	Result  choice.Result
+	Refusal refusal.Refusal // set when a node or a back end refused
+	Hint    *hint.Hint
+}
+
+// Close abandons the body.
+func (r *Reply) Close() {
+	if r != nil && r.Body != nil {
+		_ = r.Body.Close()
+	}
+}
+
+// Refuse returns the reply that carries f.
+func Refuse(f refusal.Refusal) *Reply {
+	r := &Reply{Outcome: f.Outcome, Result: choice.Refused, Refusal: f}
+	r.Header.SetNoDefaultContentType(true)
+	r.Header.SetStatusCode(f.Reason.Status())
+	for _, field := range f.Fields() {
+		r.Header.Set(field.Name, field.Value)
+	}
+	return r
+}
+
+// hopByHop are the headers that end at every hop (RFC 9110, section 7.6.1), and those that only nodes set.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+	attempt.HeaderAttempt, attempt.HeaderIncarnation, attempt.HeaderDeadline, attempt.HeaderDepth,
+	attempt.HeaderRevision, attempt.HeaderPriority, attempt.HeaderService, attempt.HeaderHint, attempt.HeaderClock,
+}
+
+// fields is what request and response headers of fasthttp have in common here.
+type fields interface {
+	Peek(key string) []byte
+	PeekAll(key string) [][]byte
+	Del(key string)
+	ResetConnectionClose()
+}
+
+// Strip removes hop-by-hop headers, those named in Connection and those between nodes.
+func Strip(h fields) {
+	for _, line := range h.PeekAll("Connection") {
+		for name := range strings.SplitSeq(string(line), ",") {
+			if name = strings.TrimSpace(name); !framing(name) {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+	h.ResetConnectionClose()
+}
+
+// framing protects the headers that a Connection header must not remove.
+func framing(name string) bool {
+	return strings.EqualFold(name, "Content-Length") || strings.EqualFold(name, "Host") || name == ""
+}
