--- /dev/null
+++ b/lab/demo/layout.go
@@ -0,0 +1,46 @@
+package demo
+
+import "pollenhill.example/lab/state/layout"
+
+const (
+	control       = "control-1"
+	callerAddress = "127.1.9.1" // source address of the callers
+	bookingHost   = "booking.example"
+	slots         = 12
+	movedZone     = "oslo-b"
+)
+
+// fleet returns 1 control process and 3 zones, each with a booking and a records back end.
+func fleet(dir string) layout.Fleet {
+	return layout.Fleet{
+		Dir:      dir,
+		Zones:    []layout.Zone{{Name: "oslo-a", Region: "oslo"}, {Name: movedZone, Region: "oslo"}, {Name: "oslo-c", Region: "oslo"}},
+		Services: []string{"booking", "records"},
+		PerZone:  2,
+		Controls: 1,
+		Backend:  layout.Backend{Slots: slots, Connections: 240, Cold: 2, Warm: 40, Mean: "10ms", Probe: "6ms"},
+	}
+}
+
+// Prepare writes the settings and the rule file of every process into dir.
+func Prepare(dir string) error {
+	f := fleet(dir)
+	if err := f.Write(); err != nil {
+		return err
+	}
+	return f.Edit(control, 1, "ola: first day", serviceRules)
+}
+
+const serviceRules = `service booking host=booking.example path=/ # kari: boat booking
+service records host=booking.example path=/book # kari: logbooks to download
+limit booking slots=12 connections=240 queue=24 # ola: size of a VM
+limit records slots=12 connections=240 queue=24 # ola: size of a VM
+deadline booking 2s # kari: rowers wait outside
+deadline records 20s # kari: large files
+cold booking 2 # ola: what a new server bears
+cold records 2 # ola: what a new server bears
+probe booking 1% # ola: agreed budget
+probe records 1% # ola: agreed budget
+`
+
+const zoneOut = "out zone " + movedZone + " # kari: rewiring tonight\n"
