--- a/core/transport/tcp/exchange.go
+++ b/core/transport/tcp/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http/httputil"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -186,9 +187,13 @@
 	if b.r == nil {
 		return 0, io.EOF
 	}
+	if stall := b.c.pool.cfg.Stall; stall > 0 {
+		_ = b.c.net.SetReadDeadline(time.Now().Add(stall))
+	}
 	n, err := b.r.Read(p)
 	switch {
 	case errors.Is(err, io.EOF):
+		_ = b.c.net.SetReadDeadline(time.Time{})
 		b.end()
 	case err != nil:
 		b.c.finish(false)
--- a/core/transport/tcp/pool.go
+++ b/core/transport/tcp/pool.go
@@ -25,8 +25,10 @@
 type PoolConfig struct {
 	Address netip.AddrPort
 	Dialer  Dialer
-	Cap     int           // connections that may be open at once
-	Idle    time.Duration // an idle connection that is older is not used again
+	Cap     int                    // connections that may be open at once
+	Idle    time.Duration          // an idle connection that is older is not used again
+	Stall   time.Duration          // longest wait for the next byte of a response body, 0 for none
+	Changed func(open, closed int) // connections open after a new one, or after the other side closed some; may be nil
 	Now     func() time.Time
 }
 
@@ -57,7 +59,10 @@
 	case <-ctx.Done():
 		return nil, &Error{Step: Wait, Peer: p.cfg.Address, Err: ctx.Err()}
 	}
-	c, err := p.take()
+	c, closed, err := p.take()
+	if closed > 0 {
+		p.report(closed)
+	}
 	if c != nil || err != nil {
 		return c, err
 	}
@@ -67,26 +72,60 @@
 		<-p.tokens
 		return nil, err
 	}
-	return newConn(raw, p), nil
+	c = newConn(raw, p)
+	p.report(0)
+	return c, nil
+}
+
+// Warm opens one connection ahead of its use, unless Cap are open.
+func (p *Pool) Warm(ctx context.Context) {
+	select {
+	case p.tokens <- struct{}{}:
+	default:
+		return
+	}
+	if used, idle := p.Open(); used+idle > p.cfg.Cap {
+		<-p.tokens
+		return
+	}
+	raw, err := p.cfg.Dialer.Dial(ctx, p.cfg.Address)
+	if err != nil {
+		<-p.tokens
+		return
+	}
+	newConn(raw, p).finish(true)
+	p.report(0)
 }
 
-func (p *Pool) take() (*Conn, error) {
+func (p *Pool) report(closed int) {
+	if p.cfg.Changed != nil {
+		used, idle := p.Open()
+		p.cfg.Changed(used+idle, closed)
+	}
+}
+
+// take returns an idle connection, or none and how many the other side had closed.
+func (p *Pool) take() (c *Conn, closed int, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		<-p.tokens
-		return nil, &Error{Step: Wait, Peer: p.cfg.Address, Err: ErrClosed}
+		return nil, 0, &Error{Step: Wait, Peer: p.cfg.Address, Err: ErrClosed}
 	}
 	for len(p.idle) > 0 {
 		last := len(p.idle) - 1
 		c := p.idle[last]
 		p.idle = p.idle[:last]
-		if p.cfg.Now().Sub(c.since) <= p.cfg.Idle && c.quiet() {
-			return c, nil
+		old := p.cfg.Now().Sub(c.since) > p.cfg.Idle
+		if !old && c.quiet() {
+			return c, closed, nil
+		}
+		if !old {
+			closed++
 		}
 		_ = c.net.Close()
 	}
-	return nil, nil
+	return nil, closed, nil
 }
 
 func (p *Pool) put(c *Conn) {
--- a/node/coordination/arrival/model.go
+++ b/node/coordination/arrival/model.go
@@ -10,14 +10,13 @@
 )
 
 // Model is the destination side of all attempts at one node; it is not safe for concurrent use.
+// Admission remembers the fate of every attempt, so a late or repeated one never runs twice.
 type Model struct {
 	cfg       Config
 	admission *admission.Model
-	ledger    *ledger
 	backend   Backend
 	rules     *rule.Set
 	leaving   bool
-	verdicts  map[attempt.ID]bool // cancels that admission is answering
 }
 
 // Config identifies the node.
@@ -28,12 +27,7 @@
 
 // New returns a Model without a back end.
 func New(cfg Config) *Model {
-	m := &Model{
-		cfg:      cfg,
-		ledger:   newLedger(),
-		rules:    &rule.Set{},
-		verdicts: map[attempt.ID]bool{},
-	}
+	m := &Model{cfg: cfg, rules: &rule.Set{}}
 	m.admission = admission.New(m.limits())
 	return m
 }
@@ -46,22 +40,25 @@
 	case Cancel:
 		return m.cancel(now, msg)
 	case Lost:
-		return m.lost(now, msg)
+		return m.admit(now, admission.Cancel(msg), false)
 	case Done:
-		return m.done(now, msg)
+		return m.admit(now, admission.Done(msg), false)
 	case Backend:
 		m.backend = msg
-		cmds := m.admit(now, m.limits())
-		return append(cmds, m.admit(now, admission.Backend{State: msg.State})...)
+		cmds := m.admit(now, m.limits(), false)
+		return append(cmds, m.admit(now, m.state(), false)...)
 	case Rules:
 		m.rules = msg.Set
-		return m.admit(now, m.limits())
+		return m.admit(now, m.limits(), false)
 	case Leave:
 		m.leaving = true
-		return m.admit(now, admission.Backend{State: admission.Leaving})
+		return m.admit(now, m.state(), false)
+	case Pool:
+		return m.pool(now, msg)
+	case Check:
+		return m.admit(now, admission.Check(msg), false)
 	case Tick:
-		m.ledger.expire(now)
-		return m.admit(now, admission.Tick{})
+		return m.admit(now, admission.Tick{}, false)
 	}
 	return nil
 }
@@ -71,33 +68,45 @@
 	return m.admission.View()
 }
 
+func (m *Model) state() admission.Backend {
+	if m.leaving {
+		return admission.Backend{State: admission.Leaving}
+	}
+	return admission.Backend{State: m.backend.State}
+}
+
 func (m *Model) arrive(now time.Time, msg Arrive) []Cmd {
 	if msg.Incarnation != m.cfg.Incarnation {
 		return refuse(msg.ID, refusal.Incarnation, attempt.NotRun)
 	}
-	switch m.ledger.get(msg.ID) {
-	case cancelled, refused:
-		return refuse(msg.ID, refusal.Cancelled, attempt.NotRun)
-	case waiting, running, finished:
-		// The other copy may run or have run, so nothing is proven here.
-		return refuse(msg.ID, refusal.Duplicate, attempt.Unknown)
-	case fresh:
-	}
 	if reason := m.refusal(msg); reason != refusal.None {
-		m.ledger.set(now, msg.ID, refused)
-		return refuse(msg.ID, reason, attempt.NotRun)
+		return m.never(now, msg.ID, reason)
 	}
-	m.ledger.set(now, msg.ID, waiting)
-	return m.admit(now, admission.Arrive{ID: msg.ID, Deadline: msg.Deadline, Priority: msg.Level})
+	return m.admit(now, admission.Arrive{ID: msg.ID, Deadline: msg.Deadline, Priority: msg.Level}, false)
+}
+
+// never refuses an attempt without admission and makes sure that no other copy of it starts later.
+func (m *Model) never(now time.Time, id attempt.ID, reason refusal.Reason) []Cmd {
+	var cmds []Cmd
+	for _, cmd := range m.admit(now, admission.Cancel{ID: id}, true) {
+		verdict, ok := cmd.(Verdict)
+		switch {
+		case !ok:
+			cmds = append(cmds, cmd)
+		case verdict.Answer == NotRun:
+			cmds = append(cmds, refuse(id, reason, attempt.NotRun)...)
+		default:
+			cmds = append(cmds, refuse(id, refusal.Duplicate, attempt.Unknown)...)
+		}
+	}
+	return cmds
 }
 
 func (m *Model) refusal(msg Arrive) refusal.Reason {
 	switch {
-	case m.leaving:
-		return refusal.Leaving
 	case msg.Depth > attempt.MaxDepth:
 		return refusal.Deep
-	case msg.Service != m.backend.Service:
+	case !m.leaving && msg.Service != m.backend.Service:
 		return refusal.Absent
 	}
 	return refusal.None
@@ -107,100 +116,72 @@
 	if msg.Incarnation != m.cfg.Incarnation {
 		return []Cmd{Verdict{ID: msg.ID, Answer: Unsure}}
 	}
-	switch m.ledger.get(msg.ID) {
-	case waiting:
-		m.verdicts[msg.ID] = true
-		return m.admit(now, admission.Cancel{ID: msg.ID})
-	case running:
-		return []Cmd{Verdict{ID: msg.ID, Answer: Begun}, Abort{ID: msg.ID}}
-	case finished:
-		return []Cmd{Verdict{ID: msg.ID, Answer: Begun}}
-	case fresh, cancelled, refused:
-		m.ledger.set(now, msg.ID, cancelled)
-	}
-	return []Cmd{Verdict{ID: msg.ID, Answer: NotRun}}
-}
-
-func (m *Model) lost(now time.Time, msg Lost) []Cmd {
-	switch m.ledger.get(msg.ID) {
-	case waiting:
-		return m.admit(now, admission.Cancel(msg))
-	case running:
-		return []Cmd{Abort(msg)}
-	case fresh, finished, cancelled, refused:
-	}
-	return nil
+	return m.admit(now, admission.Cancel{ID: msg.ID}, true)
 }
 
-func (m *Model) done(now time.Time, msg Done) []Cmd {
-	if m.ledger.get(msg.ID) != running {
-		return nil
+func (m *Model) pool(now time.Time, msg Pool) []Cmd {
+	if msg.Closed > 0 {
+		return m.admit(now, admission.Closed{Count: msg.Closed, All: msg.Open == 0}, false)
 	}
-	m.ledger.set(now, msg.ID, finished)
-	if msg.NotRun {
-		m.ledger.set(now, msg.ID, refused)
-	}
-	return m.admit(now, admission.Done{ID: msg.ID, Result: msg.Result, Latency: msg.Latency})
+	return m.admit(now, admission.Opened{Count: msg.Open}, false)
 }
 
-// admit applies msg to admission and turns its effects into those of m.
-func (m *Model) admit(now time.Time, msg admission.Msg) []Cmd {
+// admit applies msg to admission and turns its effects into those of m; asked adds the verdict on a cancel.
+func (m *Model) admit(now time.Time, msg admission.Msg, asked bool) []Cmd {
 	var cmds []Cmd
 	for _, cmd := range m.admission.Update(now, msg) {
 		switch cmd := cmd.(type) {
 		case admission.Start:
-			m.ledger.set(now, cmd.ID, running)
 			cmds = append(cmds, Start(cmd))
 		case admission.Refuse:
-			m.ledger.set(now, cmd.ID, refused)
-			cmds = append(cmds, Refuse{ID: cmd.ID, Reason: cmd.Reason, Outcome: attempt.NotRun, After: cmd.After})
+			cmds = append(cmds, refused(cmd))
 		case admission.Cancelled:
-			m.ledger.set(now, cmd.ID, cancelled)
-			cmds = append(cmds, Refuse{ID: cmd.ID, Reason: refusal.Cancelled, Outcome: attempt.NotRun})
-			cmds = append(cmds, m.verdict(cmd.ID, NotRun)...)
+			if asked {
+				cmds = append(cmds, Verdict{ID: cmd.ID, Answer: NotRun})
+			}
 		case admission.Running:
 			cmds = append(cmds, Abort(cmd))
-			cmds = append(cmds, m.verdict(cmd.ID, Begun)...)
+			if asked {
+				cmds = append(cmds, Verdict{ID: cmd.ID, Answer: Begun})
+			}
+		case admission.Warm:
+			cmds = append(cmds, Warm(cmd))
 		}
 	}
 	return cmds
 }
 
-func (m *Model) verdict(id attempt.ID, answer Answer) []Cmd {
-	if !m.verdicts[id] {
-		return nil
+// refused says what a refusal of admission proves: the other copy of a duplicate may run or have run.
+func refused(cmd admission.Refuse) Refuse {
+	outcome := attempt.NotRun
+	if cmd.Reason == refusal.Duplicate {
+		outcome = attempt.Unknown
 	}
-	delete(m.verdicts, id)
-	return []Cmd{Verdict{ID: id, Answer: answer}}
+	return Refuse{ID: cmd.ID, Reason: cmd.Reason, Outcome: outcome, After: cmd.After}
 }
 
 // limits returns the rules for the local back end; the smaller of announced and configured slots holds.
 func (m *Model) limits() admission.Limits {
-	s := m.rules.Services[m.backend.Service]
-	l := admission.Limits{
-		Slots: or(s.Slots, rule.DefaultSlots),
-		Queue: or(s.Queue, rule.DefaultQueue),
-		Cold:  or(s.Cold, rule.DefaultCold),
+	s, ok := m.rules.Limits(m.backend.Service)
+	l := admission.Limits{Slots: s.Slots, Queue: s.Queue, Cold: s.Cold, Connections: s.Connections}
+	if ok && s.Queue == 0 {
+		l.Queue = -1 // admission takes 0 for "not set"
+	}
+	if n := m.backend.Slots; n > 0 && (l.Slots == 0 || n < l.Slots) {
+		l.Slots = n
 	}
-	if m.backend.Slots > 0 {
-		l.Slots = min(l.Slots, m.backend.Slots)
+	if n := m.backend.Connections; n > 0 && (l.Connections == 0 || n < l.Connections) {
+		l.Connections = n
 	}
 	switch {
-	case m.rules.Zones[m.cfg.Zone].Out:
+	case m.rules.ZoneOut(m.cfg.Zone):
 		l.Reason = refusal.ZoneOut
-	case m.rules.Backends[m.backend.Name]:
+	case m.rules.BackendOut(m.backend.Name):
 		l.Reason = refusal.BackendOut
 	}
 	return l
 }
 
-func or(set, fallback int) int {
-	if set > 0 {
-		return set
-	}
-	return fallback
-}
-
 func refuse(id attempt.ID, reason refusal.Reason, outcome attempt.Outcome) []Cmd {
 	return []Cmd{Refuse{ID: id, Reason: reason, Outcome: outcome, After: time.Second}}
 }
--- a/node/coordination/arrival/msg.go
+++ b/node/coordination/arrival/msg.go
@@ -36,20 +36,26 @@
 	ID      attempt.ID
 	Result  admission.Result
 	Latency time.Duration
-	NotRun  bool // no byte reached the back end, or the back end refused it as not run
 }
 
 // Backend replaces what the local back end announced; an expired lease is the zero Backend.
 type Backend struct {
-	Name    string
-	Service string
-	Slots   int
-	State   admission.State
+	Name        string
+	Service     string
+	Slots       int
+	Connections int
+	State       admission.State
 }
 
 // Rules replaces the rules in force.
 type Rules struct{ Set *rule.Set }
 
+// Pool reports the connections to the back end: Open are left after it closed Closed of them.
+type Pool struct{ Open, Closed int }
+
+// Check reports the result of a health check.
+type Check struct{ OK bool }
+
 // Leave makes the node refuse every new attempt: it is shutting down.
 type Leave struct{}
 
@@ -62,6 +68,8 @@
 func (Done) msg()    {}
 func (Backend) msg() {}
 func (Rules) msg()   {}
+func (Pool) msg()    {}
+func (Check) msg()   {}
 func (Leave) msg()   {}
 func (Tick) msg()    {}
 
@@ -88,6 +96,10 @@
 	Answer Answer
 }
 
+// Warm asks for new connections to the back end before they are needed.
+type Warm struct{ Count int }
+
+func (Warm) cmd()    {}
 func (Start) cmd()   {}
 func (Refuse) cmd()  {}
 func (Abort) cmd()   {}
--- a/node/coordination/call/attempt.go
+++ b/node/coordination/call/attempt.go
@@ -6,6 +6,7 @@
 	"github.com/samber/lo"
 
 	"pollenhill.example/core/coordination/choice"
+	"pollenhill.example/core/coordination/retry"
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/refusal"
 )
@@ -17,6 +18,7 @@
 	}
 	t.open = false
 	t.outcome = msg.Outcome
+	m.learn(now, s, t, msg)
 	var cmds []Cmd
 	if msg.Outcome != attempt.Answered || !msg.Reply {
 		m.end(now, t, msg.Result, msg)
@@ -29,7 +31,7 @@
 	}
 	switch msg.Outcome {
 	case attempt.Answered:
-		return m.deliver(now, s, t)
+		return m.deliver(s, t)
 	case attempt.NotRun:
 		return m.refused(now, s, msg)
 	case attempt.Unknown:
@@ -38,25 +40,18 @@
 }
 
 // deliver gives the caller the first answer and abandons the other attempts.
-func (m *Model) deliver(now time.Time, s *state, t *try) []Cmd {
+func (m *Model) deliver(s *state, t *try) []Cmd {
 	s.phase = delivered
-	m.service(s.Service).delay.add(now.Sub(t.begun))
 	cmds := []Cmd{Deliver{Call: s.Call, Attempt: t.id}}
 	cmds = append(cmds, m.abort(s, t.id)...)
 	return append(cmds, m.settle(s)...)
 }
 
-// refused tries another back end after a proof that the attempt did not run.
+// refused handles a proof that the attempt did not run.
 func (m *Model) refused(now time.Time, s *state, msg Head) []Cmd {
 	s.last = msg.Refusal
-	if s.phase == expiring {
-		return m.conclude(s)
-	}
-	// A refusal from deeper in the chain was already retried there, next to the refusing destination.
-	if msg.Refusal.Level <= s.Depth {
-		if cmds := m.again(now, s); len(cmds) > 0 {
-			return cmds
-		}
+	if cmds := m.again(now, s, msg); len(cmds) > 0 {
+		return cmds
 	}
 	return m.conclude(s)
 }
@@ -64,16 +59,10 @@
 // failed handles an attempt that may have run.
 func (m *Model) failed(now time.Time, s *state, t *try, msg Head) []Cmd {
 	s.last = msg.Refusal
-	if s.phase == expiring {
-		return m.conclude(s)
+	if cmds := m.again(now, s, msg); len(cmds) > 0 {
+		return cmds
 	}
-	if s.Idempotent && msg.Refusal.Level <= s.Depth {
-		if cmds := m.again(now, s); len(cmds) > 0 {
-			return cmds
-		}
-		return m.conclude(s)
-	}
-	if !msg.Reply && !t.asked {
+	if s.phase == active && !s.Idempotent && !msg.Reply {
 		t.asked = true
 		return []Cmd{Ask{Call: s.Call, Attempt: t.id}}
 	}
@@ -81,14 +70,21 @@
 }
 
 // again starts one more attempt if the retry budget allows it.
-func (m *Model) again(now time.Time, s *state) []Cmd {
-	if s.phase != active || !now.Before(s.Deadline) {
+func (m *Model) again(now time.Time, s *state, msg Head) []Cmd {
+	if s.phase != active || !now.Before(s.Deadline) || len(s.attempts) >= MaxAttempts {
 		return nil
 	}
 	if !s.Idempotent && s.unproven() {
 		return nil
 	}
-	if !m.service(s.Service).retry.Take(now) {
+	failure := retry.Failure{
+		Outcome:    msg.Outcome,
+		Reason:     msg.Refusal.Reason,
+		Level:      msg.Refusal.Level,
+		Depth:      s.Depth,
+		Idempotent: s.Idempotent,
+	}
+	if !retry.Again(failure) || !m.budget(s.Service).Take(now) {
 		return nil
 	}
 	return m.send(now, s)
@@ -136,7 +132,8 @@
 	}
 	if notRun {
 		t.outcome = attempt.NotRun
-		if more := m.again(now, s); len(more) > 0 {
+		head := Head{Outcome: attempt.NotRun, Refusal: refusal.Refusal{Reason: refusal.Broken, Level: s.Depth}}
+		if more := m.again(now, s, head); len(more) > 0 {
 			return append(cmds, more...)
 		}
 	}
--- a/node/coordination/call/model.go
+++ b/node/coordination/call/model.go
@@ -6,7 +6,6 @@
 	"github.com/samber/lo"
 
 	"pollenhill.example/core/coordination/choice"
-	"pollenhill.example/core/coordination/retry"
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/refusal"
 	"pollenhill.example/core/state/rule"
@@ -35,13 +34,6 @@
 	Choice      *choice.Model
 }
 
-// service holds the budgets and the latency of one service.
-type service struct {
-	retry *retry.Budget
-	hedge *retry.Budget
-	delay *quantile
-}
-
 // state is one call.
 type state struct {
 	Begin
@@ -95,13 +87,6 @@
 	m.cfg.Choice.Update(now, choice.Members{Targets: targets})
 }
 
-// Rules replaces the rules in force and, with them, the budgets.
-func (m *Model) Rules(now time.Time, set *rule.Set) {
-	m.rules = set
-	m.services = map[string]*service{}
-	m.cfg.Choice.Update(now, choice.Rules{Set: set})
-}
-
 // Update applies one message at the given time and returns the effects.
 func (m *Model) Update(now time.Time, msg Msg) []Cmd {
 	switch msg := msg.(type) {
@@ -143,7 +128,7 @@
 func (m *Model) begin(now time.Time, msg Begin) []Cmd {
 	s := &state{Begin: msg, begun: now}
 	m.calls[msg.Call] = s
-	m.service(msg.Service).call(now)
+	m.budget(msg.Service).Call(now)
 	switch {
 	case msg.Depth > attempt.MaxDepth:
 		return m.refuse(s, refusal.Deep, attempt.NotRun)
@@ -151,7 +136,7 @@
 		return m.refuse(s, refusal.Late, attempt.NotRun)
 	case msg.Keyed:
 		s.claim = true
-		return []Cmd{Claim{msg.Call}, Wake{msg.Call, msg.Deadline}}
+		return []Cmd{Claim{msg.Call}, s.wake()}
 	}
 	return m.start(now, s)
 }
@@ -183,7 +168,8 @@
 		return m.settle(s)
 	case Failed:
 	}
-	return m.refuse(s, refusal.NoQuorum, attempt.NotRun)
+	// The claim may have been granted without this node hearing of it.
+	return m.notRun(s, refusal.NoQuorum)
 }
 
 func (m *Model) start(now time.Time, s *state) []Cmd {
@@ -192,9 +178,7 @@
 	if len(cmds) == 0 {
 		return m.notRun(s, refusal.Absent)
 	}
-	if s.Idempotent && !s.Keyed {
-		s.hedge = m.service(s.Service).hedgeAt(now)
-	}
+	s.hedge = m.hedgeAt(now, s)
 	return append(cmds, s.wake())
 }
 
@@ -218,7 +202,7 @@
 
 func (s *state) wake() Cmd {
 	at := s.Deadline
-	if s.phase == expiring {
+	if s.phase != active {
 		at = at.Add(Grace)
 	} else if !s.hedge.IsZero() && s.hedge.Before(at) {
 		at = s.hedge
@@ -228,7 +212,7 @@
 
 func (m *Model) timer(now time.Time, s *state) []Cmd {
 	switch {
-	case s.phase == claiming && !now.Before(s.Deadline):
+	case s.phase == claiming && !now.Before(s.Deadline.Add(Grace)):
 		// Nothing was sent; a claim that is granted later is released.
 		return m.refuse(s, refusal.Late, attempt.NotRun)
 	case s.phase == active && !now.Before(s.Deadline):
@@ -244,7 +228,7 @@
 func (m *Model) startHedge(now time.Time, s *state) []Cmd {
 	s.hedge = time.Time{}
 	cmds := []Cmd{s.wake()}
-	if m.service(s.Service).hedge.Take(now) {
+	if m.budget(s.Service).Hedge(now) {
 		cmds = append(m.send(now, s), cmds...)
 	}
 	return cmds
@@ -303,7 +287,17 @@
 func (m *Model) refuse(s *state, reason refusal.Reason, outcome attempt.Outcome) []Cmd {
 	s.phase = delivered
 	cmds := m.abort(s, attempt.ID{})
-	cmds = append(cmds, Refuse{Call: s.Call, Reason: reason, Outcome: outcome, After: max(s.last.After, time.Second)})
+	f := refusal.Refusal{
+		Reason:  reason,
+		Outcome: outcome,
+		After:   max(s.last.After, time.Second),
+		Node:    m.cfg.Node,
+		Level:   s.Depth,
+	}
+	if s.last.Reason == reason && s.last.Node != "" {
+		f.Node, f.Level = s.last.Node, s.last.Level
+	}
+	cmds = append(cmds, Refuse{Call: s.Call, Refusal: f})
 	return append(cmds, m.settle(s)...)
 }
 
--- a/node/coordination/call/msg.go
+++ b/node/coordination/call/msg.go
@@ -121,9 +121,7 @@
 // Refuse answers the caller without a response.
 type Refuse struct {
 	Call    ID
-	Reason  refusal.Reason
-	Outcome attempt.Outcome
-	After   time.Duration
+	Refusal refusal.Refusal
 }
 
 // Release gives up the claim of a call that is proven not run.
--- a/node/coordination/call/service.go
+++ b/node/coordination/call/service.go
@@ -3,46 +3,66 @@
 import (
 	"time"
 
+	"pollenhill.example/core/coordination/choice"
 	"pollenhill.example/core/coordination/retry"
+	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/state/rule"
 )
 
-// Bursts of extra attempts: a few more than one, so that rare failures in a row do not reach the caller.
-const (
-	retryBurst = 10
-	hedgeBurst = 5
-)
+// burst is how many extra attempts may come at once: enough for a few failures in a row.
+const burst = 10
 
-func (m *Model) service(name string) *service {
-	s, ok := m.services[name]
-	if !ok {
-		r := m.rules.Services[name]
-		s = &service{
-			retry: retry.New(retry.Config{Ratio: ratio(r.Retry, rule.DefaultRetry), Burst: retryBurst}),
-			hedge: retry.New(retry.Config{Ratio: ratio(r.Hedge, rule.DefaultHedge), Burst: hedgeBurst}),
-			delay: newQuantile(ratio(r.After, rule.DefaultAfter)),
+// service is what is learned about one service.
+type service struct {
+	cfg    retry.Config
+	budget *retry.Budget
+}
+
+// Rules replaces the rules in force; budgets whose rules are the same keep what they learned.
+func (m *Model) Rules(now time.Time, set *rule.Set) {
+	m.rules = set
+	for name, s := range m.services {
+		if s.cfg != m.config(name) {
+			delete(m.services, name)
 		}
-		m.services[name] = s
 	}
-	return s
+	m.cfg.Choice.Update(now, choice.Rules{Set: set})
 }
 
-func ratio(set, fallback rule.Ratio) float64 {
-	if set > 0 {
-		return float64(set)
+func (m *Model) config(name string) retry.Config {
+	s, ok := m.rules.Limits(name)
+	if !ok {
+		s = rule.Service{Retry: rule.DefaultRetry, Hedge: rule.DefaultHedge, After: rule.DefaultAfter}
 	}
-	return float64(fallback)
+	return retry.Config{Ratio: float64(s.Retry), Burst: burst, Hedge: float64(s.Hedge), After: float64(s.After)}
 }
 
-func (s *service) call(now time.Time) {
-	s.retry.Call(now)
-	s.hedge.Call(now)
+func (m *Model) budget(name string) *retry.Budget {
+	s, ok := m.services[name]
+	if !ok {
+		cfg := m.config(name)
+		s = &service{cfg: cfg, budget: retry.New(cfg)}
+		m.services[name] = s
+	}
+	return s.budget
 }
 
-// hedgeAt returns when an attempt that starts now may be hedged, zero while the latency is not known.
-func (s *service) hedgeAt(now time.Time) time.Time {
-	if d, ok := s.delay.value(); ok {
+// hedgeAt returns when a hedge of a call that starts now may start, zero for never.
+func (m *Model) hedgeAt(now time.Time, s *state) time.Time {
+	if s.Keyed || !retry.Hedged(s.Depth, s.Idempotent) {
+		return time.Time{}
+	}
+	if d, ok := m.budget(s.Service).Delay(now); ok {
 		return now.Add(d)
 	}
 	return time.Time{}
 }
+
+// learn tells the budget how an attempt ended.
+func (m *Model) learn(now time.Time, s *state, t *try, msg Head) {
+	b := m.budget(s.Service)
+	if msg.Outcome == attempt.Answered {
+		b.Latency(now, now.Sub(t.begun))
+	}
+	b.Answer(now, msg.Outcome == attempt.NotRun && retry.Overloaded(msg.Refusal.Reason))
+}
--- a/node/coordination/engine/engine.go
+++ b/node/coordination/engine/engine.go
@@ -36,6 +36,7 @@
 type Config struct {
 	Call    *call.Model
 	Arrival *arrival.Model
+	Warm    func(count int) // opens connections to the back end without waiting; may be nil
 }
 
 // Targets replaces the members and rules that both models use.
@@ -143,12 +144,14 @@
 		e.called(e.cfg.Call.Update(now, msg))
 	case arrival.Arrive:
 		e.arrive(now, msg, env.arrival)
+		e.publish()
 	case arrival.Cancel:
 		e.asks[msg.ID] = append(e.asks[msg.ID], env.ask)
 		e.arrived(e.cfg.Arrival.Update(now, msg))
 	case arrival.Done:
 		delete(e.arrivals, msg.ID)
 		e.arrived(e.cfg.Arrival.Update(now, msg))
+		e.publish()
 	case arrival.Msg:
 		e.arrived(e.cfg.Arrival.Update(now, msg))
 		e.publish()
@@ -159,12 +162,20 @@
 
 // arrive gives a second copy of an attempt its own channel, so that its refusal does not end the first.
 func (e *Engine) arrive(now time.Time, msg arrival.Arrive, effects chan arrival.Cmd) {
-	first, copied := e.arrivals[msg.ID]
-	e.arrivals[msg.ID] = effects
-	e.arrived(e.cfg.Arrival.Update(now, msg))
-	if copied {
-		e.arrivals[msg.ID] = first
+	if _, copied := e.arrivals[msg.ID]; !copied {
+		e.arrivals[msg.ID] = effects
+		e.arrived(e.cfg.Arrival.Update(now, msg))
+		return
 	}
+	var rest []arrival.Cmd
+	for _, cmd := range e.cfg.Arrival.Update(now, msg) {
+		if r, ok := cmd.(arrival.Refuse); ok && r.ID == msg.ID && r.Outcome == attempt.Unknown {
+			effects <- cmd
+			continue
+		}
+		rest = append(rest, cmd)
+	}
+	e.arrived(rest)
 }
 
 func (e *Engine) apply(now time.Time, t Targets) {
@@ -220,6 +231,10 @@
 		case arrival.Refuse:
 			e.effect(cmd.ID, cmd)
 			delete(e.arrivals, cmd.ID)
+		case arrival.Warm:
+			if e.cfg.Warm != nil {
+				e.cfg.Warm(cmd.Count)
+			}
 		case arrival.Verdict:
 			for _, ask := range e.asks[cmd.ID] {
 				ask <- cmd.Answer
--- a/node/protocol/message/attempt.go
+++ b/node/protocol/message/attempt.go
@@ -90,7 +90,7 @@
 func ReadOutcome(r *Reply, depth int) {
 	r.Outcome = attempt.Answered
 	value := string(r.Header.Peek(attempt.HeaderOutcome))
-	if value == "" || value == attempt.Answered.String() {
+	if value == "" || value == attempt.Answered.String() || r.Header.StatusCode() < errorStatus {
 		return
 	}
 	r.Refusal = refusal.Refusal{Reason: refusal.Shed, Level: depth}
@@ -102,8 +102,17 @@
 		r.Outcome = attempt.NotRun
 	}
 	r.Refusal.Outcome = r.Outcome
+	if seconds, err := strconv.Atoi(string(r.Header.Peek(refusal.HeaderRetry))); err == nil && seconds > 0 {
+		r.Refusal.After = min(time.Duration(seconds)*time.Second, longestRetry)
+	}
 }
 
+// errorStatus is the lowest status code of a refusal.
+const errorStatus = 400
+
+// longestRetry bounds the wait that a refusal suggests.
+const longestRetry = time.Minute
+
 // ReadHint returns the hint of a response, or nil.
 func ReadHint(h *fasthttp.ResponseHeader) *hint.Hint {
 	value := h.Peek(attempt.HeaderHint)
--- /dev/null
+++ b/node/transport/backend/backend.go
@@ -0,0 +1,173 @@
+package backend
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pollenhill.example/core/coordination/admission"
+	"pollenhill.example/core/state/event"
+	"pollenhill.example/core/state/rule"
+	"pollenhill.example/core/transport/tcp"
+	"pollenhill.example/node/coordination/arrival"
+	"pollenhill.example/node/coordination/engine"
+)
+
+// Lease is how long an announcement holds.
+const Lease = 3 * time.Second
+
+// Backend is the local back end of a node; it is safe for concurrent use.
+type Backend struct {
+	cfg    Config
+	mu     sync.Mutex
+	last   Announcement
+	pool   *tcp.Pool
+	expiry *time.Timer
+}
+
+// Config connects a Backend with the rest of the node.
+type Config struct {
+	Node    string
+	Zone    string
+	Dialer  tcp.Dialer
+	Idle    time.Duration // after which an unused connection is not used again
+	Stall   time.Duration // longest wait for the next byte of a response body
+	Engine  *engine.Engine
+	Events  *event.Log
+	Changed func() // called after every change of the announcement
+}
+
+// New returns a Backend that is absent.
+func New(cfg Config) *Backend {
+	return &Backend{cfg: cfg}
+}
+
+// Announcement is the body of POST /announce.
+type Announcement struct {
+	Name        string         `json:"name" validate:"required"`
+	Service     string         `json:"service" validate:"required"`
+	Address     netip.AddrPort `json:"address" validate:"required"`
+	Slots       int            `json:"slots" validate:"gte=0,lte=100000"`
+	Connections int            `json:"connections" validate:"gte=0,lte=100000"`
+	Zone        string         `json:"zone"`
+	State       string         `json:"state" validate:"oneof=cold ready draining leaving"`
+}
+
+// state returns the announced state, Absent for the zero Announcement.
+func (a Announcement) state() admission.State {
+	for s := admission.Cold; s <= admission.Leaving; s++ {
+		if s.String() == a.State {
+			return s
+		}
+	}
+	return admission.Absent
+}
+
+// Current returns the announcement whose lease has not expired, or the zero Announcement.
+func (b *Backend) Current() (Announcement, admission.State) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.last, b.last.state()
+}
+
+// Announce renews the lease of the back end.
+func (b *Backend) Announce(a Announcement) {
+	b.mu.Lock()
+	changed := b.set(a)
+	if b.expiry != nil {
+		b.expiry.Stop()
+	}
+	b.expiry = time.AfterFunc(Lease, func() { b.expire(a) })
+	b.mu.Unlock()
+	if changed {
+		b.changed(a)
+	}
+}
+
+// expire forgets the back end unless a newer announcement came in between.
+func (b *Backend) expire(a Announcement) {
+	b.mu.Lock()
+	if b.last != a {
+		b.mu.Unlock()
+		return
+	}
+	b.set(Announcement{})
+	b.mu.Unlock()
+	b.changed(Announcement{})
+}
+
+// set replaces the announcement and the pool that belongs to it; the caller holds mu.
+func (b *Backend) set(a Announcement) bool {
+	old := b.last
+	b.last = a
+	if old.Address != a.Address || old.Connections != a.Connections {
+		b.repool(a)
+	}
+	return old != a
+}
+
+func (b *Backend) repool(a Announcement) {
+	if b.pool != nil {
+		b.pool.Close()
+		b.pool = nil
+	}
+	if !a.Address.IsValid() {
+		return
+	}
+	size := a.Connections
+	if size == 0 {
+		size = rule.DefaultConnections
+	}
+	b.pool = tcp.NewPool(tcp.PoolConfig{
+		Address: a.Address,
+		Dialer:  b.cfg.Dialer,
+		Cap:     size,
+		Idle:    b.cfg.Idle,
+		Stall:   b.cfg.Stall,
+		Changed: func(open, closed int) { b.cfg.Engine.Report(arrival.Pool{Open: open, Closed: closed}) },
+	})
+}
+
+func (b *Backend) changed(a Announcement) {
+	b.cfg.Engine.Report(arrival.Backend{
+		Name:        a.Name,
+		Service:     a.Service,
+		Slots:       a.Slots,
+		Connections: a.Connections,
+		State:       a.state(),
+	})
+	b.cfg.Events.Emit(event.BackendState, zap.String("backend", a.Name), zap.Stringer("state", a.state()))
+	b.cfg.Changed()
+}
+
+// Warm opens connections before they are needed; it does not wait for them.
+func (b *Backend) Warm(count int) {
+	pool := b.current()
+	if pool == nil {
+		return
+	}
+	for range count {
+		go pool.Warm(context.Background())
+	}
+}
+
+func (b *Backend) current() *tcp.Pool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pool
+}
+
+// Close ends the lease and closes idle connections.
+func (b *Backend) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.expiry != nil {
+		b.expiry.Stop()
+	}
+	if b.pool != nil {
+		b.pool.Close()
+	}
+}
--- /dev/null
+++ b/node/transport/backend/doc.go
@@ -0,0 +1,2 @@
+// Package backend talks to the local back end: announcements in, attempts and checks out.
+package backend
--- /dev/null
+++ b/node/transport/backend/serve.go
@@ -0,0 +1,178 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"pollenhill.example/core/coordination/admission"
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/transport/tcp"
+	"pollenhill.example/node/coordination/arrival"
+	"pollenhill.example/node/protocol/message"
+)
+
+// Serve admits one attempt and carries it out at the back end; ctx ends when the entry node gives it up.
+func (b *Backend) Serve(ctx context.Context, a message.Attempt, req *message.Request) *message.Reply {
+	effects := b.cfg.Engine.Arrive(arrival.Arrive{
+		ID:          a.ID,
+		Incarnation: a.Incarnation,
+		Service:     a.Service,
+		Deadline:    a.Deadline,
+		Level:       a.Level,
+		Depth:       a.Depth,
+	})
+	var cmd arrival.Cmd
+	select {
+	case cmd = <-effects:
+	case <-ctx.Done():
+		// The model answers with a refusal, or starts the attempt if it was about to.
+		b.cfg.Engine.Report(arrival.Lost{ID: a.ID})
+		cmd = <-effects
+	}
+	if r, ok := cmd.(arrival.Refuse); ok {
+		return b.refuse(a, refusal.Refusal{Reason: r.Reason, Outcome: r.Outcome, After: r.After})
+	}
+	return b.run(ctx, a, req, effects)
+}
+
+func (b *Backend) refuse(a message.Attempt, f refusal.Refusal) *message.Reply {
+	f.Node = b.cfg.Node
+	f.Level = a.Depth
+	return message.Refuse(f)
+}
+
+// run carries out a started attempt; it reports Done exactly once.
+func (b *Backend) run(ctx context.Context, a message.Attempt, req *message.Request, effects <-chan arrival.Cmd) *message.Reply {
+	ctx, cancel := context.WithCancelCause(ctx)
+	over := make(chan struct{})
+	go func() {
+		select {
+		case <-effects:
+			cancel(errAborted)
+		case <-over:
+		}
+	}()
+	late := time.AfterFunc(time.Until(a.Deadline), func() { cancel(errLate) })
+	began := time.Now()
+	finish := sync.OnceFunc(func() { close(over); cancel(nil) })
+	reply, result := b.exchange(ctx, a, req)
+	late.Stop()
+	took := time.Since(began)
+	done := func(result admission.Result) {
+		b.cfg.Engine.Report(arrival.Done{ID: a.ID, Result: result, Latency: took})
+		finish()
+	}
+	if reply.Body == nil {
+		done(result)
+		return reply
+	}
+	reply.Body = &tracked{ReadCloser: reply.Body, good: result, done: done}
+	return reply
+}
+
+var (
+	errAborted = errors.New("cancelled by the entry node")
+	errLate    = errors.New("deadline passed")
+)
+
+func (b *Backend) exchange(ctx context.Context, a message.Attempt, req *message.Request) (*message.Reply, admission.Result) {
+	pool := b.current()
+	if pool == nil {
+		return b.refuse(a, refusal.Refusal{Reason: refusal.Absent, Outcome: attempt.NotRun}), admission.Aborted
+	}
+	var h fasthttp.RequestHeader
+	req.Header.CopyTo(&h)
+	h.SetNoDefaultContentType(true)
+	h.Set(attempt.HeaderDeadline, message.Remaining(a.Deadline, time.Now()))
+	h.Set(attempt.HeaderDepth, strconv.Itoa(a.Depth+1))
+	resp, err := pool.Exchange(ctx, &h, req.Body)
+	if err != nil {
+		return b.broken(ctx, a, err)
+	}
+	reply := &message.Reply{Length: resp.Length}
+	resp.Header.CopyTo(&reply.Header)
+	if resp.Length != 0 {
+		reply.Body = resp.Body
+	}
+	message.ReadOutcome(reply, a.Depth)
+	message.Strip(&reply.Header)
+	if reply.Outcome != attempt.Answered {
+		return b.passOn(a, reply)
+	}
+	if reply.Header.StatusCode() >= fasthttp.StatusInternalServerError {
+		return reply, admission.Failed
+	}
+	return reply, admission.Good
+}
+
+// broken says what a failed exchange proves: without a byte written the back end cannot have run it.
+func (b *Backend) broken(ctx context.Context, a message.Attempt, err error) (*message.Reply, admission.Result) {
+	f := refusal.Refusal{Reason: refusal.Broken, Outcome: attempt.Unknown, After: time.Second}
+	result := admission.Reset
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errLate):
+		f.Reason = refusal.Timeout
+		result = admission.Failed
+	case cause != nil:
+		f.Reason = refusal.Cancelled
+		result = admission.Aborted
+	}
+	var step *tcp.Error
+	if errors.As(err, &step) && !step.Wrote {
+		f.Outcome = attempt.NotRun
+		if f.Reason == refusal.Broken {
+			f.Reason = refusal.Absent
+		}
+	}
+	return b.refuse(a, f), result
+}
+
+// smallBody is how much of a refusal's body is read to keep its connection, in bytes.
+const smallBody = 4 << 10
+
+// passOn turns a refusal by the back end, or one that it passes on, into a refusal of the attempt.
+func (b *Backend) passOn(a message.Attempt, reply *message.Reply) (*message.Reply, admission.Result) {
+	if reply.Body != nil {
+		_, _ = io.CopyN(io.Discard, reply.Body, smallBody)
+		reply.Close()
+	}
+	f := reply.Refusal
+	if f.Node == "" {
+		f.Node = b.cfg.Node
+	}
+	return message.Refuse(f), admission.Shed
+}
+
+// tracked reports the end of a body.
+type tracked struct {
+	io.ReadCloser
+	good admission.Result // reported when the whole body was read
+	done func(admission.Result)
+	once sync.Once
+}
+
+// Read reads the body.
+func (t *tracked) Read(p []byte) (int, error) {
+	n, err := t.ReadCloser.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		t.once.Do(func() { t.done(t.good) })
+	case err != nil:
+		t.once.Do(func() { t.done(admission.Reset) })
+	}
+	return n, err
+}
+
+// Close abandons what has not been read.
+func (t *tracked) Close() error {
+	err := t.ReadCloser.Close()
+	t.once.Do(func() { t.done(admission.Aborted) })
+	return err
+}
--- /dev/null
+++ b/node/transport/caller/request.go
@@ -0,0 +1,108 @@
+package caller
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/node/protocol/message"
+	"pollenhill.example/node/transport/inbound"
+)
+
+// Headers that callers may send besides the usual ones.
+const (
+	headerTimeout = "Request-Timeout" // seconds
+	headerKey     = "Idempotency-Key"
+	headerVia     = "Via"
+)
+
+// maxKey bounds an Idempotency-Key, in bytes.
+const maxKey = 255
+
+// request routes a received request by the rules in force.
+func (s *Server) request(in inbound.Request, now time.Time) (*message.Request, refusal.Reason) {
+	req := &message.Request{Body: in.Body}
+	in.Header.CopyTo(&req.Header)
+	if !origin(&req.Header) {
+		return nil, refusal.Malformed
+	}
+	set := s.cfg.Rules()
+	path := string(req.Header.RequestURI())
+	service, ok := set.Route(string(req.Header.Host()), path)
+	if !ok {
+		return nil, refusal.Route
+	}
+	req.Service = service.Name
+	req.Idempotent = set.Idempotent(service.Name, string(req.Header.Method()), path)
+	req.Level = set.Priority(service.Name, path)
+	if reason := read(req, service.Deadline, now); reason != refusal.None {
+		return nil, reason
+	}
+	message.Strip(&req.Header)
+	req.Header.Add(headerVia, "1.1 "+s.cfg.Node)
+	if len(req.Body) > 0 || !req.Header.IsGet() && !req.Header.IsHead() {
+		req.Header.SetContentLength(len(req.Body))
+	}
+	return req, refusal.None
+}
+
+// origin turns an absolute request target into the form that back ends expect.
+func origin(h *fasthttp.RequestHeader) bool {
+	target := string(h.RequestURI())
+	if strings.HasPrefix(target, "/") {
+		return true
+	}
+	rest, ok := strings.CutPrefix(target, "http://")
+	if !ok {
+		return false
+	}
+	slash := strings.IndexByte(rest, '/')
+	if slash < 0 {
+		return false
+	}
+	h.SetHost(rest[:slash])
+	h.SetRequestURI(rest[slash:])
+	return true
+}
+
+// read reads the deadline, the depth and the key that the caller sent.
+func read(req *message.Request, limit time.Duration, now time.Time) refusal.Reason {
+	h := &req.Header
+	for _, name := range []string{attempt.HeaderDeadline, headerTimeout, attempt.HeaderDepth, headerKey} {
+		if len(h.PeekAll(name)) > 1 {
+			return refusal.Malformed
+		}
+	}
+	if value := string(h.Peek(attempt.HeaderDeadline)); value != "" {
+		ms, err := strconv.ParseUint(value, 10, 31)
+		if err != nil {
+			return refusal.Malformed
+		}
+		limit = min(limit, time.Duration(ms)*time.Millisecond)
+	}
+	if value := string(h.Peek(headerTimeout)); value != "" {
+		seconds, err := strconv.ParseFloat(value, 64)
+		if err != nil || math.IsNaN(seconds) || seconds < 0 {
+			return refusal.Malformed
+		}
+		limit = min(limit, time.Duration(min(seconds, limit.Seconds())*float64(time.Second)))
+	}
+	req.Deadline = now.Add(limit)
+	if value := string(h.Peek(attempt.HeaderDepth)); value != "" {
+		depth, err := strconv.ParseUint(value, 10, 31)
+		if err != nil {
+			return refusal.Malformed
+		}
+		req.Depth = int(depth)
+	}
+	req.Key = string(h.Peek(headerKey))
+	if len(req.Key) > maxKey {
+		return refusal.Malformed
+	}
+	return refusal.None
+}
--- /dev/null
+++ b/node/transport/caller/run.go
@@ -0,0 +1,261 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollenhill.example/core/coordination/choice"
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/control"
+	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/node/coordination/arrival"
+	"pollenhill.example/node/coordination/call"
+	"pollenhill.example/node/protocol/message"
+)
+
+// run carries out the effects of one call.
+type run struct {
+	s       *Server
+	id      call.ID
+	req     *message.Request
+	effects <-chan call.Cmd
+	answer  chan *message.Reply
+	heads   chan head
+	tries   map[attempt.ID]*try
+	open    int // attempts whose reply has not come
+	timer   *time.Timer
+	stored  chan *control.Answer // answer of an earlier request with the same key
+	sent    atomic.Int32
+	back    atomic.Int64 // nanoseconds of the delivered attempt
+}
+
+// try is one attempt.
+type try struct {
+	target  choice.Target
+	began   time.Time
+	cancel  context.CancelFunc
+	reply   *message.Reply
+	aborted bool
+}
+
+type head struct {
+	id    attempt.ID
+	reply *message.Reply
+}
+
+// start begins a call; its reply comes through run.answer while the run goes on until the call is forgotten.
+func (s *Server) start(ctx context.Context, req *message.Request) *run {
+	r := &run{
+		s:      s,
+		req:    req,
+		answer: make(chan *message.Reply, 1),
+		heads:  make(chan head, call.MaxAttempts),
+		tries:  map[attempt.ID]*try{},
+		timer:  time.NewTimer(time.Hour),
+		stored: make(chan *control.Answer, 1),
+	}
+	r.id, r.effects = s.cfg.Engine.Call(call.Begin{
+		Service:    req.Service,
+		Idempotent: req.Idempotent,
+		Keyed:      req.Key != "",
+		Deadline:   req.Deadline,
+		Depth:      req.Depth,
+	})
+	s.work.Go(func() { r.loop(ctx) })
+	return r
+}
+
+func (r *run) loop(ctx context.Context) {
+	defer r.timer.Stop()
+	gone := ctx.Done()
+	for done := false; !done || r.open > 0; {
+		select {
+		case cmd := <-r.effects:
+			done = r.effect(cmd) || done
+		case h := <-r.heads:
+			r.head(h)
+		case <-r.timer.C:
+			r.s.cfg.Engine.Tell(call.Timer{Call: r.id})
+		case <-gone:
+			gone = nil
+			r.s.cfg.Engine.Tell(call.Gone{Call: r.id})
+		}
+	}
+	r.replay()
+}
+
+// effect carries out one effect; true means that it is the last.
+func (r *run) effect(cmd call.Cmd) bool {
+	switch cmd := cmd.(type) {
+	case call.Claim:
+		r.claim()
+	case call.Release:
+		r.release()
+	case call.Send:
+		r.send(cmd)
+	case call.Abort:
+		r.abort(cmd.Attempt)
+	case call.Ask:
+		r.ask(cmd.Attempt)
+	case call.Wake:
+		r.timer.Reset(time.Until(cmd.At))
+	case call.Deliver:
+		r.deliver(cmd.Attempt)
+	case call.Refuse:
+		r.give(message.Refuse(cmd.Refusal))
+	case call.Forget:
+		return true
+	}
+	return false
+}
+
+// give hands over the reply; without a receiver it is dropped.
+func (r *run) give(reply *message.Reply) {
+	select {
+	case r.answer <- reply:
+	default:
+		reply.Close()
+	}
+}
+
+func (r *run) send(cmd call.Send) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &try{target: cmd.Target, began: time.Now(), cancel: cancel}
+	r.tries[cmd.Attempt] = t
+	r.open++
+	r.sent.Add(1)
+	a := message.Attempt{
+		ID:          cmd.Attempt,
+		Incarnation: cmd.Target.Incarnation,
+		Deadline:    r.req.Deadline,
+		Depth:       r.req.Depth,
+		Level:       r.req.Level,
+		Service:     r.req.Service,
+	}
+	go func() {
+		reply := r.s.cfg.Sender.Send(ctx, cmd.Target, a, r.req)
+		r.heads <- head{id: cmd.Attempt, reply: reply}
+	}()
+}
+
+// head tells the model what became of an attempt.
+func (r *run) head(h head) {
+	r.open--
+	t := r.tries[h.id]
+	t.reply = h.reply
+	id := h.id
+	if h.reply.Body != nil {
+		h.reply.Body = &tracked{
+			ReadCloser: h.reply.Body,
+			good:       h.reply.Result,
+			done: func(result choice.Result) {
+				r.s.cfg.Engine.Tell(call.Ended{Attempt: id, Result: result})
+				t.cancel()
+			},
+		}
+	}
+	r.s.cfg.Engine.Tell(call.Head{
+		Attempt: id,
+		Outcome: h.reply.Outcome,
+		Result:  h.reply.Result,
+		Refusal: h.reply.Refusal,
+		Reply:   h.reply.Outcome == attempt.Answered || len(h.reply.Header.Peek(attempt.HeaderOutcome)) > 0,
+		Hint:    h.reply.Hint,
+	})
+	if t.aborted {
+		r.drop(id, t)
+	}
+}
+
+func (r *run) abort(id attempt.ID) {
+	t := r.tries[id]
+	t.aborted = true
+	t.cancel()
+	if t.reply != nil {
+		r.drop(id, t)
+	}
+}
+
+// drop abandons a reply that the caller does not get.
+func (r *run) drop(id attempt.ID, t *try) {
+	if t.reply.Body == nil {
+		r.s.cfg.Engine.Tell(call.Ended{Attempt: id, Result: choice.Cancelled})
+	}
+	t.reply.Close()
+	t.cancel()
+}
+
+// askTimeout bounds a question whether an attempt ran.
+const askTimeout = call.Grace
+
+func (r *run) ask(id attempt.ID) {
+	t := r.tries[id]
+	r.s.work.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		defer cancel()
+		answer := r.s.cfg.Sender.Cancel(ctx, t.target, id)
+		r.s.cfg.Engine.Tell(call.Proof{Attempt: id, NotRun: answer == arrival.NotRun})
+	})
+}
+
+// deliver hands the response of an attempt to the caller.
+func (r *run) deliver(id attempt.ID) {
+	t := r.tries[id]
+	r.back.Store(int64(time.Since(t.began)))
+	if r.req.Key != "" {
+		r.record(id, t)
+		return
+	}
+	r.give(t.reply)
+	if t.reply.Body == nil {
+		r.ended(id, t)
+	}
+}
+
+// ended reports the end of an attempt without a body.
+func (r *run) ended(id attempt.ID, t *try) {
+	r.s.cfg.Engine.Tell(call.Ended{Attempt: id, Result: t.reply.Result})
+	t.cancel()
+}
+
+// tracked reports the end of a body.
+type tracked struct {
+	io.ReadCloser
+	good choice.Result // reported when the whole body was read
+	done func(choice.Result)
+	once sync.Once
+}
+
+// Read reads the body.
+func (t *tracked) Read(p []byte) (int, error) {
+	n, err := t.ReadCloser.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		t.once.Do(func() { t.done(t.good) })
+	case err != nil:
+		t.once.Do(func() { t.done(choice.Lost) })
+	}
+	return n, err
+}
+
+// Close abandons what has not been read.
+func (t *tracked) Close() error {
+	err := t.ReadCloser.Close()
+	t.once.Do(func() { t.done(choice.Cancelled) })
+	return err
+}
+
+// broken is the reply to a call whose answer was cut before it could be recorded.
+func (r *run) broken() *message.Reply {
+	return message.Refuse(refusal.Refusal{
+		Reason:  refusal.Broken,
+		Outcome: attempt.Unknown,
+		Node:    r.s.cfg.Node,
+		Level:   r.req.Depth,
+	})
+}
--- /dev/null
+++ b/node/transport/inbound/handler.go
@@ -0,0 +1,169 @@
+package inbound
+
+import (
+	"context"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
+
+	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/transport/tcp"
+	"pollenhill.example/node/protocol/message"
+)
+
+// Config bounds what one listener accepts.
+type Config struct {
+	Body   int                                           // largest request body, in bytes
+	Memory *semaphore.Weighted                           // bytes for the request bodies of all listeners
+	Refuse func(refusal.Reason) *message.Reply           // reply to a request that is not passed on
+	Serve  func(context.Context, Request) *message.Reply // carries out a request; ctx ends when the other side disconnects
+}
+
+// Request is a completely received request; Header belongs to the listener until Serve returns.
+type Request struct {
+	Header *fasthttp.RequestHeader
+	Body   []byte
+}
+
+// Handler turns requests of fasthttp into calls of Serve.
+type Handler struct{ cfg Config }
+
+// New returns a Handler.
+func New(cfg Config) *Handler {
+	return &Handler{cfg: cfg}
+}
+
+// Handle receives the request in rc, serves it and leaves the reply in rc.
+func (h *Handler) Handle(rc *fasthttp.RequestCtx) {
+	if reason := check(&rc.Request.Header); reason != refusal.None {
+		h.Reject(rc, reason)
+		return
+	}
+	body, reason := h.receive(rc)
+	defer h.cfg.Memory.Release(int64(cap(body)))
+	if reason != refusal.None {
+		h.Reject(rc, reason)
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stop := watch(rc.Conn(), cancel)
+	reply := h.cfg.Serve(ctx, Request{Header: &rc.Request.Header, Body: body})
+	end := func() {
+		stop()
+		cancel()
+	}
+	if reply.Body == nil {
+		end()
+	}
+	Write(rc, reply, end)
+}
+
+// Reject refuses a request and closes its connection, where the next request may not begin at a known byte.
+func (h *Handler) Reject(rc *fasthttp.RequestCtx, reason refusal.Reason) {
+	rc.Response.Reset()
+	Write(rc, h.cfg.Refuse(reason), func() {})
+	rc.SetConnectionClose()
+}
+
+// check refuses requests that could be read differently elsewhere.
+func check(h *fasthttp.RequestHeader) refusal.Reason {
+	switch {
+	case string(h.Protocol()) != "HTTP/1.1":
+		return refusal.Malformed
+	case tcp.CheckBlock(h.RawHeaders()) != nil:
+		return refusal.Malformed
+	case len(h.PeekAll(fasthttp.HeaderHost)) != 1 || len(h.Host()) == 0:
+		return refusal.Malformed
+	case len(h.Peek(fasthttp.HeaderUpgrade)) > 0 || h.IsConnect():
+		return refusal.Upgrade
+	}
+	return refusal.None
+}
+
+// receive reads the whole body within the memory that is left.
+func (h *Handler) receive(rc *fasthttp.RequestCtx) ([]byte, refusal.Reason) {
+	length := rc.Request.Header.ContentLength()
+	if length > h.cfg.Body {
+		return nil, refusal.Large
+	}
+	stream := rc.RequestBodyStream()
+	if length == 0 || stream == nil && length < 0 {
+		return nil, refusal.None
+	}
+	if stream == nil {
+		return h.copied(rc.Request.Body())
+	}
+	body, reason := h.read(stream, length)
+	switch {
+	case reason != refusal.None:
+		return body, reason
+	case length > 0 && len(body) != length:
+		return body, refusal.Malformed
+	case len(body) > 0 && (rc.IsGet() || rc.IsHead()):
+		// Servers disagree on whether such a request has a body at all.
+		return body, refusal.Malformed
+	}
+	return body, refusal.None
+}
+
+func (h *Handler) copied(body []byte) ([]byte, refusal.Reason) {
+	if !h.cfg.Memory.TryAcquire(int64(len(body))) {
+		return nil, refusal.Budget
+	}
+	own := make([]byte, len(body))
+	copy(own, body)
+	return own, refusal.None
+}
+
+// grow is the first size of a buffer for a body of unknown length, in bytes.
+const grow = 4 << 10
+
+func (h *Handler) read(stream io.Reader, length int) ([]byte, refusal.Reason) {
+	size := length
+	if size < 0 {
+		size = grow
+	}
+	if !h.cfg.Memory.TryAcquire(int64(size)) {
+		return nil, refusal.Budget
+	}
+	body := make([]byte, 0, size)
+	for {
+		if len(body) == cap(body) {
+			var reason refusal.Reason
+			if body, reason = h.enlarge(body, length); reason != refusal.None {
+				return body, reason
+			}
+		}
+		n, err := stream.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, refusal.None
+		case err != nil:
+			return body, refusal.Malformed
+		}
+	}
+}
+
+// enlarge doubles a buffer; it returns the old one with the reason if it must not grow.
+func (h *Handler) enlarge(body []byte, length int) ([]byte, refusal.Reason) {
+	if length >= 0 {
+		// One byte more is enough to meet the end of the stream.
+		return h.resize(body, length+1)
+	}
+	if len(body) > h.cfg.Body {
+		return body, refusal.Large
+	}
+	return h.resize(body, min(2*cap(body), h.cfg.Body+1))
+}
+
+func (h *Handler) resize(body []byte, size int) ([]byte, refusal.Reason) {
+	if !h.cfg.Memory.TryAcquire(int64(size - cap(body))) {
+		return body, refusal.Budget
+	}
+	next := make([]byte, len(body), size)
+	copy(next, body)
+	return next, refusal.None
+}
--- /dev/null
+++ b/node/transport/inbound/write.go
@@ -0,0 +1,44 @@
+package inbound
+
+import (
+	"io"
+
+	"github.com/valyala/fasthttp"
+
+	"pollenhill.example/core/transport/tcp"
+	"pollenhill.example/node/protocol/message"
+)
+
+// flushFrom is the body length from which the header is sent ahead of the body, in bytes.
+const flushFrom = 4 << 10
+
+// Write leaves reply in rc; end runs after the body was written or could not be.
+// A body that fails makes fasthttp close the connection without the last chunk or byte, so a cut is visible.
+func Write(rc *fasthttp.RequestCtx, reply *message.Reply, end func()) {
+	reply.Header.CopyTo(&rc.Response.Header)
+	rc.Response.Header.SetNoDefaultContentType(true)
+	if reply.Body == nil {
+		// fasthttp keeps the length of a response to HEAD and writes none for 204 and 304.
+		rc.Response.SkipBody = rc.IsHead()
+		return
+	}
+	length := reply.Length
+	if length == tcp.Chunked {
+		length = -1
+	}
+	rc.Response.ImmediateHeaderFlush = length >= flushFrom
+	rc.Response.SetBodyStream(&stream{ReadCloser: reply.Body, end: end}, length)
+}
+
+// stream ends the watch of the connection with the body.
+type stream struct {
+	io.ReadCloser
+	end func()
+}
+
+// Close closes the body; closed early, it abandons the connection it came from.
+func (s *stream) Close() error {
+	err := s.ReadCloser.Close()
+	s.end()
+	return err
+}
--- /dev/null
+++ b/node/transport/peer/client.go
@@ -0,0 +1,190 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"pollenhill.example/core/coordination/choice"
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/transport/tcp"
+	"pollenhill.example/node/coordination/arrival"
+	"pollenhill.example/node/protocol/message"
+)
+
+// Local is the destination side of this node.
+type Local interface {
+	Serve(ctx context.Context, a message.Attempt, req *message.Request) *message.Reply
+	Cancel(ctx context.Context, msg arrival.Cancel) arrival.Answer
+}
+
+// Client sends attempts to destination nodes; it is safe for concurrent use.
+type Client struct {
+	cfg      Config
+	mu       sync.Mutex
+	pools    map[netip.AddrPort]*tcp.Pool
+	mismatch atomic.Uint64
+	fetching atomic.Bool
+}
+
+// Config connects a Client with the rest of the node.
+type Config struct {
+	Node     string
+	Dialer   tcp.Dialer
+	Cap      int           // connections per peer
+	Idle     time.Duration // after which an unused connection is not used again
+	Stall    time.Duration // longest wait for the next byte of a response body
+	Local    Local
+	Revision func() uint64                      // of the rules in force
+	Offer    func(revision uint64, text string) // receives newer rules
+}
+
+// NewClient returns a Client without connections.
+func NewClient(cfg Config) *Client {
+	return &Client{cfg: cfg, pools: map[netip.AddrPort]*tcp.Pool{}}
+}
+
+// Mismatches returns the number of responses that were dropped because they belong to another attempt.
+func (c *Client) Mismatches() uint64 {
+	return c.mismatch.Load()
+}
+
+func (c *Client) pool(address netip.AddrPort) *tcp.Pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.pools[address]
+	if !ok {
+		p = tcp.NewPool(tcp.PoolConfig{
+			Address: address,
+			Dialer:  c.cfg.Dialer,
+			Cap:     c.cfg.Cap,
+			Idle:    c.cfg.Idle,
+			Stall:   c.cfg.Stall,
+		})
+		c.pools[address] = p
+	}
+	return p
+}
+
+// Keep closes the connections to every address that is not listed.
+func (c *Client) Keep(addresses map[netip.AddrPort]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.pools {
+		if !addresses[address] {
+			p.Close()
+			delete(c.pools, address)
+		}
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.Keep(nil)
+}
+
+// Send makes one attempt; the reply is never nil, and its outcome is unknown unless something was proven.
+func (c *Client) Send(ctx context.Context, target choice.Target, a message.Attempt, req *message.Request) *message.Reply {
+	if target.Node == c.cfg.Node {
+		return c.local(ctx, a, req)
+	}
+	a.Revision = c.cfg.Revision()
+	var h fasthttp.RequestHeader
+	req.Header.CopyTo(&h)
+	h.SetNoDefaultContentType(true)
+	a.Write(&h, time.Now())
+	resp, err := c.pool(target.Peer).Exchange(ctx, &h, req.Body)
+	if err != nil {
+		return c.broken(ctx, a, err)
+	}
+	c.compare(target.Peer, resp.Header.Peek(attempt.HeaderRevision))
+	if string(resp.Header.Peek(attempt.HeaderAttempt)) != a.ID.String() {
+		c.mismatch.Add(1)
+		_ = resp.Body.Close()
+		return c.lost(a)
+	}
+	return c.reply(a, resp)
+}
+
+func (c *Client) local(ctx context.Context, a message.Attempt, req *message.Request) *message.Reply {
+	reply := c.cfg.Local.Serve(ctx, a, req)
+	if reply.Result == choice.Good && reply.Header.StatusCode() >= fasthttp.StatusInternalServerError {
+		reply.Result = choice.Failed
+	}
+	return reply
+}
+
+func (c *Client) reply(a message.Attempt, resp *tcp.Response) *message.Reply {
+	reply := &message.Reply{Length: resp.Length, Hint: message.ReadHint(&resp.Header)}
+	resp.Header.CopyTo(&reply.Header)
+	if resp.Length != 0 {
+		reply.Body = resp.Body
+	}
+	message.ReadOutcome(reply, a.Depth)
+	message.Strip(&reply.Header)
+	switch {
+	case reply.Outcome == attempt.NotRun:
+		reply.Result = choice.Refused
+	case reply.Header.StatusCode() >= fasthttp.StatusInternalServerError:
+		reply.Result = choice.Failed
+	}
+	return reply
+}
+
+// broken says what a failed exchange proves: without a byte written the destination knows nothing of it.
+func (c *Client) broken(ctx context.Context, a message.Attempt, err error) *message.Reply {
+	f := refusal.Refusal{Reason: refusal.Broken, Node: c.cfg.Node, Level: a.Depth}
+	result := choice.Lost
+	if ctx.Err() != nil {
+		f.Reason = refusal.Cancelled
+		result = choice.Cancelled
+	}
+	var step *tcp.Error
+	if errors.As(err, &step) && !step.Wrote {
+		f.Outcome = attempt.NotRun
+	}
+	return &message.Reply{Outcome: f.Outcome, Result: result, Refusal: f}
+}
+
+// lost is the reply to an attempt whose response was somebody else's.
+func (c *Client) lost(a message.Attempt) *message.Reply {
+	f := refusal.Refusal{Reason: refusal.Broken, Node: c.cfg.Node, Level: a.Depth}
+	return &message.Reply{Outcome: attempt.Unknown, Result: choice.Lost, Refusal: f}
+}
+
+// Cancel asks the destination of an attempt whether it ran and stops it if it has not ended.
+func (c *Client) Cancel(ctx context.Context, target choice.Target, id attempt.ID) arrival.Answer {
+	if target.Node == c.cfg.Node {
+		return c.cfg.Local.Cancel(ctx, arrival.Cancel{ID: id, Incarnation: target.Incarnation})
+	}
+	var h fasthttp.RequestHeader
+	h.SetMethod(fasthttp.MethodPost)
+	h.SetRequestURI(pathCancel)
+	h.SetHost(target.Peer.String())
+	h.Set(attempt.HeaderAttempt, id.String())
+	h.Set(attempt.HeaderIncarnation, strconv.FormatUint(target.Incarnation, 10))
+	h.SetContentLength(0)
+	resp, err := c.pool(target.Peer).Exchange(ctx, &h, nil)
+	if err != nil {
+		return arrival.Unsure
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if string(resp.Header.Peek(attempt.HeaderAttempt)) != id.String() {
+		c.mismatch.Add(1)
+		return arrival.Unsure
+	}
+	switch string(resp.Header.Peek(headerAnswer)) {
+	case arrival.NotRun.String():
+		return arrival.NotRun
+	case arrival.Begun.String():
+		return arrival.Begun
+	}
+	return arrival.Unsure
+}
--- /dev/null
+++ b/node/transport/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer carries attempts, cancels and rules between nodes.
+package peer
