--- a/lab/main.go
+++ b/lab/main.go
@@ -10,13 +10,15 @@
 	"github.com/urfave/cli/v3"
 
 	"pollenhill.example/lab/demo"
+	"pollenhill.example/lab/fleet"
+	"pollenhill.example/lab/load"
 )
 
 func main() {
 	app := &cli.Command{
 		Name:     "lab",
 		Usage:    "load, demonstration and experiments",
-		Commands: []*cli.Command{demo.Command()},
+		Commands: []*cli.Command{demo.Command(), fleet.Command(), load.Command()},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
