Add the node program: caller to entry node to destination node to back end

Cause: the node had models and transports but no program. Change: settings, wiring with samber/do, following of rules and members, metrics, status, shutdown; a whole-path test with two nodes and a fake back end in one process.

--- a/node/main.go
+++ b/node/main.go
@@ -1,3 +1,50 @@
 package main
 
-func main() {}
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"pollenhill.example/core/state/event"
+	"pollenhill.example/core/state/settings"
+	"pollenhill.example/node/program"
+)
+
+func main() {
+	app := &cli.Command{
+		Name:  "node",
+		Usage: "load balancer beside one back end",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "JSON settings file", Required: true}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return run(ctx, c.String("settings"))
+		},
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "node:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, path string) error {
+	cfg, err := settings.Load[program.Settings](path)
+	if err != nil {
+		return err
+	}
+	events, closing, err := event.Open(cfg.Name, cmp.Or(cfg.Events, cfg.Log))
+	if err != nil {
+		return err
+	}
+	p, err := program.New(program.Config{Settings: cfg, Events: events})
+	if err != nil {
+		return err
+	}
+	return errors.CombineErrors(p.Run(ctx), closing())
+}
--- /dev/null
+++ b/node/program/control.go
@@ -0,0 +1,97 @@
+package program
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+
+	"github.com/samber/lo"
+
+	"pollenhill.example/core/coordination/admission"
+	"pollenhill.example/core/coordination/choice"
+	"pollenhill.example/core/coordination/follow"
+	"pollenhill.example/core/protocol/control"
+	"pollenhill.example/node/transport/caller"
+	client "pollenhill.example/node/transport/control"
+)
+
+// ControlClient is what a node needs of the control processes.
+type ControlClient interface {
+	caller.Claims
+	Run(ctx context.Context) error
+	Announce(m *control.Member)
+	State() *follow.State
+	Changed() <-chan struct{}
+	Offer(revision uint64, text string)
+}
+
+func newControl(cfg Settings) ControlClient {
+	return client.New(client.Config{
+		Node:   cfg.Name,
+		Zone:   cfg.Zone,
+		Region: cfg.Region,
+		Bind:   cfg.Bind,
+		Servers: lo.Map(cfg.Control, func(c Control, _ int) client.Server {
+			return client.Server{Name: c.Name, Address: c.Address, Region: c.Region}
+		}),
+	})
+}
+
+// member describes this node and its back end to the control processes.
+func (p *Program) member(gone bool) *control.Member {
+	m := &control.Member{
+		Node:        p.cfg.Name,
+		Address:     p.cfg.Peer.String(),
+		Zone:        p.cfg.Zone,
+		Region:      p.cfg.Region,
+		Incarnation: p.incarnation,
+		Gone:        gone,
+	}
+	a, state := p.backend.Current()
+	if state == admission.Absent {
+		return m
+	}
+	if p.leaving.Load() {
+		state = admission.Leaving
+	}
+	m.Backends = []*control.Backend{{
+		Name:        a.Name,
+		Service:     a.Service,
+		Address:     a.Address.String(),
+		Slots:       uint32(a.Slots),
+		Connections: uint32(a.Connections),
+		State:       control.State(state),
+	}}
+	return m
+}
+
+// targets turns members into what the choice of destinations needs; the local back end is known best here.
+func (p *Program) targets(members []*control.Member) []choice.Target {
+	others := lo.Filter(members, func(m *control.Member, _ int) bool { return m.GetNode() != p.cfg.Name && !m.GetGone() })
+	return lo.FlatMap(append(others, p.member(false)), func(m *control.Member, _ int) []choice.Target { return targetsOf(m) })
+}
+
+func targetsOf(m *control.Member) []choice.Target {
+	peer, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil {
+		return nil
+	}
+	return lo.Map(m.GetBackends(), func(b *control.Backend, _ int) choice.Target {
+		return choice.Target{
+			Backend:     b.GetName(),
+			Service:     b.GetService(),
+			Node:        m.GetNode(),
+			Peer:        peer,
+			Zone:        m.GetZone(),
+			Region:      m.GetRegion(),
+			Incarnation: m.GetIncarnation(),
+			Slots:       int(b.GetSlots()),
+			State:       admission.State(b.GetState()),
+		}
+	})
+}
+
+// prefix starts the IDs under which calls of this node incarnation claim keys.
+func (p *Program) prefix() string {
+	return p.cfg.Name + "/" + strconv.FormatUint(p.incarnation, 10) + "/call-"
+}
--- /dev/null
+++ b/node/program/follow.go
@@ -0,0 +1,78 @@
+package program
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pollenhill.example/core/coordination/choice"
+	"pollenhill.example/core/state/event"
+	"pollenhill.example/core/state/rule"
+	"pollenhill.example/node/coordination/engine"
+	"pollenhill.example/node/transport/peer"
+)
+
+// follow applies every change of rules and members until ctx ends.
+func (p *Program) follow(ctx context.Context) {
+	for {
+		changed := p.control.Changed()
+		p.apply()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// apply hands the newest rules and members to the control goroutine.
+func (p *Program) apply() {
+	p.applying.Lock()
+	defer p.applying.Unlock()
+	state := p.control.State()
+	targets := p.targets(state.Members)
+	p.engine.Apply(engine.Targets{Targets: targets, Set: p.parse(state.Revision, state.Text)})
+	p.keep(targets)
+}
+
+// parse puts newer rules in force; rules that cannot be parsed leave the last good ones in force.
+func (p *Program) parse(revision uint64, text string) *rule.Set {
+	old := p.rules.Load()
+	if revision <= old.set.Revision {
+		return nil
+	}
+	set, err := rule.Parse(text)
+	if err != nil {
+		p.events.Emit(event.RulesInForce, zap.Uint64("revision", old.set.Revision), zap.Uint64("unreadable", revision), zap.Error(err))
+		return nil
+	}
+	set.Revision = revision
+	p.rules.Store(&inForce{set: set, text: text, since: time.Now()})
+	p.events.Emit(event.RulesInForce, zap.Uint64("revision", revision), zap.Uint64("number", set.Number))
+	return set
+}
+
+// keep closes connections to nodes that are no members any more.
+func (p *Program) keep(targets []choice.Target) {
+	addresses := map[netip.AddrPort]bool{}
+	for _, t := range targets {
+		addresses[t.Peer] = true
+	}
+	p.client.Keep(addresses)
+}
+
+func (p *Program) revision() uint64 {
+	return p.rules.Load().set.Revision
+}
+
+// seen fetches newer rules from the node that sent an attempt.
+func (p *Program) seen(node string, revision uint64) {
+	if revision <= p.revision() {
+		return
+	}
+	if address, ok := peer.Address(p.targets(p.control.State().Members), node); ok {
+		p.client.Seen(address, revision)
+	}
+}
--- /dev/null
+++ b/node/program/path_test.go
@@ -0,0 +1,72 @@
+package program_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// pair starts an entry node without a back end and a destination node with one.
+func pair(t testing.TB, g *group, f *fake) (entry, destination *vm) {
+	t.Helper()
+	entry = start(t, g, config(t, "entry"))
+	destination = start(t, g, config(t, "destination"))
+	destination.keep(t, f, "desk-1")
+	eventually(t, "entry node answers", func() bool {
+		resp := send(t, entry, "GET", "/warm", "", nil)
+		return resp.StatusCode == http.StatusOK
+	})
+	return entry, destination
+}
+
+type answer struct {
+	*http.Response
+	body string
+	err  error // of reading the body
+}
+
+func send(t testing.TB, v *vm, method, path, body string, header map[string]string) answer {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+v.settings.Caller.String()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "desk.example"
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatalf("%s %s: %v", method, path, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return answer{Response: resp, body: string(raw), err: err}
+}
+
+// Guards against a path from caller to back end that loses, changes or adds a part of the message.
+func TestWholePath(t *testing.T) {
+	f := newFake(t, nil)
+	entry, destination := pair(t, newGroup(), f)
+	for _, v := range []*vm{entry, destination} {
+		resp := send(t, v, "POST", "/reserve/7?boat=3", "two oars", map[string]string{"X-Club": "Bygdøy", "Connection": "X-Hop", "X-Hop": "1"})
+		if resp.StatusCode != http.StatusOK || resp.body != "echo two oars" || resp.err != nil {
+			t.Fatalf("%s: %d %q %v", v.settings.Name, resp.StatusCode, resp.body, resp.err)
+		}
+		if got := resp.Header.Get("X-Echo"); got != "POST /reserve/7?boat=3" {
+			t.Errorf("back end saw %q", got)
+		}
+		if got := resp.Header.Get("Pollenhill-Outcome"); got != "answered" {
+			t.Errorf("outcome %q", got)
+		}
+		for name := range resp.Header {
+			if strings.HasPrefix(name, "Pollenhill-") && name != "Pollenhill-Outcome" {
+				t.Errorf("%s reached the caller", name)
+			}
+		}
+	}
+	if got := f.ran("POST /reserve/7"); got != 2 {
+		t.Errorf("%d runs, want 2", got)
+	}
+}
--- /dev/null
+++ b/node/program/program.go
@@ -0,0 +1,144 @@
+package program
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"pollenhill.example/core/state/event"
+	"pollenhill.example/core/state/rule"
+	"pollenhill.example/core/transport/tcp"
+	"pollenhill.example/node/coordination/arrival"
+	"pollenhill.example/node/coordination/engine"
+	"pollenhill.example/node/transport/backend"
+	"pollenhill.example/node/transport/caller"
+	"pollenhill.example/node/transport/local"
+	"pollenhill.example/node/transport/peer"
+)
+
+// Program is one node.
+type Program struct {
+	cfg         Settings
+	incarnation uint64
+	injector    *do.RootScope
+	engine      *engine.Engine
+	backend     *backend.Backend
+	client      *peer.Client
+	peer        *peer.Server
+	caller      *caller.Server
+	local       *local.Server
+	control     ControlClient
+	events      *event.Log
+	metrics     *metrics
+	rules       atomic.Pointer[inForce]
+	leaving     atomic.Bool
+	applying    sync.Mutex
+}
+
+// inForce is the newest rules text that could be parsed.
+type inForce struct {
+	set   *rule.Set
+	text  string
+	since time.Time
+}
+
+// Config says what a Program is made of.
+type Config struct {
+	Settings Settings
+	Events   *event.Log
+	Control  ControlClient // nil for the client that the settings describe
+}
+
+// Run runs a node until ctx ends and returns after the last request in flight.
+// It starts nothing if one of its listeners cannot be opened.
+func (p *Program) Run(ctx context.Context) error {
+	listeners, err := p.listen(ctx)
+	if err != nil {
+		return err
+	}
+	engineCtx, stopEngine := context.WithCancel(context.Background())
+	var engineDone, controlDone sync.WaitGroup
+	engineDone.Go(func() { p.engine.Run(engineCtx) })
+	controlCtx, stopControl := context.WithCancel(context.Background())
+	controlDone.Go(func() { _ = p.control.Run(controlCtx) })
+	controlDone.Go(func() { p.follow(controlCtx) })
+	p.announce()
+	failed := p.serve(listeners)
+	p.events.Emit(event.NodeStarted, zap.String("zone", p.cfg.Zone), zap.Uint64("incarnation", p.incarnation))
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	p.shutdown()
+	stopControl()
+	controlDone.Wait()
+	stopEngine()
+	engineDone.Wait()
+	p.events.Emit(event.NodeStopped)
+	return errors.CombineErrors(err, p.close())
+}
+
+// listen opens all listeners or none.
+func (p *Program) listen(ctx context.Context) ([]net.Listener, error) {
+	var open []net.Listener
+	for _, address := range []netip.AddrPort{p.cfg.Caller, p.cfg.Peer, p.cfg.Local} {
+		ln, err := tcp.Listen(ctx, address)
+		if err != nil {
+			for _, ln := range open {
+				_ = ln.Close()
+			}
+			return nil, err
+		}
+		open = append(open, ln)
+	}
+	return open, nil
+}
+
+// serve starts the three servers in the order of listen.
+func (p *Program) serve(listeners []net.Listener) <-chan error {
+	failed := make(chan error, len(listeners))
+	for i, serve := range []func(net.Listener) error{p.caller.Serve, p.peer.Serve, p.local.Serve} {
+		go func() {
+			if err := serve(listeners[i]); err != nil {
+				failed <- errors.Wrapf(err, "serve %s", listeners[i].Addr())
+			}
+		}()
+	}
+	return failed
+}
+
+// shutdown refuses new work and waits for everything in flight, however long its callers take.
+func (p *Program) shutdown() {
+	p.events.Emit(event.NodeStopping)
+	p.leaving.Store(true)
+	p.engine.Report(arrival.Leave{})
+	p.caller.Leave()
+	p.announce()
+	p.apply()
+	// Listeners stay open for a moment, so that attempts already on their way are refused as not run.
+	<-time.After(time.Duration(p.cfg.Limits.Linger))
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = p.caller.Shutdown(context.Background()) })
+	wg.Go(func() { _ = p.peer.Shutdown(context.Background()) })
+	wg.Wait()
+	_ = p.local.Shutdown(context.Background())
+	p.control.Announce(p.member(true))
+}
+
+func (p *Program) close() error {
+	p.client.Close()
+	p.backend.Close()
+	return p.metrics.close()
+}
+
+// announce tells the control processes the state of this node.
+func (p *Program) announce() {
+	p.control.Announce(p.member(false))
+}
--- /dev/null
+++ b/node/program/settings.go
@@ -0,0 +1,72 @@
+package program
+
+import (
+	"cmp"
+	"net/netip"
+	"time"
+
+	"pollenhill.example/core/state/settings"
+)
+
+// Settings is the JSON settings file of a node.
+type Settings struct {
+	Name    string         `json:"name" validate:"required,excludesall=/;"`
+	Zone    string         `json:"zone" validate:"required"`
+	Region  string         `json:"region" validate:"required"`
+	Caller  netip.AddrPort `json:"caller" validate:"required"`
+	Peer    netip.AddrPort `json:"peer" validate:"required"`
+	Local   netip.AddrPort `json:"local" validate:"required"`
+	Bind    netip.Addr     `json:"bind"`
+	Control []Control      `json:"control" validate:"dive"`
+	Limits  Limits         `json:"limits"`
+	Log     string         `json:"log"`
+	Events  string         `json:"events"`
+}
+
+// Control is one control process.
+type Control struct {
+	Name    string         `json:"name" validate:"required"`
+	Address netip.AddrPort `json:"address" validate:"required"`
+	Region  string         `json:"region"`
+}
+
+// Limits bounds what a node accepts and how long it waits; zero values mean the defaults.
+type Limits struct {
+	Header   int               `json:"header" validate:"gte=0"`   // bytes of a request header
+	Body     int               `json:"body" validate:"gte=0"`     // bytes of a request body
+	Memory   int               `json:"memory" validate:"gte=0"`   // bytes of all request bodies at once
+	Inflight int               `json:"inflight" validate:"gte=0"` // calls at once
+	Peers    int               `json:"peers" validate:"gte=0"`    // connections to one other node
+	Idle     settings.Duration `json:"idle" validate:"gte=0"`     // until an unused connection is closed
+	Read     settings.Duration `json:"read" validate:"gte=0"`     // for receiving a request
+	Stall    settings.Duration `json:"stall" validate:"gte=0"`    // without progress of a response
+	Linger   settings.Duration `json:"linger" validate:"gte=0"`   // after SIGTERM until listeners close
+}
+
+// Defaults of Limits.
+const (
+	defaultHeader   = 16 << 10
+	defaultBody     = 1 << 20
+	defaultMemory   = 64 << 20 // leaves three quarters of the 256 MB of a node
+	defaultInflight = 4096
+	defaultPeers    = 256
+	defaultIdle     = 30 * time.Second
+	defaultRead     = 10 * time.Second
+	defaultStall    = 30 * time.Second
+	defaultLinger   = time.Second // other nodes learn of the leaving within a few hundred milliseconds
+)
+
+// withDefaults replaces zero values.
+func (l Limits) withDefaults() Limits {
+	return Limits{
+		Header:   cmp.Or(l.Header, defaultHeader),
+		Body:     cmp.Or(l.Body, defaultBody),
+		Memory:   cmp.Or(l.Memory, defaultMemory),
+		Inflight: cmp.Or(l.Inflight, defaultInflight),
+		Peers:    cmp.Or(l.Peers, defaultPeers),
+		Idle:     cmp.Or(l.Idle, settings.Duration(defaultIdle)),
+		Read:     cmp.Or(l.Read, settings.Duration(defaultRead)),
+		Stall:    cmp.Or(l.Stall, settings.Duration(defaultStall)),
+		Linger:   cmp.Or(l.Linger, settings.Duration(defaultLinger)),
+	}
+}
--- /dev/null
+++ b/node/program/wire.go
@@ -0,0 +1,193 @@
+package program
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/samber/do/v2"
+	"golang.org/x/sync/semaphore"
+
+	"pollenhill.example/core/coordination/choice"
+	"pollenhill.example/core/protocol/hint"
+	"pollenhill.example/core/state/rule"
+	"pollenhill.example/core/transport/tcp"
+	"pollenhill.example/node/coordination/arrival"
+	"pollenhill.example/node/coordination/call"
+	"pollenhill.example/node/coordination/engine"
+	"pollenhill.example/node/protocol/message"
+	"pollenhill.example/node/transport/backend"
+	"pollenhill.example/node/transport/caller"
+	"pollenhill.example/node/transport/local"
+	"pollenhill.example/node/transport/peer"
+)
+
+// dialTimeout bounds the opening of a connection; on these networks it takes about 1 ms.
+const dialTimeout = time.Second
+
+// New wires a Program; nothing runs and no address is used before Run.
+func New(cfg Config) (*Program, error) {
+	cfg.Settings.Limits = cfg.Settings.Limits.withDefaults()
+	p := &Program{cfg: cfg.Settings, incarnation: uint64(time.Now().UnixNano()), events: cfg.Events, control: cfg.Control}
+	if p.control == nil {
+		p.control = newControl(cfg.Settings)
+	}
+	p.rules.Store(&inForce{set: &rule.Set{}, since: time.Now()})
+	i := do.New()
+	p.injector = i
+	do.ProvideValue(i, p)
+	do.ProvideValue(i, semaphore.NewWeighted(int64(p.cfg.Limits.Memory)))
+	do.Provide(i, newEngine)
+	do.Provide(i, newBackend)
+	do.Provide(i, newClient)
+	do.Provide(i, newPeer)
+	do.Provide(i, newCaller)
+	do.Provide(i, newLocal)
+	do.Provide(i, newMetrics)
+	return p, p.resolve()
+}
+
+// resolve builds every part, so that a wiring error shows before the node starts.
+func (p *Program) resolve() error {
+	var err error
+	if p.engine, err = do.Invoke[*engine.Engine](p.injector); err != nil {
+		return err
+	}
+	if p.backend, err = do.Invoke[*backend.Backend](p.injector); err != nil {
+		return err
+	}
+	if p.client, err = do.Invoke[*peer.Client](p.injector); err != nil {
+		return err
+	}
+	if p.metrics, err = do.Invoke[*metrics](p.injector); err != nil {
+		return err
+	}
+	if p.peer, err = do.Invoke[*peer.Server](p.injector); err != nil {
+		return err
+	}
+	if p.caller, err = do.Invoke[*caller.Server](p.injector); err != nil {
+		return err
+	}
+	p.local, err = do.Invoke[*local.Server](p.injector)
+	return err
+}
+
+func (p *Program) dialer() tcp.Dialer {
+	return tcp.Dialer{Bind: p.cfg.Bind, Timeout: dialTimeout}
+}
+
+func newEngine(i do.Injector) (*engine.Engine, error) {
+	p := do.MustInvoke[*Program](i)
+	return engine.New(engine.Config{
+		Call: call.New(call.Config{
+			Node:        p.cfg.Name,
+			Incarnation: p.incarnation,
+			Choice: choice.New(choice.Config{
+				Zone:   p.cfg.Zone,
+				Region: p.cfg.Region,
+				Rand:   rand.New(rand.NewPCG(rand.Uint64(), p.incarnation)),
+			}),
+		}),
+		Arrival: arrival.New(arrival.Config{Zone: p.cfg.Zone, Incarnation: p.incarnation}),
+		Warm:    func(count int) { p.backend.Warm(count) },
+	}), nil
+}
+
+func newBackend(i do.Injector) (*backend.Backend, error) {
+	p := do.MustInvoke[*Program](i)
+	return backend.New(backend.Config{
+		Node:   p.cfg.Name,
+		Zone:   p.cfg.Zone,
+		Dialer: p.dialer(),
+		Idle:   time.Duration(p.cfg.Limits.Idle),
+		Stall:  time.Duration(p.cfg.Limits.Stall),
+		Engine: do.MustInvoke[*engine.Engine](i),
+		Events: p.events,
+		Changed: func() {
+			p.announce()
+			p.apply()
+		},
+	}), nil
+}
+
+// destination is the destination side of this node.
+type destination struct {
+	*backend.Backend
+	engine *engine.Engine
+}
+
+// Cancel asks what is known about an attempt and stops it.
+func (d destination) Cancel(ctx context.Context, msg arrival.Cancel) arrival.Answer {
+	return d.engine.Cancel(ctx, msg)
+}
+
+func newDestination(i do.Injector) destination {
+	return destination{Backend: do.MustInvoke[*backend.Backend](i), engine: do.MustInvoke[*engine.Engine](i)}
+}
+
+func newClient(i do.Injector) (*peer.Client, error) {
+	p := do.MustInvoke[*Program](i)
+	return peer.NewClient(peer.Config{
+		Node:     p.cfg.Name,
+		Dialer:   p.dialer(),
+		Cap:      p.cfg.Limits.Peers,
+		Idle:     time.Duration(p.cfg.Limits.Idle) / 2, // before the other node closes it
+		Stall:    time.Duration(p.cfg.Limits.Stall),
+		Local:    newDestination(i),
+		Revision: p.revision,
+		Offer:    p.control.Offer,
+	}), nil
+}
+
+func newPeer(i do.Injector) (*peer.Server, error) {
+	p := do.MustInvoke[*Program](i)
+	e := do.MustInvoke[*engine.Engine](i)
+	return peer.NewServer(peer.ServerConfig{
+		Node:  p.cfg.Name,
+		Local: newDestination(i),
+		Hint:  func() hint.Hint { return e.View().Admission.Hint },
+		Rules: func() (uint64, string) {
+			r := p.rules.Load()
+			return r.set.Revision, r.text
+		},
+		Seen:   p.seen,
+		Header: p.cfg.Limits.Header + message.AttemptSize,
+		Body:   p.cfg.Limits.Body,
+		Memory: do.MustInvoke[*semaphore.Weighted](i),
+		Read:   time.Duration(p.cfg.Limits.Read),
+		Idle:   time.Duration(p.cfg.Limits.Idle),
+		Stall:  time.Duration(p.cfg.Limits.Stall),
+	}), nil
+}
+
+func newCaller(i do.Injector) (*caller.Server, error) {
+	p := do.MustInvoke[*Program](i)
+	return caller.New(caller.Config{
+		Node:     p.cfg.Name,
+		Prefix:   p.prefix(),
+		Engine:   do.MustInvoke[*engine.Engine](i),
+		Sender:   do.MustInvoke[*peer.Client](i),
+		Claims:   p.control,
+		Rules:    func() *rule.Set { return p.rules.Load().set },
+		Observe:  do.MustInvoke[*metrics](i).observe,
+		Inflight: p.cfg.Limits.Inflight,
+		Header:   p.cfg.Limits.Header,
+		Body:     p.cfg.Limits.Body,
+		Memory:   do.MustInvoke[*semaphore.Weighted](i),
+		Read:     time.Duration(p.cfg.Limits.Read),
+		Idle:     time.Duration(p.cfg.Limits.Idle),
+		Stall:    time.Duration(p.cfg.Limits.Stall),
+	}), nil
+}
+
+func newLocal(i do.Injector) (*local.Server, error) {
+	p := do.MustInvoke[*Program](i)
+	return local.New(local.Config{
+		Zone:     p.cfg.Zone,
+		Announce: p.backend.Announce,
+		Status:   func() any { return p.status() },
+		Metrics:  do.MustInvoke[*metrics](i).registry,
+		Read:     time.Duration(p.cfg.Limits.Read),
+		Idle:     time.Duration(p.cfg.Limits.Idle),
+	}), nil
+}
--- a/node/protocol/message/attempt.go
+++ b/node/protocol/message/attempt.go
@@ -125,3 +125,6 @@
 	}
 	return &parsed
 }
+
+// AttemptSize is how much the headers of an attempt add to a request header at most, in bytes.
+const AttemptSize = 1 << 10
