--- a/node/program/fake_test.go
+++ b/node/program/fake_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-
 	"net/http"
 	"net/http/httptest"
 	"sync"
