--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -104,7 +104,7 @@
 	message.ReadOutcome(reply, a.Depth)
 	message.Strip(&reply.Header)
 	if reply.Outcome != attempt.Answered {
-		return b.passOn(a, reply)
+		return b.passOn(reply)
 	}
 	if reply.Header.StatusCode() >= fasthttp.StatusInternalServerError {
 		return reply, admission.Failed
@@ -138,7 +138,7 @@
 const smallBody = 4 << 10
 
 // passOn turns a refusal by the back end, or one that it passes on, into a refusal of the attempt.
-func (b *Backend) passOn(a message.Attempt, reply *message.Reply) (*message.Reply, admission.Result) {
+func (b *Backend) passOn(reply *message.Reply) (*message.Reply, admission.Result) {
 	if reply.Body != nil {
 		_, _ = io.CopyN(io.Discard, reply.Body, smallBody)
 		reply.Close()
