Run the demo end to end; copy reservation IDs in the stand-in

Cause: the first run reported 1,686 reservations as answered but never run: the stand-in kept fiber's reused parameter memory as map keys. The check also counted refusals while every back end was cold as failures.

--- a/lab/demo/run.go
+++ b/lab/demo/run.go
@@ -27,6 +27,8 @@
 	most         = 1024    // requests at once, per kind
 	timeout      = 10 * time.Second
 	phaseTime    = 7 * time.Second
+	startTime    = 3 * time.Second // all back ends are cold at first, so refusals are no fault
+	starting     = "start"
 	readyTime    = 15 * time.Second // longest wait for the first whole answer of every service
 	outLimit     = 3 * time.Second  // a zone that is out gets no new work after this time
 )
@@ -97,7 +99,7 @@
 func (r *run) load(ctx context.Context) (move, error) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	r.enter("steady")
+	r.enter(starting)
 	var wg sync.WaitGroup
 	r.start(ctx, &wg)
 	m, err := r.moveZone(ctx)
@@ -109,6 +111,8 @@
 // moveZone goes through the phases while the load runs.
 func (r *run) moveZone(ctx context.Context) (move, error) {
 	var m move
+	pause(ctx, startTime)
+	r.enter("steady")
 	pause(ctx, phaseTime)
 	r.enter("zone out")
 	m.out = time.Now()
--- a/standin/transport/caller/routes.go
+++ b/standin/transport/caller/routes.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -40,7 +41,8 @@
 }
 
 func (s *Server) reply(c fiber.Ctx, reserve bool) error {
-	r := Reply{ID: c.Params("id"), Backend: s.cfg.Name}
+	// fiber reuses the memory of c.Params after the request; the ID is kept as a map key.
+	r := Reply{ID: strings.Clone(c.Params("id")), Backend: s.cfg.Name}
 	err := s.run(c, func() {
 		if reserve {
 			s.runs[r.ID]++
