Count a cancelled attempt as work in flight until the back end ends it

Cause: make demo showed one request above the cold limit. A cancelled hedge closed its connection to the back end, admission freed the slot at once, and the next attempt started while the back end still ran the cancelled one. Ruled out: the stand-in ends its count before it sends the response. Change: an exchange given up before its response closes only its write side, which asks the back end to cancel, and holds connection and slot until the first byte or the end of the response, 10 s at most.

--- a/core/transport/tcp/conn.go
+++ b/core/transport/tcp/conn.go
@@ -20,6 +20,7 @@
 	out   *counter
 	since time.Time // when it became idle
 	once  *sync.Once
+	ended chan struct{} // closed when the other side is known to work on the exchange no longer
 }
 
 // counter tells whether the kernel took a byte.
@@ -43,6 +44,8 @@
 		w:    bufio.NewWriterSize(out, BufferSize),
 		out:  out,
 		once: &sync.Once{},
+
+		ended: make(chan struct{}),
 	}
 }
 
@@ -50,20 +53,52 @@
 	return c.r.Buffered() == 0 && Peek(c.net) == Quiet
 }
 
-// watch closes the socket when ctx ends; the returned function stops that and reports whether ctx was first.
+// watch interrupts the exchange when ctx ends; the returned function stops that and reports whether ctx was later.
 func (c *Conn) watch(ctx context.Context) (stop func() bool) {
-	return context.AfterFunc(ctx, func() { _ = c.net.Close() })
+	return context.AfterFunc(ctx, func() {
+		if c.pool.cfg.Reap == 0 {
+			_ = c.net.Close()
+			return
+		}
+		// The socket stays open for reap; no deadline is set in between, since bodies set theirs after the header.
+		_ = c.net.SetDeadline(time.Unix(1, 0))
+	})
+}
+
+// abandon gives up an exchange whose response header has not arrived. The other side may still be at work: closing
+// the write side asks it to cancel, and the first byte or the end of its response shows that it has finished.
+func (c *Conn) abandon() {
+	if c.pool.cfg.Reap == 0 || c.out.n == 0 {
+		c.finish(false)
+		return
+	}
+	c.once.Do(func() { go c.reap() })
+}
+
+func (c *Conn) reap() {
+	if half, ok := c.net.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	_ = c.net.SetDeadline(time.Now().Add(c.pool.cfg.Reap))
+	_, _ = c.net.Read(make([]byte, 1))
+	c.end(c.pool.drop)
+}
+
+func (c *Conn) end(give func(*Conn)) {
+	give(c)
+	close(c.ended)
 }
 
 func (c *Conn) finish(keep bool) {
 	c.once.Do(func() {
 		if !keep || c.r.Buffered() > 0 {
-			c.pool.drop(c)
+			c.end(c.pool.drop)
 			return
 		}
 		c.out.n = 0
 		next := *c
 		next.once = &sync.Once{}
-		c.pool.put(&next)
+		next.ended = make(chan struct{})
+		c.end(func(*Conn) { c.pool.put(&next) })
 	})
 }
--- a/core/transport/tcp/error.go
+++ b/core/transport/tcp/error.go
@@ -25,6 +25,7 @@
 	Peer  netip.AddrPort
 	Wrote bool // at least one byte of the request was handed to the kernel
 	Err   error
+	Ended <-chan struct{} // closed when Peer is known to work on the request no longer, or PoolConfig.Reap has passed; nil before Connect
 }
 
 // Error names the step and the peer.
--- a/core/transport/tcp/exchange.go
+++ b/core/transport/tcp/exchange.go
@@ -24,20 +24,24 @@
 const Chunked = -1
 
 // Exchange sends req with body on a connection of p and reads the response header.
-// When ctx ends before the body was read, the connection is closed.
+// When ctx ends before the body was read, the connection is given up; the error says when the other side has ended.
 func (p *Pool) Exchange(ctx context.Context, req *fasthttp.RequestHeader, body []byte) (*Response, error) {
 	c, err := p.Get(ctx)
 	if err != nil {
 		return nil, err
 	}
 	stop := c.watch(ctx)
-	resp, err := c.exchange(req, body, stop)
+	resp, err := c.exchange(ctx, req, body, stop)
 	if err == nil {
 		return resp, nil
 	}
 	stop()
 	wrote := c.out.n > 0
-	c.finish(false)
+	if ctx.Err() != nil {
+		c.abandon()
+	} else {
+		c.finish(false)
+	}
 	if ctx.Err() != nil {
 		err = errors.WithSecondaryError(context.Cause(ctx), err)
 	}
@@ -45,10 +49,10 @@
 	if c.w.Buffered() == 0 && wrote {
 		step = Read
 	}
-	return nil, &Error{Step: step, Peer: p.cfg.Address, Wrote: wrote, Err: err}
+	return nil, &Error{Step: step, Peer: p.cfg.Address, Wrote: wrote, Err: err, Ended: c.ended}
 }
 
-func (c *Conn) exchange(req *fasthttp.RequestHeader, body []byte, stop func() bool) (*Response, error) {
+func (c *Conn) exchange(ctx context.Context, req *fasthttp.RequestHeader, body []byte, stop func() bool) (*Response, error) {
 	if err := c.send(req, body); err != nil {
 		return nil, err
 	}
@@ -60,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b.stop = stop
+	b.stop, b.ctx = stop, ctx
 	resp.Body = b
 	if b.r == nil {
 		b.end()
@@ -181,6 +185,7 @@
 	r    io.Reader // nil once there is nothing left
 	keep bool
 	stop func() bool
+	ctx  context.Context // interrupts the exchange
 }
 
 func (b *body) Read(p []byte) (int, error) {
@@ -189,6 +194,10 @@
 	}
 	if stall := b.c.pool.cfg.Stall; stall > 0 {
 		_ = b.c.net.SetReadDeadline(time.Now().Add(stall))
+		if b.ctx.Err() != nil {
+			// The interruption by ctx may have come just before the new deadline.
+			_ = b.c.net.SetReadDeadline(time.Unix(1, 0))
+		}
 	}
 	n, err := b.r.Read(p)
 	switch {
--- a/core/transport/tcp/pool.go
+++ b/core/transport/tcp/pool.go
@@ -28,6 +28,7 @@
 	Cap     int                    // connections that may be open at once
 	Idle    time.Duration          // an idle connection that is older is not used again
 	Stall   time.Duration          // longest wait for the next byte of a response body, 0 for none
+	Reap    time.Duration          // longest wait for the other side to end an exchange given up before its response, 0 for none
 	Changed func(open, closed int) // connections open after a new one, or after the other side closed some; may be nil
 	Now     func() time.Time
 }
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -19,6 +19,10 @@
 // Lease is how long an announcement holds.
 const Lease = 3 * time.Second
 
+// reap is how long a back end may take to end a request that was given up before it stops counting as work in
+// flight. Without it, a cold back end got one request above its limit each time a hedge was cancelled.
+const reap = 10 * time.Second
+
 // Backend is the local back end of a node; it is safe for concurrent use.
 type Backend struct {
 	cfg    Config
@@ -127,6 +131,7 @@
 		Cap:     size,
 		Idle:    b.cfg.Idle,
 		Stall:   b.cfg.Stall,
+		Reap:    reap,
 		Changed: func(open, closed int) { b.cfg.Engine.Report(arrival.Pool{Open: open, Closed: closed}) },
 	})
 }
--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -62,14 +62,22 @@
 	late := time.AfterFunc(time.Until(a.Deadline), func() { cancel(errLate) })
 	began := time.Now()
 	finish := sync.OnceFunc(func() { close(over); cancel(nil) })
-	reply, result := b.exchange(ctx, a, req)
+	reply, result, ended := b.exchange(ctx, a, req)
 	late.Stop()
 	took := time.Since(began)
 	done := func(result admission.Result) {
 		b.cfg.Engine.Report(arrival.Done{ID: a.ID, Result: result, Latency: took})
 		finish()
 	}
-	if reply.Body == nil {
+	switch {
+	case ended != nil:
+		// The attempt was given up, but the back end may still run it and must not get another in its place.
+		go func() {
+			<-ended
+			done(result)
+		}()
+		return reply
+	case reply.Body == nil:
 		done(result)
 		return reply
 	}
@@ -82,10 +90,11 @@
 	errLate    = errors.New("deadline passed")
 )
 
-func (b *Backend) exchange(ctx context.Context, a message.Attempt, req *message.Request) (*message.Reply, admission.Result) {
+// exchange returns the reply, or a refusal and a channel that is closed when the back end has ended the attempt.
+func (b *Backend) exchange(ctx context.Context, a message.Attempt, req *message.Request) (*message.Reply, admission.Result, <-chan struct{}) {
 	pool := b.current()
 	if pool == nil {
-		return b.refuse(a, refusal.Refusal{Reason: refusal.Absent, Outcome: attempt.NotRun}), admission.Aborted
+		return b.refuse(a, refusal.Refusal{Reason: refusal.Absent, Outcome: attempt.NotRun}), admission.Aborted, nil
 	}
 	var h fasthttp.RequestHeader
 	req.Header.CopyTo(&h)
@@ -104,16 +113,17 @@
 	message.ReadOutcome(reply, a.Depth)
 	message.Strip(&reply.Header)
 	if reply.Outcome != attempt.Answered {
-		return b.passOn(reply)
+		refused, result := b.passOn(reply)
+		return refused, result, nil
 	}
 	if reply.Header.StatusCode() >= fasthttp.StatusInternalServerError {
-		return reply, admission.Failed
+		return reply, admission.Failed, nil
 	}
-	return reply, admission.Good
+	return reply, admission.Good, nil
 }
 
 // broken says what a failed exchange proves: without a byte written the back end cannot have run it.
-func (b *Backend) broken(ctx context.Context, a message.Attempt, err error) (*message.Reply, admission.Result) {
+func (b *Backend) broken(ctx context.Context, a message.Attempt, err error) (*message.Reply, admission.Result, <-chan struct{}) {
 	f := refusal.Refusal{Reason: refusal.Broken, Outcome: attempt.Unknown, After: time.Second}
 	result := admission.Reset
 	switch cause := context.Cause(ctx); {
@@ -125,13 +135,17 @@
 		result = admission.Aborted
 	}
 	var step *tcp.Error
-	if errors.As(err, &step) && !step.Wrote {
+	var ended <-chan struct{}
+	if errors.As(err, &step) {
+		ended = step.Ended
+	}
+	if step != nil && !step.Wrote {
 		f.Outcome = attempt.NotRun
 		if f.Reason == refusal.Broken {
 			f.Reason = refusal.Absent
 		}
 	}
-	return b.refuse(a, f), result
+	return b.refuse(a, f), result, ended
 }
 
 // smallBody is how much of a refusal's body is read to keep its connection, in bytes.
