--- a/control/transport/operator/watcher_test.go
+++ b/control/transport/operator/watcher_test.go
@@ -20,30 +20,39 @@
 	*operator.Watcher
 	path string
 	cmds chan operator.Cmd
-	fail atomic.Bool // Submit fails
+	fail *atomic.Bool // Submit fails
 }
 
 func start(t *testing.T, poll time.Duration) *site {
 	t.Helper()
-	s := &site{path: filepath.Join(t.TempDir(), "pollenhill.rules"), cmds: make(chan operator.Cmd, 1000)}
 	g := &group{}
-	s.Watcher = operator.New(operator.Config{
-		Path:  s.path,
+	var fail atomic.Bool
+	s := startWith(t, operator.Config{
+		Path:  filepath.Join(t.TempDir(), "pollenhill.rules"),
 		Times: operator.Times{Settle: 20 * time.Millisecond, Unfinished: 20 * time.Millisecond, Retry: time.Millisecond},
 		Poll:  poll,
 		Submit: func(_ context.Context, number uint64, text string) (operator.Verdict, error) {
-			if s.fail.Load() {
+			if fail.Load() {
 				return operator.Verdict{}, errLost
 			}
 			return g.submit(number, text), nil
 		},
-		Carried: func(cmd operator.Cmd, err error) {
-			if err != nil {
-				t.Errorf("%s: %v", describe(cmd), err)
-			}
-			s.cmds <- cmd
-		},
 	})
+	s.fail = &fail
+	return s
+}
+
+// startWith runs a Watcher until the test ends.
+func startWith(t *testing.T, cfg operator.Config) *site {
+	t.Helper()
+	s := &site{path: cfg.Path, cmds: make(chan operator.Cmd, 1000)}
+	cfg.Carried = func(cmd operator.Cmd, err error) {
+		if err != nil {
+			t.Errorf("%s: %v", describe(cmd), err)
+		}
+		s.cmds <- cmd
+	}
+	s.Watcher = operator.New(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error)
 	go func() { ended <- s.Run(ctx) }()
@@ -52,7 +61,6 @@
 		if err := <-ended; err != nil {
 			t.Error(err)
 		}
-		goleak.VerifyNone(t)
 	})
 	return s
 }
@@ -90,6 +98,7 @@
 
 // Guards against a save that goes unnoticed: in place, by rename, after a deletion, after lost answers.
 func TestWatcher(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
 	s := start(t, time.Hour)
 	s.until(t, "missing")
 	write(t, s.path, text(1, "in place"))
