--- /dev/null
+++ b/control/transport/node/handler_test.go
@@ -0,0 +1,169 @@
+package node_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"pollenhill.example/control/coordination/group"
+	"pollenhill.example/control/transport/node"
+	"pollenhill.example/core/protocol/control"
+	"pollenhill.example/core/state/replica"
+)
+
+// fake is a group whose first proposals fail, before or after they are committed.
+type fake struct {
+	mu       sync.Mutex
+	replica  *replica.Replica
+	index    uint64
+	failures int
+	err      error
+	commits  bool // failing proposals are committed all the same
+	calls    int
+}
+
+func (f *fake) Propose(ctx context.Context, cmd replica.Command) (replica.Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	fails := f.calls <= f.failures
+	if fails && !f.commits {
+		return replica.Result{}, f.err
+	}
+	f.index++
+	res := f.replica.Apply(f.index, cmd)
+	if fails {
+		return replica.Result{}, f.err
+	}
+	return res, ctx.Err()
+}
+
+func (f *fake) View() group.View { return group.View{Current: true} }
+
+func (f *fake) Read(read func(*replica.Replica)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	read(f.replica)
+}
+
+// Announce and Members make the fake a directory that takes everything.
+func (f *fake) Announce(context.Context, *control.Member) error { return nil }
+
+// Members returns nothing.
+func (f *fake) Members(context.Context) ([]*control.Member, error) { return nil, nil }
+
+func newHandler(f *fake) *node.Handler {
+	f.replica = replica.New(replica.Config{Claims: 1})
+	return &node.Handler{Group: f, Directory: f}
+}
+
+func claim(h *node.Handler, key, attempt string) (*control.ClaimResponse, error) {
+	req := &control.ClaimRequest{Service: "s", Key: key, Attempt: attempt, Print: 1}
+	resp, err := h.Claim(context.Background(), connect.NewRequest(req))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+// Guards against a claim that is lost to a change of leader, granted to two attempts, or tried without end.
+func TestClaimWithoutLeader(t *testing.T) {
+	tests := []struct {
+		name     string
+		failures int
+		err      error
+		commits  bool
+		code     connect.Code // 0: granted
+	}{
+		{"leader", 0, nil, false, 0},
+		{"no leader for a moment", 3, &group.NotLeader{}, false, 0},
+		{"committed, but the answer is lost", 2, group.ErrUnknown, true, 0},
+		{"no leader", 1000, &group.NotLeader{}, false, connect.CodeUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fake{failures: tt.failures, err: tt.err, commits: tt.commits}
+				h := newHandler(f)
+				begin := time.Now()
+				got, err := claim(h, "k", "a")
+				if d := time.Since(begin); d > time.Second {
+					t.Errorf("took %v", d)
+				}
+				if tt.code != 0 {
+					if connect.CodeOf(err) != tt.code {
+						t.Errorf("error %v, want %v", err, tt.code)
+					}
+					return
+				}
+				if err != nil || got.GetVerdict() != control.Verdict_VERDICT_GRANTED {
+					t.Fatalf("got %v, %v", got, err)
+				}
+				other, err := claim(h, "k", "b")
+				if err != nil || other.GetVerdict() != control.Verdict_VERDICT_HELD {
+					t.Errorf("second attempt: %v, %v", other, err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against verdicts that change on the way to the node, and against resends that do not get the first answer.
+func TestClaimLifeCycle(t *testing.T) {
+	h := newHandler(&fake{})
+	ctx := context.Background()
+	if _, err := claim(h, "k", "a"); err != nil {
+		t.Fatal(err)
+	}
+	_, err := claim(h, "other", "b")
+	if connect.CodeOf(err) != connect.CodeResourceExhausted {
+		t.Errorf("claim beyond the limit: %v", err)
+	}
+	release := &control.ReleaseRequest{Service: "s", Key: "k", Attempt: "a"}
+	for range 2 {
+		if _, err := h.Release(ctx, connect.NewRequest(release)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, err := claim(h, "k", "c"); err != nil || got.GetVerdict() != control.Verdict_VERDICT_GRANTED {
+		t.Fatalf("claim after the release: %v, %v", got, err)
+	}
+	answer := &control.Answer{Status: 201, Type: "text/plain", Body: []byte("booked")}
+	for range 2 {
+		if _, err := h.Finish(ctx, connect.NewRequest(&control.FinishRequest{Service: "s", Key: "k", Attempt: "c", Answer: answer})); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := claim(h, "k", "d")
+	if err != nil || got.GetVerdict() != control.Verdict_VERDICT_DONE || string(got.GetAnswer().GetBody()) != "booked" || got.GetAnswer().GetStatus() != 201 {
+		t.Errorf("resend: %v, %v", got, err)
+	}
+	req := &control.ClaimRequest{Service: "s", Key: "k", Attempt: "e", Print: 2}
+	resp, err := h.Claim(ctx, connect.NewRequest(req))
+	if err != nil || resp.Msg.GetVerdict() != control.Verdict_VERDICT_MISMATCH {
+		t.Errorf("other request with the same key: %v, %v", resp, err)
+	}
+}
+
+// Guards against announcements and claims that lack what orders them.
+func TestIncompleteRequests(t *testing.T) {
+	h := newHandler(&fake{})
+	for _, m := range []*control.Member{{}, {Node: "n", Sequence: 1}, {Node: "n", Incarnation: 1}} {
+		_, err := h.Announce(context.Background(), connect.NewRequest(&control.AnnounceRequest{Member: m}))
+		if connect.CodeOf(err) != connect.CodeInvalidArgument {
+			t.Errorf("announce %v: %v", m, err)
+		}
+	}
+	if _, err := claim(h, "", "a"); connect.CodeOf(err) != connect.CodeInvalidArgument {
+		t.Errorf("claim without a key: %v", err)
+	}
+	var none *connect.Error
+	if _, err := h.Announce(context.Background(), connect.NewRequest(&control.AnnounceRequest{})); errors.As(err, &none) {
+		t.Errorf("probe: %v", err)
+	}
+}
