--- a/node/coordination/call/model.go
+++ b/node/coordination/call/model.go
@@ -258,11 +258,11 @@
 
 // gone cancels the attempts of a call whose caller has left.
 func (m *Model) gone(now time.Time, s *state) []Cmd {
-	if s.phase == claiming || s.phase == delivered {
-		s.phase = delivered
-		return append(m.abort(s, attempt.ID{}), m.settle(s)...)
-	}
-	if s.Keyed {
+	switch {
+	case s.phase == delivered && s.Keyed:
+		// The answer is being recorded for the next request with the same key.
+		return nil
+	case s.Keyed && s.phase != claiming:
 		// The claim is given up only with a proof, so the call lives on for a moment.
 		s.Deadline = now
 		s.phase = active
--- a/node/transport/caller/run.go
+++ b/node/transport/caller/run.go
@@ -41,6 +41,7 @@
 	cancel  context.CancelFunc
 	reply   *message.Reply
 	aborted bool
+	given   bool // the reply belongs to the goroutine that writes it
 }
 
 type head struct {
@@ -176,7 +177,7 @@
 	t := r.tries[id]
 	t.aborted = true
 	t.cancel()
-	if t.reply != nil {
+	if t.reply != nil && !t.given {
 		r.drop(id, t)
 	}
 }
@@ -206,6 +207,7 @@
 // deliver hands the response of an attempt to the caller.
 func (r *run) deliver(id attempt.ID) {
 	t := r.tries[id]
+	t.given = true
 	r.back.Store(int64(time.Since(t.began)))
 	if r.req.Key != "" {
 		r.record(id, t)
