Keep the answer about an update, and write an answer again that failed

Cause: after a file was brought up to date, the answer that says so was replaced by "in force" a moment later; an answer that could not be written, for example on a full disk, was lost.

--- a/control/transport/operator/model.go
+++ b/control/transport/operator/model.go
@@ -68,6 +68,7 @@
 	wait   *pending
 	lost   *rejected // what the file holds, if it was rejected
 	answer string
+	moved  uint64 // number to which the file was brought up to date, if nothing was answered since
 }
 
 // NewModel returns a Model that has seen nothing yet.
@@ -141,6 +142,8 @@
 		return m.say(unreadable(m.seen.Error, m.force))
 	case m.seen.Missing:
 		return m.say(missing(m.force))
+	case m.force.Number > 0 && text == m.force.Text && m.moved == m.force.Number:
+		return nil // the answer about the update says more
 	case m.force.Number > 0 && text == m.force.Text:
 		return m.say(inForce(m.force))
 	case m.stale():
@@ -163,11 +166,13 @@
 // update replaces an accepted text that is no longer in force.
 func (m *Model) update() []Cmd {
 	cmds := m.say(updated(m.seen.Text, m.force))
+	m.moved = m.force.Number
 	return append(cmds, Rewrite{Expect: m.seen.Text, Text: m.force.Text})
 }
 
 // say writes the answer if it is a new one.
 func (m *Model) say(text string) []Cmd {
+	m.moved = 0
 	if text == m.answer {
 		return nil
 	}
--- a/control/transport/operator/model_test.go
+++ b/control/transport/operator/model_test.go
@@ -153,6 +153,10 @@
 		{0, accepted(8, "b"), "updated rewrite"},
 		{time.Second, observed(text(7, "a")), "rewrite"},
 		{0, observed(text(8, "b")), "wake"},
+		{settle, observed(text(8, "b")), ""},
+		{0, observed("x\n"), "wake"},
+		{settle, observed("x\n"), "refused"},
+		{0, observed(text(8, "b")), "wake"},
 		{settle, observed(text(8, "b")), "in force"},
 	},
 	"a text accepted before a restart is brought up to date": {
--- a/control/transport/operator/watcher.go
+++ b/control/transport/operator/watcher.go
@@ -37,6 +37,7 @@
 	wake    *time.Timer
 	answers chan Answered
 	cancel  context.CancelFunc // of the submission that runs
+	unsaid  *Answer            // could not be written
 	wg      sync.WaitGroup
 
 	mu     sync.Mutex
@@ -99,6 +100,7 @@
 			}
 		case <-poll.C:
 			w.update(ctx, w.file.Read())
+			w.sayAgain()
 		case <-w.wake.C:
 			w.update(ctx, w.file.Read())
 		case msg := <-w.answers:
@@ -152,13 +154,31 @@
 	case Submit:
 		w.submit(ctx, cmd)
 	case Answer:
-		err = w.file.Answer(cmd.Text)
+		err = w.say(cmd)
 	case Rewrite:
 		err = w.file.Rewrite(cmd.Expect, cmd.Text)
 	}
 	w.cfg.Carried(cmd, err)
 }
 
+func (w *Watcher) say(answer Answer) error {
+	w.unsaid = nil
+	err := w.file.Answer(answer.Text)
+	if err != nil {
+		w.unsaid = &answer
+	}
+	return err
+}
+
+// sayAgain writes the newest answer if that failed before, for example on a full disk.
+func (w *Watcher) sayAgain() {
+	if w.unsaid == nil {
+		return
+	}
+	answer := *w.unsaid
+	w.cfg.Carried(answer, w.say(answer))
+}
+
 // submit runs in the background; a newer submission ends it, because its answer no longer matters.
 func (w *Watcher) submit(ctx context.Context, cmd Submit) {
 	w.cancel()
