--- a/core/coordination/engine/history_test.go
+++ b/core/coordination/engine/history_test.go
@@ -82,7 +82,7 @@
 	})
 	t.Logf("%d histories, %d operations, verdicts %v, faults %v", histories, total, verdicts, used)
 	for _, name := range []string{
-		"crash", "kill", "partition", "one-way partition", "split", "loss, repeats and reordering", "full disk",
+		"crash", "kill", "pause", "partition", "one-way partition", "split", "loss, repeats and reordering", "full disk",
 		"failed sync", "flipped bit", "lost disk", "second VM lost right after the repair", "join", "leave",
 	} {
 		if used[name] == 0 {
--- a/core/coordination/engine/nemesis_test.go
+++ b/core/coordination/engine/nemesis_test.go
@@ -32,7 +32,10 @@
 func (n *nemesis) fault() {
 	s := n.s
 	v := s.vms[s.r.IntN(len(s.vms))]
-	switch s.r.IntN(12) {
+	switch s.r.IntN(13) {
+	case 12:
+		n.note("pause")
+		s.pause(v, time.Duration(s.r.IntN(2000))*time.Millisecond)
 	case 0, 1:
 		n.note("crash")
 		n.crash(v, true)
--- a/core/coordination/engine/sim_test.go
+++ b/core/coordination/engine/sim_test.go
@@ -13,7 +13,9 @@
 	"pollenhill.example/core/coordination/engine"
 	"pollenhill.example/core/coordination/raft"
 	"pollenhill.example/core/state/disk"
+	"pollenhill.example/core/state/field"
 	"pollenhill.example/core/state/replica"
+	"pollenhill.example/core/state/wal"
 )
 
 const (
@@ -50,8 +52,9 @@
 	process *engine.Engine
 	join    bool
 	starts  int
-	number  uint64 // newest change seen by the running process
-	broken  bool   // the disk has a fault that a restart must refuse
+	number  uint64    // newest change seen by the running process
+	resumes time.Time // end of a pause
+	broken  bool      // the disk has a fault that a restart must refuse
 }
 
 type call struct {
@@ -181,10 +184,43 @@
 	s.start(v)
 }
 
+// checkPromise compares a granted vote, and some acknowledgements, with what a crash of the VM would keep.
+func (s *sim) checkPromise(v *vm, raw []byte) {
+	var msg raft.Message
+	err := field.Read(raw, func(f field.Field) (err error) {
+		if f.Number == 1 {
+			msg, err = raft.DecodeMessage(f.Bytes)
+		}
+		return err
+	})
+	vote := msg.Kind == raft.Voted && !msg.Reject
+	ack := msg.Kind == raft.Appended && !msg.Reject && s.r.IntN(30) == 0
+	if err != nil || !vote && !ack {
+		return
+	}
+	_, kept, err := wal.Open(wal.Config{FS: v.disk.Durable(), Dir: dataDir})
+	last := kept.Snapshot.Index + uint64(len(kept.Entries))
+	switch {
+	case err != nil || kept.State.Term < msg.Term:
+		s.fail("%s promises in term %d, durable is term %d, %v", msg.From, msg.Term, kept.State.Term, err)
+	case kept.State.Term == msg.Term && vote && kept.State.Vote != msg.To:
+		s.fail("%s grants %s a vote, durable is %q", msg.From, msg.To, kept.State.Vote)
+	case kept.State.Term == msg.Term && ack && last < msg.Index:
+		s.fail("%s acknowledges entry %d, durable is %d", msg.From, msg.Index, last)
+	}
+}
+
+// pause freezes a process; what arrives meanwhile is handled when it goes on, before it looks at the clock.
+func (s *sim) pause(v *vm, d time.Duration) { v.resumes = s.now.Add(d) }
+
 func (s *sim) tick(v *vm, start int) {
 	if v.process == nil || v.starts != start {
 		return
 	}
+	if wait := v.resumes.Sub(s.now); wait >= 0 {
+		s.after(wait+time.Millisecond, func() { s.tick(v, start) })
+		return
+	}
 	s.step(v, engine.Tick{})
 	s.after(tickEvery, func() { s.tick(v, start) })
 }
@@ -209,6 +245,7 @@
 
 func (s *sim) send(from, to string, messages [][]byte) {
 	for _, raw := range messages {
+		s.checkPromise(s.vm(from), raw)
 		copies := 1
 		if s.r.Float64() < s.repeat {
 			copies = 2
@@ -223,8 +260,19 @@
 }
 
 func (s *sim) deliver(to string, raw []byte) {
-	if v := s.vm(to); v != nil && v.process != nil {
-		s.step(v, engine.Receive{Message: raw})
+	if v := s.vm(to); v != nil {
+		s.input(v, v.starts, engine.Receive{Message: raw})
+	}
+}
+
+// input passes an input to a process once it runs; it is lost if the process ends before.
+func (s *sim) input(v *vm, start int, in engine.Input) {
+	switch wait := v.resumes.Sub(s.now); {
+	case v.process == nil || v.starts != start:
+	case wait > 0:
+		s.after(wait, func() { s.input(v, start, in) })
+	default:
+		s.step(v, in)
 	}
 }
 
@@ -276,7 +324,7 @@
 	}
 	s.tokens++
 	s.calls[call{v.name, v.starts, s.tokens}] = done
-	s.step(v, input(s.tokens))
+	s.input(v, v.starts, input(s.tokens))
 	return true
 }
 
--- a/core/state/disk/fake.go
+++ b/core/state/disk/fake.go
@@ -54,6 +54,16 @@
 	*d = *NewFake(d.rand)
 }
 
+// Durable returns a file system with only what every crash keeps.
+func (d *Fake) Durable() *Fake {
+	kept := NewFake(d.rand)
+	for path, n := range d.durable {
+		c := &inode{data: slices.Clone(n.synced), synced: slices.Clone(n.synced)}
+		kept.names[path], kept.durable[path] = c, c
+	}
+	return kept
+}
+
 // Kill ends the process that used the disk; the system keeps what it wrote.
 func (d *Fake) Kill() {
 	d.locked = map[string]bool{}
