Run the consensus engine in the control group

Cause: the group synced a plain log for a single member only. Change: coordination/group runs the engine in one goroutine; waiting proposals, reads and messages share one sync. Propose forwards to the leader through Config.Forward and waits while no leader is known; Serve answers forwarded commands; Done and Failed report a member that stopped. View is not current when the goroutine hangs in the disk. A data folder that never voted may start as joining: a refused wiped voter left such a folder, and its restart with join waited for the founders for ever.

--- a/control/coordination/group/config.go
+++ b/control/coordination/group/config.go
@@ -2,9 +2,15 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
+	"github.com/samber/lo"
+
+	"pollenhill.example/core/coordination/engine"
+	"pollenhill.example/core/coordination/raft"
+	"pollenhill.example/core/state/disk"
 	"pollenhill.example/core/state/replica"
 )
 
@@ -12,7 +18,7 @@
 type Config struct {
 	Name    string // name of this control process, one of Peers
 	Data    string // folder of the log and the snapshots
-	Peers   []Peer // founding voters, this process included
+	Peers   []Peer // founding voters, this process included; with Join the members to ask
 	Join    bool   // start as a learner of an existing group
 	Replica replica.Config
 
@@ -22,7 +28,11 @@
 	// Send passes encoded messages to a member by name; it must not block, and it may lose them.
 	Send func(to string, messages [][]byte)
 	// Forward proposes an encoded command at the leader, where Serve answers it; nil: Propose returns NotLeader.
+	// It returns a NotLeader error only if the other member did; after any other error the outcome is unknown.
 	Forward func(ctx context.Context, to string, command []byte) (result []byte, err error)
+
+	FS  disk.FS          // nil: disk.Real
+	Now func() time.Time // nil: time.Now
 }
 
 // Peer is a control process.
@@ -43,3 +53,34 @@
 	Voters   []string // names
 	Learners []string // names
 }
+
+func (c Config) withDefaults() Config {
+	if c.Election == 0 {
+		c.Election = raft.DefaultElection
+	}
+	if c.Heartbeat == 0 {
+		c.Heartbeat = raft.DefaultHeartbeat
+	}
+	if c.FS == nil {
+		c.FS = disk.Real{}
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Send == nil {
+		c.Send = func(string, [][]byte) {}
+	}
+	return c
+}
+
+func (g *Group) engineConfig() engine.Config {
+	c := g.cfg
+	return engine.Config{
+		Name: c.Name, FS: c.FS, Dir: c.Data, Join: c.Join, Replica: c.Replica,
+		Election: c.Election, Heartbeat: c.Heartbeat, Send: c.Send, Guard: &g.mu,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Peers: lo.Map(c.Peers, func(p Peer, _ int) engine.Peer {
+			return engine.Peer{Name: p.Name, Address: p.Address.String(), Region: p.Region}
+		}),
+	}
+}
--- a/control/coordination/group/group.go
+++ b/control/coordination/group/group.go
@@ -2,103 +2,113 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"hash/crc32"
-	"os"
-	"path/filepath"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 
+	"pollenhill.example/core/coordination/engine"
 	"pollenhill.example/core/state/replica"
 )
 
+const (
+	inboxSize = 1024 // messages waiting; further ones are dropped, and the sender repeats them
+	queueSize = 1024 // proposals and reads waiting; further callers wait
+	maxBatch  = 512  // inputs per sync of the log
+)
+
+// ticksPerBeat is how often the clock is looked at between two heartbeats.
+const ticksPerBeat = 5
+
 // Group is one member of the control group, safe for concurrent use.
 type Group struct {
 	cfg     Config
-	mu      sync.RWMutex
-	replica *replica.Replica
-	index   uint64
-	changed chan struct{}
-	file    *os.File
-	failed  error
+	engine  *engine.Engine // used by the goroutine of run only, except for its replica under mu
+	mu      sync.RWMutex   // guards the replica
+	view    atomic.Pointer[published]
+	changed atomic.Pointer[chan struct{}]
+	inbox   chan []byte
+	queue   chan *request
+	quit    chan struct{}
+	stopped chan struct{}
+	close   sync.Once
+	failed  error // set before stopped is closed
 }
 
-// Open reads the log in the data folder and starts the member.
+// published is the View at a time; it goes stale when the goroutine hangs in the disk.
+type published struct {
+	view View
+	at   time.Time
+}
+
+// Open reads the data folder and starts the member.
 func Open(cfg Config) (*Group, error) {
-	if len(cfg.Peers) > 1 || cfg.Join {
-		return nil, errors.New("open group: more than one member is not implemented yet")
-	}
-	if err := os.MkdirAll(cfg.Data, 0o700); err != nil {
-		return nil, errors.Wrap(err, "open group")
+	g := &Group{
+		cfg: cfg.withDefaults(), inbox: make(chan []byte, inboxSize), queue: make(chan *request, queueSize),
+		quit: make(chan struct{}), stopped: make(chan struct{}),
 	}
-	path := filepath.Join(cfg.Data, "single.log")
-	g := &Group{cfg: cfg, replica: replica.New(cfg.Replica), changed: make(chan struct{})}
-	if err := g.replay(path); err != nil {
-		return nil, err
-	}
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	g.changed.Store(lo.ToPtr(make(chan struct{})))
+	now := g.cfg.Now()
+	e, err := engine.Open(g.engineConfig(), now)
 	if err != nil {
-		return nil, errors.Wrap(err, "open group")
+		return nil, errors.Wrap(err, "open control group")
 	}
-	g.file = file
+	g.engine = e
+	e.Step(now, engine.Tick{}) // a single member leads from here on
+	g.publish()
+	go g.run()
 	return g, nil
 }
 
-func (g *Group) replay(path string) error {
-	raw, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
-	}
-	if err != nil {
-		return errors.Wrap(err, "read log")
+// Propose commits a command and returns its result. A follower forwards it to the leader; without a known leader
+// it waits for one until the context ends.
+func (g *Group) Propose(ctx context.Context, cmd replica.Command) (replica.Result, error) {
+	if cmd.Time.IsZero() {
+		cmd.Time = g.cfg.Now()
 	}
-	for len(raw) >= 8 {
-		size := binary.LittleEndian.Uint32(raw)
-		if uint64(len(raw)) < 8+uint64(size) {
-			return errors.Newf("read log: entry %d is cut off", g.index+1)
+	for {
+		res, err := g.propose(ctx, cmd)
+		var redirect *NotLeader
+		if !errors.As(err, &redirect) || g.cfg.Forward == nil {
+			return res, err
 		}
-		body := raw[8 : 8+size]
-		if crc32.ChecksumIEEE(body) != binary.LittleEndian.Uint32(raw[4:]) {
-			return errors.Newf("read log: entry %d has a wrong checksum", g.index+1)
+		if err := g.pause(ctx); err != nil {
+			return replica.Result{}, errors.CombineErrors(redirect, err)
 		}
-		cmd, err := replica.DecodeCommand(body)
-		if err != nil {
-			return err
-		}
-		g.index++
-		g.replica.Apply(g.index, cmd)
-		raw = raw[8+size:]
 	}
-	return nil
 }
 
-// Propose commits a command and returns its result; on a follower it forwards to the leader.
-func (g *Group) Propose(ctx context.Context, cmd replica.Command) (replica.Result, error) {
-	if err := ctx.Err(); err != nil {
-		return replica.Result{}, err
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.failed != nil {
-		return replica.Result{}, g.failed
+// propose tries once, here or at the leader.
+func (g *Group) propose(ctx context.Context, cmd replica.Command) (replica.Result, error) {
+	res, err := g.ask(ctx, engine.Propose{Command: cmd})
+	var redirect *NotLeader
+	if !errors.As(err, &redirect) || redirect.Leader == "" || redirect.Leader == g.cfg.Name || g.cfg.Forward == nil {
+		return res, err
 	}
-	body := cmd.Encode()
-	frame := binary.LittleEndian.AppendUint32(nil, uint32(len(body)))
-	frame = binary.LittleEndian.AppendUint32(frame, crc32.ChecksumIEEE(body))
-	_, err := g.file.Write(append(frame, body...))
-	if err == nil {
-		err = g.file.Sync()
+	raw, err := g.cfg.Forward(ctx, redirect.Leader, cmd.Encode())
+	switch {
+	case errors.As(err, &redirect):
+		return replica.Result{}, err
+	case err != nil:
+		return replica.Result{}, errors.Mark(errors.Wrapf(err, "forward to %s", redirect.Leader), ErrUnknown)
 	}
-	if err != nil {
-		g.failed = errors.Wrap(err, "write log")
-		return replica.Result{}, g.failed
+	return replica.DecodeResult(raw)
+}
+
+// pause waits a heartbeat for a leader to be known.
+func (g *Group) pause(ctx context.Context) error {
+	timer := time.NewTimer(g.cfg.Heartbeat)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-g.stopped:
+		return g.failed
 	}
-	g.index++
-	res := g.replica.Apply(g.index, cmd)
-	close(g.changed)
-	g.changed = make(chan struct{})
-	return res, nil
 }
 
 // Serve answers a command that another member forwarded; it never forwards again.
@@ -107,60 +117,79 @@
 	if err != nil {
 		return nil, err
 	}
-	res, err := g.Propose(ctx, cmd)
+	res, err := g.ask(ctx, engine.Propose{Command: cmd})
 	if err != nil {
 		return nil, err
 	}
 	return res.Encode(), nil
 }
 
-// Barrier returns once this member has applied every command that was committed before the call.
+// Barrier returns once this member has applied every command that was committed before the call; it repeats the
+// question to the leader until the context ends.
 func (g *Group) Barrier(ctx context.Context) error {
-	g.mu.RLock()
-	defer g.mu.RUnlock()
-	return errors.CombineErrors(ctx.Err(), g.failed)
+	for {
+		try, cancel := context.WithTimeout(ctx, g.cfg.Election)
+		_, err := g.ask(try, engine.Read{})
+		cancel()
+		if err == nil || ctx.Err() != nil || errors.Is(err, ErrClosed) || g.Failed() != nil {
+			return err
+		}
+		if err := g.pause(ctx); err != nil {
+			return err
+		}
+	}
 }
 
 // Receive takes messages that another member passed to Send.
-func (g *Group) Receive(_ [][]byte) {}
+func (g *Group) Receive(messages [][]byte) {
+	for _, raw := range messages {
+		select {
+		case g.inbox <- raw:
+		default:
+			return
+		}
+	}
+}
 
 // View returns the consensus state.
 func (g *Group) View() View {
-	g.mu.RLock()
-	defer g.mu.RUnlock()
-	return View{
-		ID: g.cfg.Name, Leader: g.cfg.Name, Term: 1, Commit: g.index, Applied: g.index,
-		Current: g.failed == nil, Voters: []string{g.cfg.Name},
+	p := g.view.Load()
+	view := p.view
+	if g.Failed() != nil || g.cfg.Now().Sub(p.at) >= g.cfg.Election {
+		view.Current = false
 	}
+	return view
 }
 
 // Read calls f with the replica; f must not change or keep it.
 func (g *Group) Read(f func(*replica.Replica)) {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
-	f(g.replica)
+	f(g.engine.Replica())
 }
 
-// Changed returns a channel that is closed when the next command is applied.
-func (g *Group) Changed() <-chan struct{} {
-	g.mu.RLock()
-	defer g.mu.RUnlock()
-	return g.changed
-}
+// Changed returns a channel that is closed when the next entry is applied.
+func (g *Group) Changed() <-chan struct{} { return *g.changed.Load() }
+
+// Done returns a channel that is closed when the member has stopped; Failed tells why.
+func (g *Group) Done() <-chan struct{} { return g.stopped }
 
 // Failed returns the error that stopped the member, or nil; a stopped member serves nothing more.
 func (g *Group) Failed() error {
-	g.mu.RLock()
-	defer g.mu.RUnlock()
-	return g.failed
+	select {
+	case <-g.stopped:
+		return g.failed
+	default:
+		return nil
+	}
 }
 
 // Close stops the member.
 func (g *Group) Close() error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.failed == nil {
-		g.failed = ErrClosed
+	g.close.Do(func() { close(g.quit) })
+	<-g.stopped
+	if errors.Is(g.failed, ErrClosed) {
+		return nil
 	}
-	return errors.Wrap(g.file.Close(), "close log")
+	return g.failed
 }
--- /dev/null
+++ b/control/coordination/group/run.go
@@ -0,0 +1,137 @@
+package group
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"pollenhill.example/core/coordination/engine"
+	"pollenhill.example/core/state/replica"
+)
+
+// request is a proposal or a read on its way to the goroutine that owns the engine.
+type request struct {
+	ctx   context.Context
+	input engine.Input
+	reply chan engine.Outcome // room for one
+}
+
+// ask hands an input to the goroutine and waits for its outcome.
+func (g *Group) ask(ctx context.Context, input engine.Input) (replica.Result, error) {
+	r := &request{ctx: ctx, input: input, reply: make(chan engine.Outcome, 1)}
+	select {
+	case g.queue <- r:
+	case <-ctx.Done():
+		return replica.Result{}, ctx.Err()
+	case <-g.stopped:
+		return replica.Result{}, g.failed
+	}
+	select {
+	case o := <-r.reply:
+		return o.Result, o.Err
+	case <-ctx.Done():
+		return replica.Result{}, errors.Mark(ctx.Err(), ErrUnknown)
+	case <-g.stopped:
+		return replica.Result{}, errors.Mark(g.failed, ErrUnknown)
+	}
+}
+
+// loop is the state of the goroutine that owns the engine.
+type loop struct {
+	g       *Group
+	token   uint64
+	waiting map[uint64]*request
+	inputs  []engine.Input
+	applied uint64
+}
+
+func (g *Group) run() {
+	ticker := time.NewTicker(g.cfg.Heartbeat / ticksPerBeat)
+	defer ticker.Stop()
+	l := &loop{g: g, waiting: map[uint64]*request{}, applied: g.engine.Replica().Applied()}
+	err := g.engine.Err()
+	for err == nil {
+		select {
+		case <-g.quit:
+			err = ErrClosed
+		case <-ticker.C:
+			l.tick()
+			err = l.step()
+		case r := <-g.queue:
+			l.add(r)
+			err = l.step()
+		case raw := <-g.inbox:
+			l.inputs = append(l.inputs, engine.Receive{Message: raw})
+			err = l.step()
+		}
+	}
+	g.failed = errors.CombineErrors(err, g.engine.Close())
+	close(g.stopped)
+}
+
+// tick lets time pass and forgets the requests that nobody waits for.
+func (l *loop) tick() {
+	l.inputs = append(l.inputs, engine.Tick{})
+	for token, r := range l.waiting {
+		if r.ctx.Err() != nil {
+			delete(l.waiting, token)
+		}
+	}
+}
+
+func (l *loop) add(r *request) {
+	l.token++
+	l.waiting[l.token] = r
+	switch in := r.input.(type) {
+	case engine.Propose:
+		in.Token = l.token
+		l.inputs = append(l.inputs, in)
+	case engine.Read:
+		in.Token = l.token
+		l.inputs = append(l.inputs, in)
+	}
+}
+
+// step takes along what else is waiting, so that it shares one sync, and passes on the outcomes.
+func (l *loop) step() error {
+	l.drain()
+	outcomes := l.g.engine.Step(l.g.cfg.Now(), l.inputs...)
+	l.inputs = nil
+	l.g.publish()
+	if applied := l.g.engine.Replica().Applied(); applied != l.applied {
+		l.applied = applied
+		close(*l.g.changed.Swap(lo.ToPtr(make(chan struct{}))))
+	}
+	for _, o := range outcomes {
+		if r := l.waiting[o.Token]; r != nil {
+			delete(l.waiting, o.Token)
+			r.reply <- o
+		}
+	}
+	return l.g.engine.Err()
+}
+
+func (l *loop) drain() {
+	for len(l.inputs) < maxBatch {
+		select {
+		case r := <-l.g.queue:
+			l.add(r)
+		case raw := <-l.g.inbox:
+			l.inputs = append(l.inputs, engine.Receive{Message: raw})
+		default:
+			return
+		}
+	}
+}
+
+func (g *Group) publish() {
+	now := g.cfg.Now()
+	v := g.engine.View(now)
+	name := func(id string, _ int) string { return engine.NameOf(id) }
+	g.view.Store(&published{at: now, view: View{
+		ID: g.engine.ID(), Leader: engine.NameOf(v.Leader), Term: v.Term, Commit: v.Commit, Applied: v.Applied,
+		Current: v.Current, Voters: lo.Map(v.Members.Voters, name), Learners: lo.Map(v.Members.Learners, name),
+	}})
+}
--- a/core/coordination/engine/engine.go
+++ b/core/coordination/engine/engine.go
@@ -138,6 +138,10 @@
 	if e.identity.founded() {
 		return e.startModel(now)
 	}
+	if e.cfg.Join {
+		e.identity.joined = true // the folder has never voted
+		return e.start(now)
+	}
 	e.founding = newFounding(e.cfg.Name, e.identity.id)
 	return e.tryFound(now)
 }
