--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/semaphore"
 
 	"pollenhill.example/core/coordination/choice"
@@ -92,6 +93,7 @@
 	})
 	// Not Use: fiber runs its Use handlers for requests that it could not parse, too.
 	s.app.All("/*", s.handle)
+	s.app.Server().ExpectHandler = s.expect
 	return s
 }
 
@@ -104,6 +106,15 @@
 	return nil
 }
 
+// expect refuses a body that is too large before the caller sends it.
+func (s *Server) expect(rc *fasthttp.RequestCtx) int {
+	if rc.Request.Header.ContentLength() <= s.cfg.Body {
+		return fasthttp.StatusContinue
+	}
+	s.in.Reject(rc, refusal.Large)
+	return rc.Response.StatusCode()
+}
+
 // malformed answers requests that fasthttp or fiber could not read.
 func (s *Server) malformed(c fiber.Ctx, err error) error {
 	reason := refusal.Malformed
