--- a/node/program/fault_test.go
+++ b/node/program/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -89,6 +90,7 @@
 
 // late waits until the node gives up.
 func late(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // net/http watches the connection only after that
 	select {
 	case <-r.Context().Done():
 	case <-time.After(10 * time.Second):
