--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -77,7 +77,7 @@
 			done(result)
 		}()
 		return reply
-	case reply.Body == nil:
+	case reply.Body == nil || reply.Whole:
 		done(result)
 		return reply
 	}
@@ -110,6 +110,9 @@
 	if resp.Length != 0 {
 		reply.Body = resp.Body
 	}
+	if err := reply.Absorb(); err != nil {
+		return b.broken(ctx, a, err)
+	}
 	message.ReadOutcome(reply, a.Depth)
 	message.Strip(&reply.Header)
 	if reply.Outcome != attempt.Answered {
