Balance by load before speed and queue by deadline

The latency step fired on ordinary variance, a moment of slowness kept a back end without work and so without a newer report for 5 s, noise of mean service times outranked free slots, and two thirds of the queue were held back from low priority. Change: the latency step is a cumulative sum; reported speed fades in 250 ms and counts only above 1.5 times the peers; the queue is ordered by deadline and priority decides who leaves when it is full; hedges go only to back ends with free slots; a report that the own latency contradicts is not believed.

--- a/core/coordination/admission/msg.go
+++ b/core/coordination/admission/msg.go
@@ -59,13 +59,6 @@
 	return l
 }
 
-// room is the length of the queue that attempts of the level may fill: a third for low, two thirds
-// for normal, all of it for high.
-func (l Limits) room(level rule.Level) int {
-	levels := int(rule.High) + 1
-	return (l.Queue*(int(level)+1) + levels - 1) / levels
-}
-
 // Tick lets time pass: expired attempts leave the queue.
 type Tick struct{}
 
--- a/core/coordination/admission/queue.go
+++ b/core/coordination/admission/queue.go
@@ -7,14 +7,16 @@
 	"pollenhill.example/core/state/rule"
 )
 
-// queue holds waiting attempts, most urgent first: by priority, then by deadline.
+// queue holds waiting attempts, most urgent first: by deadline, then by priority. Priority decides who
+// leaves a full queue; starting by priority first would add the waits of short bursts to low priority
+// alone and so lengthen the tail of all.
 type queue []Arrive
 
 func order(a, b Arrive) int {
-	if c := cmp.Compare(b.Priority, a.Priority); c != 0 {
+	if c := a.Deadline.Compare(b.Deadline); c != 0 {
 		return c
 	}
-	return a.Deadline.Compare(b.Deadline)
+	return cmp.Compare(b.Priority, a.Priority)
 }
 
 // ahead counts the waiting attempts that start before a.
@@ -50,12 +52,18 @@
 	return out
 }
 
-// evict takes out the least urgent attempt if its priority is below level.
+// evict takes out an attempt of the lowest priority, if it is below level: the one with most time left.
 func (q *queue) evict(level rule.Level) (Arrive, bool) {
-	if len(*q) == 0 || (*q)[len(*q)-1].Priority >= level {
+	victim := -1
+	for i, a := range *q {
+		if a.Priority < level && (victim < 0 || a.Priority <= (*q)[victim].Priority) {
+			victim = i
+		}
+	}
+	if victim < 0 {
 		return Arrive{}, false
 	}
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last, true
+	out := (*q)[victim]
+	*q = slices.Delete(*q, victim, victim+1)
+	return out, true
 }
--- a/core/coordination/admission/window.go
+++ b/core/coordination/admission/window.go
@@ -6,21 +6,33 @@
 )
 
 const (
-	samples     = 32  // latencies kept for the estimates
-	recent      = 8   // completions that decide on a latency step or failures
-	stepFactor  = 3   // recent median over baseline that counts as turned cold
-	warmFactor  = 1.5 // recent median over baseline that counts as warm again
-	failures    = 3   // failures among the recent completions that count as turned cold
-	badChecks   = 2   // failed checks in a row that count as turned cold
-	shedFactor  = 0.7 // decrease after the back end sheds
-	slowFactor  = 2.0 // recent median over baseline that lowers the window
-	slowStep    = 0.9
-	slowFloor   = 0.5 // share of the slots that latency alone never takes away
-	baseWeight  = 1.0 / 64
-	chillWeight = 1.0 / 16 // while held cold, a lasting change of latency becomes the new baseline
-	firstHold   = 500 * time.Millisecond
-	longestHold = 30 * time.Second
-	calm        = time.Minute // without a cold sign, the hold starts again from firstHold
+	samples    = 32   // latencies kept for the estimates
+	recent     = 8    // results that decide on failures
+	settled    = 16   // good completions before the baseline is known or a hold can end
+	failures   = 3    // failures among the recent results that count as turned cold
+	badChecks  = 2    // failed checks in a row that count as turned cold
+	warmFactor = 1.75 // mean of the settled completions over the baseline that counts as warm again
+	shedFactor = 0.7  // decrease after the back end sheds
+	slowFactor = 2.0  // mean over the baseline that lowers the window
+	slowStep   = 0.9
+	slowFloor  = 0.5 // share of the slots that latency alone never takes away
+	baseWeight = 1.0 / 256
+	firstHold  = 500 * time.Millisecond
+	maxHold    = 30 * time.Second
+	calm       = time.Minute // without a cold sign, the hold starts again from firstHold
+	// relearn is the time at the cold cap after which a lasting change of latency becomes the new
+	// baseline: longer than a cold start, or a cold back end would count as warm.
+	relearn       = 10 * time.Second
+	relearnWeight = 1.0 / 16
+)
+
+// The latency step is found by a cumulative sum of latency over baseline: each completion adds its
+// ratio less stepSlack. A noisy neighbour that halves the speed stays below stepSlack; a back end at
+// a quarter of its speed reaches stepLimit after about 16 completions.
+const (
+	stepSlack = 3.0
+	stepLimit = 16.0
+	stepMost  = 8.0 // one completion counts at most this much, so that two long ones are no step
 )
 
 // window is the adaptive cap of a ready back end. It starts at the cold cap, gains one for each
@@ -33,10 +45,12 @@
 	base     time.Duration   // usual service time, zero while unknown
 	bad      int             // failed checks in a row
 	chilled  bool            // held at the cold cap
+	since    time.Time       // start of the hold
 	until    time.Time       // earliest end of the hold
 	hold     time.Duration
 	last     time.Time // last cold sign
-	progress int       // good completions since the last growth or step
+	progress int       // good completions since the last change of the window
+	step     float64   // cumulative sum
 }
 
 func newWindow(limits Limits) window {
@@ -56,13 +70,14 @@
 	w.results = nil
 	w.progress = 0
 	w.bad = 0
+	w.step = 0
 	w.chilled = false
 }
 
 // chill holds the back end at the cold cap; repeated signs hold it longer.
 func (w *window) chill(now time.Time) {
 	if !w.chilled && now.Sub(w.last) < calm && !w.last.IsZero() {
-		w.hold = min(2*w.hold, longestHold)
+		w.hold = min(2*w.hold, maxHold)
 	}
 	if now.Sub(w.last) >= calm {
 		w.hold = firstHold
@@ -70,6 +85,7 @@
 	w.restart()
 	w.chilled = true
 	w.last = now
+	w.since = now
 	w.until = now.Add(w.hold)
 }
 
@@ -113,48 +129,63 @@
 		w.thaw(now)
 		return
 	}
-	if w.progress >= recent && w.over(stepFactor) {
+	if w.stepped() {
 		w.chill(now)
 		return
 	}
 	w.learn(baseWeight)
-	if w.progress < max(w.cap(), recent/2) {
+	if w.progress < w.cap() {
 		return
 	}
-	w.progress = 0
 	floor := slowFloor * float64(w.limits.Slots)
 	switch {
-	case w.over(slowFactor) && w.size > floor:
+	case w.progress >= settled && w.size > floor && w.over(slowFactor, samples):
 		w.size = max(floor, w.size*slowStep)
 	case busy >= w.cap()-1 && w.size < float64(w.limits.Slots):
 		w.size++
+	default:
+		return
+	}
+	w.progress = 0
+}
+
+// stepped adds the last latency to the cumulative sum.
+func (w *window) stepped() bool {
+	if w.base == 0 {
+		return false
 	}
+	ratio := float64(w.latency[len(w.latency)-1]) / float64(w.base)
+	w.step = max(0, w.step+min(ratio, stepMost)-stepSlack)
+	return w.step >= stepLimit
 }
 
 // thaw ends the hold once enough work has completed at the usual speed.
 func (w *window) thaw(now time.Time) {
-	w.learn(chillWeight)
-	if now.Before(w.until) || w.progress < recent || w.failed() > 0 || w.over(warmFactor) {
+	if now.Sub(w.since) >= relearn {
+		w.learn(relearnWeight)
+	}
+	if now.Before(w.until) || w.progress < settled || w.failed() > 0 || w.over(warmFactor, settled) {
 		return
 	}
 	w.chilled = false
 	w.progress = 0
 }
 
-// learn moves the baseline towards the recent median.
+// learn moves the baseline towards the last latency.
 func (w *window) learn(weight float64) {
-	now := median(w.tail())
 	if w.base == 0 {
-		if len(w.latency) >= recent {
-			w.base = now
+		if len(w.latency) >= settled {
+			w.base = w.mean()
 		}
 		return
 	}
-	w.base += time.Duration(weight * float64(now-w.base))
+	last := w.latency[len(w.latency)-1]
+	w.base += time.Duration(weight * float64(last-w.base))
 }
 
-func (w *window) over(factor float64) bool {
-	return w.base > 0 && float64(median(w.tail())) > factor*float64(w.base)
+// over says whether the mean of the last n latencies exceeds the baseline by the factor.
+func (w *window) over(factor float64, n int) bool {
+	return w.base > 0 && float64(mean(w.latency[max(0, len(w.latency)-n):])) > factor*float64(w.base)
 }
 
 func (w *window) failed() int {
@@ -167,10 +198,6 @@
 	return n
 }
 
-func (w *window) tail() []time.Duration {
-	return w.latency[max(0, len(w.latency)-recent):]
-}
-
 func (w *window) sample(d time.Duration) {
 	w.latency = keep(w.latency, d, samples)
 }
@@ -180,14 +207,18 @@
 }
 
 func (w *window) mean() time.Duration {
-	if len(w.latency) == 0 {
+	return mean(w.latency)
+}
+
+func mean(ds []time.Duration) time.Duration {
+	if len(ds) == 0 {
 		return 0
 	}
 	var sum time.Duration
-	for _, d := range w.latency {
+	for _, d := range ds {
 		sum += d
 	}
-	return sum / time.Duration(len(w.latency))
+	return sum / time.Duration(len(ds))
 }
 
 func median(ds []time.Duration) time.Duration {
--- a/core/coordination/choice/load.go
+++ b/core/coordination/choice/load.go
@@ -10,13 +10,20 @@
 )
 
 const (
-	turnover    = 10 * time.Millisecond // service time assumed before the first hint
-	speedMemory = 5 * time.Second       // a report of speed fades towards the peers in this time
-	limitMemory = time.Second           // a report of a limit fades towards the slots in this time
+	turnover = 10 * time.Millisecond // service time assumed before the first hint
+	// A report of speed fades towards the peers in this time: longer would keep a back end that was slow
+	// for a moment without work and so without a newer report. Lasting slowness is left to outlier.
+	speedMemory = 250 * time.Millisecond
+	// Reported service times that differ less than this from the peers count as equal: they are means
+	// of few requests, and following their noise unbalances the load.
+	sameSpeed   = 1.5
+	limitMemory = time.Second // a report of a limit fades towards the slots in this time
 	ownWeight   = 0.1
 	ownSamples  = 8
-	ownTrust    = 0.5 // share of the latency seen here below which a report is not believed
-	useWeight   = 0.02
+	// A report of less than this share of the latency seen here is not believed: a full queue at the
+	// destination explains a latency of three service times, not of more.
+	ownTrust  = 0.25
+	useWeight = 0.02
 )
 
 // load is what the entry node knows of one back end.
@@ -89,21 +96,23 @@
 	if l.at.IsZero() {
 		return guess{load: s.use*limit + float64(l.inflight), limit: limit, speed: speed, doubt: 1}
 	}
+	if l.lies() {
+		return guess{load: s.use*limit + float64(l.inflight), limit: limit, speed: max(speed, l.own/sameSpeed), doubt: 1}
+	}
 	age := now.Sub(l.at)
 	fresh := math.Exp(-age.Seconds() / speed)
 	lasting := math.Exp(-age.Seconds() / limitMemory.Seconds())
 	limit += lasting * (float64(l.hint.Limit) - limit)
 	others := s.use*limit + fresh*(l.others-s.use*limit)
-	speed += math.Exp(-age.Seconds()/speedMemory.Seconds()) * (l.speed() - speed)
+	if slow := l.hint.Latency.Seconds() / sameSpeed; slow > speed {
+		speed += math.Exp(-age.Seconds()/speedMemory.Seconds()) * (slow - speed)
+	}
 	return guess{load: others + float64(l.inflight), limit: limit, speed: speed, doubt: 1 - fresh}
 }
 
-// speed is the reported service time unless the latency seen here contradicts it.
-func (l *load) speed() float64 {
-	if l.samples < ownSamples {
-		return l.hint.Latency.Seconds()
-	}
-	return max(l.hint.Latency.Seconds(), ownTrust*l.own)
+// lies says that the report cannot be true for the latency seen here.
+func (l *load) lies() bool {
+	return l.samples >= ownSamples && l.hint.Latency.Seconds() < ownTrust*l.own
 }
 
 func slots(t Target, rules rule.Service) float64 {
--- a/core/coordination/choice/msg.go
+++ b/core/coordination/choice/msg.go
@@ -58,4 +58,5 @@
 type Query struct {
 	Service string
 	Avoid   []string // back ends already tried
+	Spare   bool     // only back ends with free slots, as for a hedge
 }
