Repeat a forwarded proposal when the leader does not answer

Cause: with the leader frozen, a change was in force after 2.3 s, not within 1 s: the control process with the edited file had forwarded it to the frozen leader and waited for the connection's ping timeout. Change: forwarding is given up after an election timeout and repeated, which is safe for changes and claims; heartbeat 200 ms, node failover 0.7 s, election timeout 400 to 800 ms, so that their sum stays inside the target.

--- a/control/coordination/group/config.go
+++ b/control/coordination/group/config.go
@@ -22,7 +22,7 @@
 	Join    bool   // start as a learner of an existing group
 	Replica replica.Config
 
-	Election  time.Duration // shortest election timeout, 0: 500 ms; timeouts are drawn up to twice as long
+	Election  time.Duration // shortest election timeout, 0: 400 ms; timeouts are drawn up to twice as long
 	Heartbeat time.Duration // 0: 100 ms
 
 	// Send passes encoded messages to a member by name; it must not block, and it may lose them.
--- a/control/coordination/group/group.go
+++ b/control/coordination/group/group.go
@@ -63,23 +63,31 @@
 }
 
 // Propose commits a command and returns its result. A follower forwards it to the leader; without a known leader
-// it waits for one until the context ends.
+// it waits for one until the context ends. A leader that does not answer is asked again, or its successor is.
 func (g *Group) Propose(ctx context.Context, cmd replica.Command) (replica.Result, error) {
 	if cmd.Time.IsZero() {
 		cmd.Time = g.cfg.Now()
 	}
 	for {
 		res, err := g.propose(ctx, cmd)
-		var redirect *NotLeader
-		if !errors.As(err, &redirect) || g.cfg.Forward == nil {
+		if !g.repeat(ctx, cmd, err) {
 			return res, err
 		}
-		if err := g.pause(ctx); err != nil {
-			return replica.Result{}, errors.CombineErrors(redirect, err)
+		if stopped := g.pause(ctx); stopped != nil {
+			return replica.Result{}, errors.CombineErrors(err, stopped)
 		}
 	}
 }
 
+// repeat tells whether a failed proposal is worth another try: it was not proposed, or proposing it twice does no harm.
+func (g *Group) repeat(ctx context.Context, cmd replica.Command, err error) bool {
+	var redirect *NotLeader
+	if errors.As(err, &redirect) {
+		return g.cfg.Forward != nil
+	}
+	return errors.Is(err, ErrUnknown) && cmd.Repeatable() && ctx.Err() == nil && g.Failed() == nil
+}
+
 // propose tries once, here or at the leader.
 func (g *Group) propose(ctx context.Context, cmd replica.Command) (replica.Result, error) {
 	res, err := g.ask(ctx, engine.Propose{Command: cmd})
@@ -87,7 +95,10 @@
 	if !errors.As(err, &redirect) || redirect.Leader == "" || redirect.Leader == g.cfg.Name || g.cfg.Forward == nil {
 		return res, err
 	}
-	raw, err := g.cfg.Forward(ctx, redirect.Leader, cmd.Encode())
+	// A frozen leader takes the command and never answers; after an election timeout there may be another leader.
+	try, cancel := context.WithTimeout(ctx, g.cfg.Election)
+	defer cancel()
+	raw, err := g.cfg.Forward(try, redirect.Leader, cmd.Encode())
 	switch {
 	case errors.As(err, &redirect):
 		return replica.Result{}, err
--- a/control/transport/node/handler.go
+++ b/control/transport/node/handler.go
@@ -17,7 +17,7 @@
 
 // Times of the streams to nodes.
 const (
-	Beat   = 500 * time.Millisecond // heartbeat; a node leaves after three are missing
+	Beat   = 200 * time.Millisecond // heartbeat; a node leaves after three are missing
 	gather = 25 * time.Millisecond  // pause between deltas, so that a burst of changes makes few messages
 )
 
--- a/core/coordination/follow/model.go
+++ b/core/coordination/follow/model.go
@@ -9,13 +9,13 @@
 
 // Times of the failover decision.
 const (
-	Patience = 1500 * time.Millisecond // a silent or not current control process is left after this
-	window   = 100 * time.Millisecond  // wait for better answers after the first current one
-	giveUp   = time.Second             // a search ends without the missing answers after this
-	spread   = 100 * time.Millisecond  // start of searches, so that nodes do not all dial at once
-	maxDelay = 2 * time.Second         // longest pause between failed searches
-	recheck  = time.Second             // pause between searches while no control process is current
-	homeward = 30 * time.Second        // pause between searches for a current one in the own region
+	Patience = 700 * time.Millisecond // a silent or not current control process is left after this; a change must be in force within a second
+	window   = 100 * time.Millisecond // wait for better answers after the first current one
+	giveUp   = time.Second            // a search ends without the missing answers after this
+	spread   = 100 * time.Millisecond // start of searches, so that nodes do not all dial at once
+	maxDelay = 2 * time.Second        // longest pause between failed searches
+	recheck  = time.Second            // pause between searches while no control process is current
+	homeward = 30 * time.Second       // pause between searches for a current one in the own region
 )
 
 // Model is the failover decision of one node; it is not safe for concurrent use.
--- a/core/coordination/raft/model.go
+++ b/core/coordination/raft/model.go
@@ -8,9 +8,9 @@
 )
 
 // Defaults of Config. Within and between zones a message takes about 1 ms and a sync a few, so an election
-// timeout of 500 ms tolerates a long pause, and an election still ends well inside a second.
+// timeout of 400 ms tolerates a long pause, and an election still ends well inside a second.
 const (
-	DefaultElection  = 500 * time.Millisecond
+	DefaultElection  = 400 * time.Millisecond
 	DefaultHeartbeat = 100 * time.Millisecond
 	DefaultBatch     = 1 << 20   // bytes of entries per message
 	DefaultChunk     = 256 << 10 // bytes of a snapshot per message
--- a/core/state/replica/command.go
+++ b/core/state/replica/command.go
@@ -168,3 +168,14 @@
 	}
 	return time.UnixMilli(ms).UTC()
 }
+
+// Repeatable tells whether applying the command twice has the effect and the result of applying it once, apart
+// from claims and changes that came in between.
+func (c Command) Repeatable() bool {
+	switch c.Kind {
+	case Change, Claim, Finish, Release:
+		return true
+	case Join, Leave:
+	}
+	return false
+}
