Give up a try when the leader changes

Cause: a proposal at a silent leader waited for the end of its try, up to 800 ms, although the next leader was known. Change: a change of leader ends the try; the next one goes to the new leader.

--- a/control/coordination/group/group.go
+++ b/control/coordination/group/group.go
@@ -29,6 +29,7 @@
 	mu      sync.RWMutex   // guards the replica
 	view    atomic.Pointer[published]
 	changed atomic.Pointer[chan struct{}]
+	moved   atomic.Pointer[chan struct{}] // closed when the leader changes
 	inbox   chan []byte
 	queue   chan *request
 	quit    chan struct{}
@@ -50,6 +51,7 @@
 		quit: make(chan struct{}), stopped: make(chan struct{}),
 	}
 	g.changed.Store(lo.ToPtr(make(chan struct{})))
+	g.moved.Store(lo.ToPtr(make(chan struct{})))
 	now := g.cfg.Now()
 	e, err := engine.Open(g.engineConfig(), now)
 	if err != nil {
--- a/control/coordination/group/propose.go
+++ b/control/coordination/group/propose.go
@@ -52,7 +52,7 @@
 		return true
 	case errors.As(err, &redirect):
 		return g.cfg.Forward != nil
-	case errors.Is(err, ErrUnknown) || errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, ErrUnknown) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled):
 		return repeatable(cmd)
 	}
 	return false
@@ -68,6 +68,7 @@
 	if repeatable(cmd) {
 		limit, cancel := context.WithTimeout(ctx, firstTry*g.cfg.Heartbeat<<min(n, maxDoubled))
 		defer cancel()
+		go cancelOn(limit, cancel, *g.moved.Load())
 		ctx = limit
 	}
 	res, err := g.ask(ctx, engine.Propose{Command: cmd})
@@ -85,6 +86,15 @@
 	return replica.DecodeResult(raw)
 }
 
+// cancelOn gives up a try when the leader changes.
+func cancelOn(ctx context.Context, cancel context.CancelFunc, moved <-chan struct{}) {
+	select {
+	case <-moved:
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
 // pause waits a tick for a leader to be known.
 func (g *Group) pause(ctx context.Context) error {
 	timer := time.NewTimer(g.cfg.Heartbeat / ticksPerBeat)
--- a/control/coordination/group/run.go
+++ b/control/coordination/group/run.go
@@ -130,8 +130,11 @@
 	now := g.cfg.Now()
 	v := g.engine.View(now)
 	name := func(id string, _ int) string { return engine.NameOf(id) }
-	g.view.Store(&published{at: now, view: View{
+	old := g.view.Swap(&published{at: now, view: View{
 		ID: g.engine.ID(), Leader: engine.NameOf(v.Leader), Term: v.Term, Commit: v.Commit, Applied: v.Applied,
 		Current: v.Current, Voters: lo.Map(v.Members.Voters, name), Learners: lo.Map(v.Members.Learners, name),
 	}})
+	if old != nil && old.view.Leader != engine.NameOf(v.Leader) {
+		close(*g.moved.Swap(lo.ToPtr(make(chan struct{}))))
+	}
 }
