--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -121,8 +121,9 @@
 		leader = d.leader(leader)
 		select {
 		case <-changed:
+		case <-d.group.Done():
 		case <-time.After(time.Second):
-			// A failure or a new leader closes no channel.
+			// A new leader closes no channel.
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -161,3 +162,6 @@
 	}
 	return v.Leader
 }
+
+// View returns the consensus state of this process.
+func (d *Daemon) View() group.View { return d.group.View() }
