Find failure bursts by a cumulative sum and count needless refusals

Cause: three failures among eight results chill a back end with a few percent of ordinary errors; the tables did not tell refusals at a free slot from refusals without capacity.

--- a/core/coordination/admission/window.go
+++ b/core/coordination/admission/window.go
@@ -35,13 +35,23 @@
 	stepMost  = 8.0 // one completion counts at most this much, so that two long ones are no step
 )
 
+// A burst of failures is found in the same way: each result adds 1 if it failed, less failSlack and a
+// multiple of the usual share of failures. Three failures in a row reach failLimit; a few percent of
+// failing requests hardly ever do.
+const (
+	failSlack = 0.15
+	failUsual = 4.0
+	failLimit = 2.0
+)
+
 // window is the adaptive cap of a ready back end. It starts at the cold cap, gains one for each
 // window of completed requests, and returns to the cold cap on signs of a cold start.
 type window struct {
 	limits   Limits
 	size     float64
 	latency  []time.Duration // last good latencies, oldest first
-	results  []bool          // last results, true for a failure
+	fails    float64         // cumulative sum of failures
+	failing  float64         // usual share of failures
 	base     time.Duration   // usual service time, zero while unknown
 	bad      int             // failed checks in a row
 	chilled  bool            // held at the cold cap
@@ -67,7 +77,7 @@
 // restart begins again at the cold cap for a back end that is new or was away.
 func (w *window) restart() {
 	w.size = float64(w.limits.Cold)
-	w.results = nil
+	w.fails = 0
 	w.progress = 0
 	w.bad = 0
 	w.step = 0
@@ -113,8 +123,7 @@
 	case Good:
 		w.sample(msg.Latency)
 	}
-	w.results = keep(w.results, msg.Result != Good, recent)
-	if w.failed() >= failures {
+	if w.burst(msg.Result != Good) {
 		w.chill(now)
 		return
 	}
@@ -164,7 +173,7 @@
 	if now.Sub(w.since) >= relearn {
 		w.learn(relearnWeight)
 	}
-	if now.Before(w.until) || w.progress < settled || w.failed() > 0 || w.over(warmFactor, settled) {
+	if now.Before(w.until) || w.progress < settled || w.fails > 0 || w.over(warmFactor, settled) {
 		return
 	}
 	w.chilled = false
@@ -188,14 +197,18 @@
 	return w.base > 0 && float64(mean(w.latency[max(0, len(w.latency)-n):])) > factor*float64(w.base)
 }
 
-func (w *window) failed() int {
-	n := 0
-	for _, bad := range w.results {
-		if bad {
-			n++
-		}
+// burst adds one result to the cumulative sum of failures.
+func (w *window) burst(bad bool) bool {
+	x := 0.0
+	if bad {
+		x = 1
+	}
+	w.fails = max(0, w.fails+x-failUsual*w.failing-failSlack)
+	if w.fails >= failLimit {
+		return true
 	}
-	return n
+	w.failing += baseWeight * (x - w.failing)
+	return false
 }
 
 func (w *window) sample(d time.Duration) {
--- a/lab/model/command.go
+++ b/lab/model/command.go
@@ -18,6 +18,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: DefaultSeed, Usage: "seed of the random streams"},
 			&cli.StringFlag{Name: "out", Usage: "folder for policy.md and the plots; standard output without it"},
 			&cli.StringSliceFlag{Name: "table", Usage: "only the tables of these names"},
+			&cli.StringSliceFlag{Name: "service", Usage: "only the runs of these services"},
 			&cli.IntFlag{Name: "parallel", Value: 4, Usage: "runs at once"},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
@@ -25,6 +26,7 @@
 				Seed:     cmd.Uint64("seed"),
 				Out:      cmd.String("out"),
 				Tables:   cmd.StringSlice("table"),
+				Services: cmd.StringSlice("service"),
 				Parallel: cmd.Int("parallel"),
 			})
 		},
--- a/lab/model/fault.go
+++ b/lab/model/fault.go
@@ -25,6 +25,7 @@
 	Name  string
 	apply func(*world)
 	liar  bool
+	move  bool // a zone move
 }
 
 // Faults lists the schedules of the tables.
@@ -38,8 +39,8 @@
 		{Name: "fail fast", apply: failFast},
 		{Name: "lying reports", apply: straggler, liar: true},
 		{Name: "drain", apply: drain},
-		{Name: "zone out and back", apply: func(w *world) { zoneMove(w, false) }},
-		{Name: "zone back cold", apply: func(w *world) { zoneMove(w, true) }},
+		{Name: "zone out and back", apply: func(w *world) { zoneMove(w, false) }, move: true},
+		{Name: "zone back cold", apply: func(w *world) { zoneMove(w, true) }, move: true},
 		{Name: "second fault", apply: func(w *world) {
 			straggler(w)
 			w.at(second, w.backends[len(w.backends)-1].restart)
--- a/lab/model/result.go
+++ b/lab/model/result.go
@@ -14,6 +14,7 @@
 	Endings  [late + 1]int           // of calls offered after the warm-up
 	Broken   int                     // idempotent calls offered after the warm-up that failed or were late
 	Offered  int
+	Needless int // calls refused from the fault on while a back end in service had a free slot
 	Retries  int
 	Hedges   int
 	Levels   []Level
@@ -59,6 +60,9 @@
 	if c.idempotent && (o == failed || o == late) {
 		r.Broken++
 	}
+	if o == refused && !r.fault.IsZero() && !now.Before(r.fault) && c.w.free() {
+		r.Needless++
+	}
 	if o != answered {
 		return
 	}
--- a/lab/model/world.go
+++ b/lab/model/world.go
@@ -138,6 +138,16 @@
 
 func (w *world) destOf(name string) *dest { return w.byName[name] }
 
+// free says whether a back end in service has a free slot.
+func (w *world) free() bool {
+	for _, d := range w.dests {
+		if !d.b.refusing && !d.b.failfast && d.b.inflight < d.adm.View().Cap {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *world) announced(b *backend) {
 	w.dests[b.id].send(admission.Backend{State: b.state})
 	w.after(directory, w.publish)
