--- a/core/transport/tcp/exchange_test.go
+++ b/core/transport/tcp/exchange_test.go
@@ -112,7 +112,9 @@
 
 // Guards against a response that is taken for complete although it is not, and against a connection
 // that is used again although bytes of another response are on it.
-func TestExchangeReadsWholeResponsesOnly(t *testing.T) { transports(t, exchangeReadsWholeResponsesOnly) }
+func TestExchangeReadsWholeResponsesOnly(t *testing.T) {
+	transports(t, exchangeReadsWholeResponsesOnly)
+}
 
 func exchangeReadsWholeResponsesOnly(t *testing.T, source *mtls.Source) {
 	tests := map[string]struct {
@@ -189,7 +191,9 @@
 }
 
 // Guards against "not run" for a request of which the other side may have seen a byte.
-func TestErrorTellsWhetherAByteWasWritten(t *testing.T) { transports(t, errorTellsWhetherAByteWasWritten) }
+func TestErrorTellsWhetherAByteWasWritten(t *testing.T) {
+	transports(t, errorTellsWhetherAByteWasWritten)
+}
 
 func errorTellsWhetherAByteWasWritten(t *testing.T, source *mtls.Source) {
 	s := serve(t, source, func(int, int) (string, bool) { return "", false })
@@ -206,7 +210,9 @@
 }
 
 // Guards against writing a request to an idle connection that the other side has closed.
-func TestIdleConnectionIsCheckedBeforeUse(t *testing.T) { transports(t, idleConnectionIsCheckedBeforeUse) }
+func TestIdleConnectionIsCheckedBeforeUse(t *testing.T) {
+	transports(t, idleConnectionIsCheckedBeforeUse)
+}
 
 func idleConnectionIsCheckedBeforeUse(t *testing.T, source *mtls.Source) {
 	s := serve(t, source, func(conn, _ int) (string, bool) { return whole, conn > 1 })
@@ -226,7 +232,9 @@
 }
 
 // Guards against work that goes on at the other side after the attempt was given up.
-func TestCancellationClosesTheConnection(t *testing.T) { transports(t, cancellationClosesTheConnection) }
+func TestCancellationClosesTheConnection(t *testing.T) {
+	transports(t, cancellationClosesTheConnection)
+}
 
 func cancellationClosesTheConnection(t *testing.T, source *mtls.Source) {
 	got := make(chan struct{})
