Wait for the recorded answer of a keyed call before giving it up

Cause: about 3 of 100 keyed reservations were reported as unknown although their answer had arrived. The end of the body let the call be forgotten, and its fallback reply overtook the goroutine that was recording the answer. Ruled out: errors of the exchange with the back end, of the node-to-node exchange and of reading the body; none occurred in traced runs. Change: the fallback waits for the recording; the second question for a held key comes after 15 ms, doubling to 240 ms, instead of every 100 ms.

--- a/lab/demo/run.go
+++ b/lab/demo/run.go
@@ -42,6 +42,8 @@
 	notes   *ledger
 	mu      sync.Mutex
 	phase   string
+
+	failures []string // requests without a whole answer
 }
 
 // Config says where the demonstration runs and where it prints.
@@ -68,6 +70,9 @@
 	if err := r.table.Write(cfg.Out); err != nil {
 		return errors.Wrap(err, "print the table")
 	}
+	for _, failure := range r.failures[:min(len(r.failures), shown)] {
+		fmt.Fprintln(cfg.Out, failure)
+	}
 	return r.verify(moved)
 }
 
@@ -162,6 +167,11 @@
 
 func (r *run) add(kind tally.Kind, phase string, res node.Result) {
 	r.table.Add(tally.Row{Phase: phase, Kind: kind}, res.Whole, res.Outcome, res.Latency)
+	if !res.Whole {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.failures = append(r.failures, fmt.Sprintf("%s, %s: status %d, %s, after %s, error %v", phase, kind, res.Status, res.Reason, res.Latency, res.Err))
+	}
 }
 
 func (r *run) now() string {
--- a/lab/transport/node/caller.go
+++ b/lab/transport/node/caller.go
@@ -40,7 +40,8 @@
 type Result struct {
 	Status  int
 	Outcome attempt.Outcome
-	Whole   bool // status 200 and the complete, matching body
+	Reason  string // Proxy-Status of a refusal (RFC 9209)
+	Whole   bool   // status 200 and the complete, matching body
 	Latency time.Duration
 	Reply   Reply
 	Err     error
@@ -136,6 +137,7 @@
 		return r
 	}
 	r.Status = resp.StatusCode()
+	r.Reason = string(resp.Header.Peek("Proxy-Status"))
 	if string(resp.Header.Peek(attempt.HeaderOutcome)) == attempt.NotRun.String() {
 		r.Outcome = attempt.NotRun
 	} else if r.Status == fasthttp.StatusOK {
--- a/node/transport/caller/claim.go
+++ b/node/transport/caller/claim.go
@@ -19,7 +19,8 @@
 // Bounds of claims.
 const (
 	maxRecord   = 16 << 10               // bytes of a recorded answer
-	heldPause   = 100 * time.Millisecond // between two questions for a key that another attempt owns
+	firstPause  = 15 * time.Millisecond  // before the second question for a key that another attempt owns; doubles
+	heldPause   = 240 * time.Millisecond // longest pause, since each question is a log entry of the control group
 	recordLimit = 10 * time.Second       // longest try to record or release
 )
 
@@ -40,7 +41,7 @@
 func (r *run) verdict(ctx context.Context) call.Verdict {
 	req := &control.ClaimRequest{Service: r.req.Service, Key: r.req.Key, Attempt: r.owner(), Print: r.print()}
 	last := call.Failed
-	for {
+	for pause := firstPause; ; pause = min(2*pause, heldPause) {
 		resp, err := r.s.cfg.Claims.Claim(ctx, req)
 		if err != nil {
 			return last
@@ -61,7 +62,7 @@
 		select {
 		case <-ctx.Done():
 			return last
-		case <-time.After(heldPause):
+		case <-time.After(pause):
 		}
 	}
 }
@@ -95,7 +96,9 @@
 		r.ended(id, t)
 		return
 	}
+	r.recording.Add(1)
 	r.s.work.Go(func() {
+		defer r.recording.Done()
 		body, err := io.ReadAll(io.LimitReader(t.reply.Body, maxRecord+1))
 		switch {
 		case err != nil:
--- a/node/transport/caller/run.go
+++ b/node/transport/caller/run.go
@@ -32,6 +32,8 @@
 	stored  chan *control.Answer // answer of an earlier request with the same key
 	sent    atomic.Int32
 	back    atomic.Int64 // nanoseconds of the delivered attempt
+
+	recording sync.WaitGroup // goroutines that read the answer of a keyed call
 }
 
 // try is one attempt.
@@ -87,6 +89,8 @@
 			r.s.cfg.Engine.Tell(call.Gone{Call: r.id})
 		}
 	}
+	// The end of a body is reported before its recorded copy is handed over.
+	r.recording.Wait()
 	r.replay()
 	// A caller that left gets nothing else; its goroutine must not wait.
 	r.give(r.broken())
