Keep members out that left, check peer names, measure consensus

Cause: a joined member that was taken out asked to join again and was added. Names with a slash or repeated names would have made two members look like one. Change: the replica remembers the last 1,024 IDs that left; neither the member nor a leader joins such an ID.

--- a/control/coordination/group/bench_test.go
+++ b/control/coordination/group/bench_test.go
@@ -83,6 +83,14 @@
 	return nil
 }
 
+func claim(i int64) replica.Command {
+	return replica.Command{
+		Kind: replica.Claim, Service: "booking", Key: fmt.Sprintf("7d1c2f5e-%d", i),
+		Attempt: fmt.Sprintf("node-17/1764812345/%d", i), Print: uint64(i) * 0x9e3779b97f4a7c15,
+		Time: time.UnixMilli(1_700_000_000_000),
+	}
+}
+
 // BenchmarkProposals measures claims committed per second and what each sends over the network.
 func BenchmarkProposals(b *testing.B) {
 	for _, n := range []int{1, 3, 5} {
@@ -92,17 +100,12 @@
 				lead := r.leader(b)
 				r.sent.Store(0)
 				var next atomic.Int64
-				b.SetParallelism(1)
 				b.ResetTimer()
 				done := make(chan error, callers)
 				for range callers {
 					go func() {
 						for i := next.Add(1); i <= int64(b.N); i = next.Add(1) {
-							_, err := lead.Propose(b.Context(), replica.Command{
-								Kind: replica.Claim, Service: "booking", Key: fmt.Sprintf("7d1c2f5e-%d", i),
-								Attempt: fmt.Sprintf("node-17/1764812345/%d", i), Print: uint64(i),
-							})
-							if err != nil {
+							if _, err := lead.Propose(b.Context(), claim(i)); err != nil {
 								done <- err
 								return
 							}
@@ -117,6 +120,7 @@
 				}
 				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "proposals/s")
 				b.ReportMetric(float64(r.sent.Load())/float64(b.N), "sentB/proposal")
+				b.ReportMetric(float64(len(claim(int64(b.N)).Encode())), "logB/proposal")
 			})
 		}
 	}
--- a/core/coordination/engine/basic_test.go
+++ b/core/coordination/engine/basic_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"pollenhill.example/core/coordination/engine"
+	"pollenhill.example/core/state/disk"
 	"pollenhill.example/core/state/replica"
 )
 
@@ -124,3 +126,43 @@
 		}
 	})
 }
+
+// Guards against a member that was taken out and asks to join again, also when it never heard that it left.
+func TestMemberThatLeftStaysOut(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		s := newSim(3, 3)
+		s.propose(t, change(1, "text"))
+		d := s.add("d", true)
+		s.start(d)
+		n := &nemesis{s: s, used: map[string]int{}}
+		if !s.run(20*time.Second, func() bool { return n.voter(d) }) {
+			t.Fatalf("did not join: %s", s.describe())
+		}
+		if cut {
+			s.cut[[2]string{"c1", "d"}], s.cut[[2]string{"c2", "d"}], s.cut[[2]string{"c3", "d"}] = true, true, true
+		}
+		s.propose(t, replica.Command{Kind: replica.Leave, Member: replica.Member{ID: d.process.ID()}})
+		s.stop(d, true)
+		s.start(d)
+		s.run(10*time.Second, nil)
+		if got := s.leader().process.View(s.now).Members; len(got.Voters) != 3 || len(got.Learners) != 0 {
+			t.Errorf("cut off %v: members %+v", cut, got)
+		}
+		s.report(t, 3)
+	}
+}
+
+// Guards against member names that make two members look like one.
+func TestOpenRefusesPeers(t *testing.T) {
+	for name, peers := range map[string][]engine.Peer{
+		"empty":    {{Name: "c1"}, {Name: ""}},
+		"slash":    {{Name: "c1"}, {Name: "c2/1"}},
+		"repeated": {{Name: "c1"}, {Name: "c2"}, {Name: "c2"}},
+		"missing":  {{Name: "c2"}, {Name: "c3"}},
+	} {
+		r := rand.New(rand.NewPCG(1, 1))
+		if _, err := engine.Open(engine.Config{Name: "c1", FS: disk.NewFake(r), Dir: dataDir, Peers: peers, Rand: r}, time.Now()); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
--- a/core/coordination/engine/engine.go
+++ b/core/coordination/engine/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -46,6 +47,21 @@
 	Region  string
 }
 
+// check refuses names that cannot be told apart in member IDs.
+func (c Config) check() error {
+	seen := map[string]bool{}
+	for _, p := range c.Peers {
+		if p.Name == "" || strings.Contains(p.Name, "/") || seen[p.Name] {
+			return errors.Newf("open member %s: peer name %q is empty, repeated or contains a slash", c.Name, p.Name)
+		}
+		seen[p.Name] = true
+	}
+	if !c.Join && !seen[c.Name] {
+		return errors.Newf("open member %s: it is not among its peers", c.Name)
+	}
+	return nil
+}
+
 // Errors of outcomes. After ErrLost and ErrRefused the command is not and will not be applied.
 var (
 	ErrBusy    = errors.New("too many proposals are not committed yet")
@@ -108,6 +124,9 @@
 	if cfg.Guard == nil {
 		cfg.Guard = &sync.Mutex{}
 	}
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
 	log, content, err := wal.Open(wal.Config{FS: cfg.FS, Dir: cfg.Dir})
 	if err != nil && !errors.Is(err, wal.ErrEmpty) {
 		return nil, errors.Wrapf(err, "open member %s", cfg.Name)
--- a/core/coordination/engine/join.go
+++ b/core/coordination/engine/join.go
@@ -10,7 +10,7 @@
 
 // tickJoin asks to become a learner until the own log says so.
 func (e *Engine) tickJoin(now time.Time) {
-	if !e.identity.joined || now.Before(e.joinAt) {
+	if !e.identity.joined || now.Before(e.joinAt) || e.replica.HasLeft(e.identity.id) {
 		return
 	}
 	set := e.model.View(now).Members
@@ -44,7 +44,7 @@
 		return nil
 	}
 	all := slices.Concat(view.Members.Voters, view.Members.Learners)
-	if slices.Contains(all, m.ID) || NameOf(m.ID) != m.Name {
+	if slices.Contains(all, m.ID) || NameOf(m.ID) != m.Name || e.replica.HasLeft(m.ID) {
 		return nil
 	}
 	for _, id := range all {
--- a/core/state/replica/replica.go
+++ b/core/state/replica/replica.go
@@ -19,8 +19,12 @@
 	released int      // released claims still in order
 	bytes    int      // size of all claims
 	members  []Member // by ID
+	left     []string // IDs that left, oldest first
 }
 
+// Left is how many members that left are remembered.
+const Left = 1024
+
 // Config holds the limits of a Replica, which must be equal on all members, and the check of a rule file.
 type Config struct {
 	Check  func(text string) error // nil accepts every text; must give the same answer on all members
@@ -91,15 +95,24 @@
 	return Result{Verdict: Stored}
 }
 
+// leave also notes founding members, which never joined.
 func (r *Replica) leave(m Member) Result {
-	at, ok := r.member(m.ID)
-	if !ok {
+	if r.HasLeft(m.ID) {
 		return Result{Verdict: Ignored}
 	}
-	r.members = slices.Delete(r.members, at, at+1)
+	if at, ok := r.member(m.ID); ok {
+		r.members = slices.Delete(r.members, at, at+1)
+	}
+	r.left = append(r.left, m.ID)
+	if len(r.left) > Left {
+		r.left = r.left[1:]
+	}
 	return Result{Verdict: Stored}
 }
 
+// HasLeft returns whether a member left; its ID must not join again.
+func (r *Replica) HasLeft(id string) bool { return slices.Contains(r.left, id) }
+
 func (r *Replica) member(id string) (int, bool) {
 	return slices.BinarySearchFunc(r.members, id, func(m Member, id string) int { return strings.Compare(m.ID, id) })
 }
--- a/core/state/replica/replica_test.go
+++ b/core/state/replica/replica_test.go
@@ -199,6 +199,25 @@
 	}
 }
 
+// Guards against a member that is taken out and comes back by itself.
+func TestLeavingIsFinal(t *testing.T) {
+	r := replica.New(replica.Config{})
+	member := replica.Member{ID: "c1/1", Name: "c1", Address: "127.0.0.1:1"}
+	r.Apply(1, replica.Command{Kind: replica.Join, Member: member})
+	if got := r.Members(); len(got) != 1 || got[0] != member || r.HasLeft("c1/1") {
+		t.Fatalf("after the join: %+v", got)
+	}
+	for i, id := range []string{"c1/1", "founder/1"} {
+		r.Apply(uint64(i+2), replica.Command{Kind: replica.Leave, Member: replica.Member{ID: id}})
+		if back, err := replica.Restore(replica.Config{}, r.Snapshot()); err != nil || !back.HasLeft(id) {
+			t.Errorf("%s has not left after a restore, %v", id, err)
+		}
+	}
+	if got := r.Members(); len(got) != 0 {
+		t.Errorf("after leaving: %+v", got)
+	}
+}
+
 // Guards against a snapshot of another version or a damaged one that is taken for a state.
 func TestRestoreRefuses(t *testing.T) {
 	for name, raw := range map[string][]byte{
--- a/core/state/replica/snapshot.go
+++ b/core/state/replica/snapshot.go
@@ -31,6 +31,9 @@
 	for _, m := range r.members {
 		w.Nested(10, m.write)
 	}
+	for _, id := range r.left {
+		w.String(11, id)
+	}
 	return w.Done()
 }
 
@@ -78,6 +81,8 @@
 		r.insert(c)
 	case 10:
 		return readInto(&r.members, f, (*Member).read)
+	case 11:
+		r.left = append(r.left, f.Text())
 	}
 	return nil
 }
