--- a/core/coordination/engine/apply.go
+++ b/core/coordination/engine/apply.go
@@ -74,6 +74,7 @@
 	if r.Applied() != s.Index {
 		return errors.Newf("snapshot of index %d holds the state of index %d", s.Index, r.Applied())
 	}
+	e.size = len(s.Data)
 	e.cfg.Guard.Lock()
 	defer e.cfg.Guard.Unlock()
 	e.replica = r
@@ -94,11 +95,13 @@
 func (e *Engine) compact(now time.Time) []raft.Cmd {
 	applied := e.replica.Applied()
 	grown := applied - e.model.View(now).Base
-	if grown < e.cfg.Entries && (e.log.Size() < SnapshotBytes || grown == 0) {
+	due := grown >= e.cfg.Entries && e.log.Size() >= e.size || grown >= SnapshotFactor*e.cfg.Entries
+	if !due && (e.log.Size() < SnapshotBytes || grown == 0) {
 		return nil
 	}
 	e.cfg.Guard.Lock()
 	data := e.replica.Snapshot()
 	e.cfg.Guard.Unlock()
+	e.size = len(data)
 	return e.model.Update(now, raft.Compact{Index: applied, Data: data})
 }
--- a/core/coordination/engine/engine.go
+++ b/core/coordination/engine/engine.go
@@ -14,11 +14,14 @@
 	"pollenhill.example/core/state/wal"
 )
 
-// SnapshotEntries is after how many applied entries a snapshot is taken; it bounds the replay at a start.
-const SnapshotEntries = 4096
-
-// SnapshotBytes is at which size of the log a snapshot is taken earlier, because rule files can be long.
-const SnapshotBytes = 64 << 20
+// A snapshot is taken after SnapshotEntries applied entries once the log is as long as the last snapshot, so that
+// many claims do not make the group write snapshots all the time; in any case after SnapshotFactor times as many
+// entries, or when the log has SnapshotBytes. This bounds the replay at a start.
+const (
+	SnapshotEntries = 4096
+	SnapshotFactor  = 16
+	SnapshotBytes   = 64 << 20
+)
 
 // Config describes one member.
 type Config struct {
@@ -32,6 +35,7 @@
 	Election  time.Duration // 0: raft.DefaultElection
 	Heartbeat time.Duration // 0: raft.DefaultHeartbeat
 	Entries   uint64        // 0: SnapshotEntries
+	Trailing  uint64        // 0: raft.DefaultTrailing
 	Rand      *rand.Rand
 
 	// Send passes messages to a member by name; it may lose, repeat and reorder them.
@@ -98,6 +102,7 @@
 	outbox   []outgoing
 	outcomes []Outcome
 	joinAt   time.Time
+	size     int // of the last snapshot in bytes
 	err      error
 }
 
@@ -173,7 +178,7 @@
 	}
 	model, err := raft.New(raft.Config{
 		ID: e.identity.id, Founders: e.identity.membership(),
-		Election: e.cfg.Election, Heartbeat: e.cfg.Heartbeat, Rand: e.cfg.Rand,
+		Election: e.cfg.Election, Heartbeat: e.cfg.Heartbeat, Trailing: e.cfg.Trailing, Rand: e.cfg.Rand,
 	}, now, e.content)
 	e.model = model
 	e.content = wal.Content{Meta: e.content.Meta}
--- a/core/coordination/engine/history_test.go
+++ b/core/coordination/engine/history_test.go
@@ -74,6 +74,7 @@
 					s.report(t, seed)
 					mu.Lock()
 					total += h.count(verdicts)
+					used["snapshot sent"] += s.installs
 					for name, k := range n.used {
 						used[name] += k
 					}
@@ -86,6 +87,7 @@
 	for _, name := range []string{
 		"crash", "kill", "pause", "partition", "one-way partition", "split", "loss, repeats and reordering", "full disk",
 		"failed sync", "flipped bit", "lost disk", "second VM lost right after the repair", "join", "leave",
+		"snapshot sent",
 	} {
 		if used[name] == 0 {
 			t.Errorf("no history had the fault %q", name)
--- a/core/coordination/engine/sim_test.go
+++ b/core/coordination/engine/sim_test.go
@@ -41,6 +41,7 @@
 	leaders  map[uint64]string        // by term
 	accepted map[uint64]replica.Rules // by number
 	problem  string
+	installs int // snapshots sent
 	calls    map[call]func(engine.Outcome)
 	tokens   uint64
 }
@@ -150,7 +151,7 @@
 		peers = peers[:s.founders]
 	}
 	p, err := engine.Open(engine.Config{
-		Name: v.name, FS: v.disk, Dir: dataDir, Peers: peers, Join: v.join, Entries: s.entries,
+		Name: v.name, FS: v.disk, Dir: dataDir, Peers: peers, Join: v.join, Entries: s.entries, Trailing: 4,
 		Rand: rand.New(rand.NewPCG(s.r.Uint64(), 2)),
 		Send: func(to string, messages [][]byte) { s.send(v.name, to, messages) },
 	}, s.now)
@@ -194,6 +195,9 @@
 		}
 		return err
 	})
+	if msg.Kind == raft.Install {
+		s.installs++
+	}
 	vote := msg.Kind == raft.Voted && !msg.Reject
 	ack := msg.Kind == raft.Appended && !msg.Reject && s.r.IntN(30) == 0
 	if err != nil || !vote && !ack {
--- a/core/coordination/raft/message.go
+++ b/core/coordination/raft/message.go
@@ -56,6 +56,18 @@
 	return 0
 }
 
+// valid returns whether the parts of a message fit together, so that a damaged one cannot harm the log.
+func (m Message) valid() bool {
+	term := m.LogTerm
+	for i, e := range m.Entries {
+		if e.Index != m.Index+uint64(i)+1 || e.Term < term || e.Term > m.Term {
+			return false
+		}
+		term = e.Term
+	}
+	return m.From != "" && m.From != m.To && m.LogTerm <= m.Term && uint64(len(m.Chunk)) <= m.Total
+}
+
 // DecodeMessage reads bytes written by Encode.
 func DecodeMessage(b []byte) (Message, error) {
 	var m Message
--- a/core/coordination/raft/model.go
+++ b/core/coordination/raft/model.go
@@ -259,7 +259,7 @@
 
 func (m *Model) receive(msg Message) {
 	switch {
-	case msg.To != m.cfg.ID || !m.admit(msg):
+	case msg.To != m.cfg.ID || !msg.valid() || !m.admit(msg):
 		return
 	case msg.Kind == PreVote:
 		m.onPreVote(msg)
--- a/core/state/field/field.go
+++ b/core/state/field/field.go
@@ -1,6 +1,8 @@
 package field
 
 import (
+	"slices"
+
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 )
@@ -42,12 +44,19 @@
 
 // Nested appends the fields that f writes, also when there are none.
 func (w *Writer) Nested(number int, f func(*Writer)) {
-	var inner Writer
-	f(&inner)
 	w.buf = protowire.AppendTag(w.buf, protowire.Number(number), protowire.BytesType)
-	w.buf = protowire.AppendBytes(w.buf, inner.buf)
+	start := len(w.buf)
+	f(w)
+	size := uint64(len(w.buf) - start)
+	head := protowire.SizeVarint(size)
+	w.buf = append(w.buf, make([]byte, head)...)
+	copy(w.buf[start+head:], w.buf[start:])
+	protowire.AppendVarint(w.buf[:start], size)
 }
 
+// Grow makes room for n more bytes.
+func (w *Writer) Grow(n int) { w.buf = slices.Grow(w.buf, n) }
+
 // Done returns the bytes written.
 func (w *Writer) Done() []byte { return w.buf }
 
--- /dev/null
+++ b/core/state/replica/bench_test.go
@@ -0,0 +1,54 @@
+package replica_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pollenhill.example/core/state/replica"
+)
+
+// full returns a replica with as many finished claims as it keeps.
+func full(b *testing.B, body int) *replica.Replica {
+	b.Helper()
+	r := replica.New(replica.Config{})
+	index := uint64(0)
+	for i := range replica.DefaultClaims {
+		c := replica.Command{
+			Kind: replica.Claim, Service: "booking", Key: fmt.Sprint("7d1c2f5e-", i),
+			Attempt: fmt.Sprint("node-17/1764812345/", i), Print: uint64(i) * 0x9e3779b97f4a7c15,
+			Answer: replica.Answer{Status: 201, Body: make([]byte, body)},
+		}
+		for _, c.Kind = range []replica.Kind{replica.Claim, replica.Finish} {
+			index++
+			r.Apply(index, c)
+		}
+	}
+	return r
+}
+
+// BenchmarkSnapshot measures how long the group is held up by the snapshot of a full replica.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, body := range []int{0, 260} {
+		r := full(b, body)
+		b.Run(fmt.Sprintf("body=%d", body), func(b *testing.B) {
+			for range b.N {
+				b.SetBytes(int64(len(r.Snapshot())))
+			}
+		})
+	}
+}
+
+// BenchmarkRestore measures the start from the snapshot of a full replica.
+func BenchmarkRestore(b *testing.B) {
+	for _, body := range []int{0, 260} {
+		raw := full(b, body).Snapshot()
+		b.Run(fmt.Sprintf("body=%d", body), func(b *testing.B) {
+			b.SetBytes(int64(len(raw)))
+			for range b.N {
+				if _, err := replica.Restore(replica.Config{}, raw); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/core/state/replica/claim.go
+++ b/core/state/replica/claim.go
@@ -12,8 +12,9 @@
 // DefaultClaims is how many claims are kept at once; a further claim is refused, which is safe, while dropping one is not.
 const DefaultClaims = 100_000
 
-// DefaultBytes bounds the keys and answer bodies of all claims, and with them the snapshot.
-const DefaultBytes = 64 << 20
+// DefaultBytes bounds the keys and answer bodies of all claims, and with them the time that a snapshot holds up
+// the group, which must stay well under an election timeout.
+const DefaultBytes = 32 << 20
 
 // MaxBody is the longest answer body that Finish keeps, in bytes.
 const MaxBody = 16 << 10
--- a/core/state/replica/snapshot.go
+++ b/core/state/replica/snapshot.go
@@ -9,10 +9,17 @@
 // Format is the version of the snapshot; Restore refuses every other one.
 const Format = 1
 
+// Estimates of encoded sizes in bytes, so that the snapshot is written without copies.
+const (
+	claimOverhead = 48
+	changeSize    = 128
+)
+
 // Snapshot returns the whole state; equal states give equal bytes.
 func (r *Replica) Snapshot() []byte {
 	r.compact()
 	var w field.Writer
+	w.Grow(len(r.rules.Text) + r.bytes + len(r.claims)*claimOverhead + len(r.changes)*changeSize)
 	w.Uint(1, Format)
 	w.Uint(2, r.applied)
 	w.Int(3, r.now)
