--- a/control/daemon/bench_test.go
+++ b/control/daemon/bench_test.go
@@ -14,8 +14,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"pollenhill.example/control/daemon"
 	"pollenhill.example/core/coordination/follow"
 	"pollenhill.example/core/coordination/member"
@@ -124,35 +122,6 @@
 	return res.Change.Revision
 }
 
-// BenchmarkInForce reports the time from the submission of a change until it is in force at each of 60 clients.
-func BenchmarkInForce(b *testing.B) {
-	s := single(b)
-	d, _ := start(b, s)
-	clients := fleet(b, &meter{}, benchClients, s)
-	settled(b, clients)
-	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
-	var mu sync.Mutex
-	number := uint64(0)
-	for b.Loop() {
-		number++
-		begin := time.Now()
-		revision := change(b, d, number)
-		var wg sync.WaitGroup
-		for _, c := range clients {
-			wg.Go(func() {
-				await(b, c, "change", func(s *follow.State) bool { return s.Revision >= revision })
-				mu.Lock()
-				defer mu.Unlock()
-				_ = h.RecordValue(time.Since(begin).Microseconds())
-			})
-		}
-		wg.Wait()
-	}
-	for name, q := range map[string]float64{"p50-ms": 50, "p99-ms": 99, "max-ms": 100} {
-		b.ReportMetric(float64(h.ValueAtQuantile(q))/1000, name)
-	}
-}
-
 // cpu returns the processor time of this process, which runs the control process and all clients.
 func cpu(b *testing.B) time.Duration {
 	b.Helper()
--- a/control/daemon/cluster_test.go
+++ b/control/daemon/cluster_test.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"pollenhill.example/control/daemon"
 	"pollenhill.example/core/coordination/follow"
 	"pollenhill.example/core/state/replica"
@@ -50,7 +53,8 @@
 }
 
 func (k *link) forward(in net.Conn) {
-	out, err := net.Dial("tcp", k.to.String())
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}}
+	out, err := d.Dial("tcp", k.to.String())
 	if err != nil {
 		_ = in.Close()
 		return
@@ -72,7 +76,8 @@
 		n, err := from.Read(buf)
 		lost = lost || k.cut.Load()
 		if !lost {
-			_, err = to.Write(buf[:n])
+			_, failed := to.Write(buf[:n])
+			err = errors.CombineErrors(err, failed)
 		}
 		if err != nil {
 			return
@@ -95,6 +100,7 @@
 	daemons  []*daemon.Daemon
 	stops    []func()
 	links    map[[2]int]*link
+	nodes    []*link // from the nodes to each control process
 }
 
 func newCluster(t testing.TB, n int) *cluster {
@@ -107,6 +113,7 @@
 	}
 	for i := range n {
 		c.settings[i].Peers = c.peers(t, i)
+		c.nodes = append(c.nodes, newLink(t, c.settings[i].Listen))
 		c.start(t, i)
 	}
 	return c
@@ -142,6 +149,21 @@
 	}
 }
 
+// silence cuts process i off from everyone, as the loss of its VM does, or connects it again.
+func (c *cluster) silence(i int, cut bool) {
+	c.isolate(i, cut)
+	c.nodes[i].cut.Store(cut)
+}
+
+// servers returns the control processes as nodes reach them.
+func (c *cluster) servers() []daemon.Settings {
+	servers := slices.Clone(c.settings)
+	for i := range servers {
+		servers[i].Listen = c.nodes[i].addr()
+	}
+	return servers
+}
+
 // leader returns the process that leads, once one does.
 func (c *cluster) leader(t testing.TB) int {
 	t.Helper()
@@ -220,6 +242,11 @@
 			func(_ *testing.T, c *cluster, leader int) { c.stops[leader]() },
 			func(t *testing.T, c *cluster, leader int) { c.start(t, leader) },
 		},
+		{
+			"leader lost with its VM",
+			func(_ *testing.T, c *cluster, leader int) { c.silence(leader, true) },
+			func(_ *testing.T, c *cluster, leader int) { c.silence(leader, false) },
+		},
 		{
 			"leader silently partitioned",
 			func(_ *testing.T, c *cluster, leader int) { c.isolate(leader, true) },
@@ -231,7 +258,7 @@
 			c := newCluster(t, 3)
 			var nodes []*client.Client
 			for i := range 6 {
-				n := node(t, fmt.Sprintf("n%d", i), c.settings...)
+				n := node(t, fmt.Sprintf("n%d", i), c.servers()...)
 				monotonic(t, n)
 				nodes = append(nodes, n)
 			}
--- a/control/daemon/daemon_test.go
+++ b/control/daemon/daemon_test.go
@@ -23,9 +23,12 @@
 }
 
 // free returns a loopback address that was free a moment ago.
+//
+// Nothing dials from 127.0.0.2: a dialer that gets the port of a stopped process as its own port on the same
+// address would connect to itself.
 func free(t testing.TB) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.0.0.2:0")
 	if err != nil {
 		t.Fatal(err)
 	}
