Tell lasting imbalance from momentary load in old reports

Cause: with reports 10 ms old, booking with a straggler at 80% refused 2047 calls, 1509 of them while a back end had a free slot: a single old report faded to the mean of the service and so hid a lasting imbalance, and the refusals counted as overload, which switched the retries off. Change: choice keeps a slower average per back end, takes the age of a report where it is known, and says whether a service as a whole has too much work; only refusals with too much work shrink the retry budget. Conclusion: averages of reports 100 ms old and more still oscillate.

--- a/core/coordination/choice/load.go
+++ b/core/coordination/choice/load.go
@@ -18,6 +18,10 @@
 	// of few requests, and following their noise unbalances the load.
 	sameSpeed   = 1.5
 	limitMemory = time.Second // a report of a limit fades towards the slots in this time
+	// What several reports agree on outlasts one report: it shows a lasting imbalance even when every
+	// single report is too old to say how many requests there are now.
+	usualMemory = time.Second
+	usualWeight = 0.05
 	ownWeight   = 0.1
 	ownSamples  = 8
 	// A report of less than this share of the latency seen here is not believed: a full queue at the
@@ -30,17 +34,22 @@
 type load struct {
 	inflight int // sent from here and not ended
 	others   float64
+	usual    float64 // average of others
+	reports  int
 	hint     hint.Hint
 	at       time.Time // of the hint, zero while there is none
 	own      float64   // average latency of good attempts from here, seconds
 	samples  int
 }
 
-// reported stores a hint; what it says about others' requests excludes those sent from here.
-func (l *load) reported(now time.Time, h hint.Hint) {
+// reported stores a hint that was true at the given time; what it says about others' requests excludes
+// those sent from here.
+func (l *load) reported(at time.Time, h hint.Hint) {
 	l.hint = h
-	l.at = now
+	l.at = at
 	l.others = max(0, float64(h.Inflight+h.Queued-l.inflight))
+	l.reports++
+	l.usual += max(usualWeight, 1/float64(l.reports)) * (l.others - l.usual)
 }
 
 func (l *load) observed(latency time.Duration) {
@@ -51,12 +60,14 @@
 // service is what the entry node knows of all back ends of one service.
 type service struct {
 	use   float64 // usual load of others per slot
+	total float64 // usual load of all per slot
 	speed float64 // usual service time, seconds
 }
 
 func (s *service) learn(l *load) {
 	if l.hint.Limit > 0 {
 		s.use += useWeight * (l.others/float64(l.hint.Limit) - s.use)
+		s.total += useWeight * (float64(l.hint.Inflight+l.hint.Queued)/float64(l.hint.Limit) - s.total)
 	}
 	if l.hint.Latency <= 0 {
 		return
@@ -103,7 +114,8 @@
 	fresh := math.Exp(-age.Seconds() / speed)
 	lasting := math.Exp(-age.Seconds() / limitMemory.Seconds())
 	limit += lasting * (float64(l.hint.Limit) - limit)
-	others := s.use*limit + fresh*(l.others-s.use*limit)
+	usual := s.use*limit + math.Exp(-age.Seconds()/usualMemory.Seconds())*(l.usual-s.use*limit)
+	others := usual + fresh*(l.others-usual)
 	if slow := l.hint.Latency.Seconds() / sameSpeed; slow > speed {
 		speed += math.Exp(-age.Seconds()/speedMemory.Seconds()) * (slow - speed)
 	}
--- a/core/coordination/choice/model.go
+++ b/core/coordination/choice/model.go
@@ -164,10 +164,20 @@
 	if !ok {
 		return
 	}
-	l.reported(now, msg.Hint)
+	l.reported(now.Add(-msg.Age), msg.Hint)
 	m.service(m.names[msg.Backend]).learn(l)
 }
 
+// overloaded is the load per slot, waiting requests included, above which a service has too much work
+// rather than badly spread work.
+const overloaded = 1.5
+
+// Overloaded says whether the reports of a service show more work than it can do. A refusal without
+// overload is due to an old report, and another back end probably has a free slot.
+func (m *Model) Overloaded(service string) bool {
+	return m.service(service).total >= overloaded
+}
+
 // Pick returns the target for one attempt, or false if none may get new work.
 func (m *Model) Pick(now time.Time, q Query) (Target, bool) {
 	open := m.candidates(now, q)
--- a/core/coordination/choice/msg.go
+++ b/core/coordination/choice/msg.go
@@ -46,6 +46,7 @@
 type Report struct {
 	Backend string
 	Hint    hint.Hint
+	Age     time.Duration // since the hint was true, as far as it is known
 }
 
 func (Report) msg()  {}
--- a/core/coordination/retry/budget.go
+++ b/core/coordination/retry/budget.go
@@ -72,7 +72,8 @@
 	return true
 }
 
-// Answer learns from the end of one attempt: overloaded says that a full server refused it.
+// Answer learns from the end of one attempt: overloaded says that a full server refused it while its
+// service as a whole had too much work (choice.Model.Overloaded).
 func (b *Budget) Answer(_ time.Time, overloaded bool) {
 	share := 0.0
 	if overloaded {
--- a/lab/model/call.go
+++ b/lab/model/call.go
@@ -175,10 +175,11 @@
 	h := r.hint
 	e.choice.Update(now, choice.End{Backend: t.d.b.name, Result: r.result, Latency: latency})
 	e.w.after(e.w.run.Age, func() {
-		e.choice.Update(e.w.now, choice.Report{Backend: t.d.b.name, Hint: h})
+		e.choice.Update(e.w.now, choice.Report{Backend: t.d.b.name, Hint: h, Age: e.w.run.Age})
 	})
 	budget := e.budgetFor(t.c.depth)
-	budget.Answer(now, r.result == choice.Refused && retry.Overloaded(r.reason))
+	full := r.result == choice.Refused && retry.Overloaded(r.reason)
+	budget.Answer(now, full && e.choice.Overloaded(serviceName(t.c.depth)))
 	if t.c.done {
 		return
 	}
