Weigh nearness less when reports are too old to show a difference

Cause: with reports 50 ms old and more, the zone with more entry nodes than back ends stayed full while other zones had free slots, and slow averages oscillated. Change: the hop between zones counts in proportion to the freshness of the reports; the average per back end fades in 100 ms instead of 1 s.

--- a/core/coordination/choice/load.go
+++ b/core/coordination/choice/load.go
@@ -20,7 +20,7 @@
 	limitMemory = time.Second // a report of a limit fades towards the slots in this time
 	// What several reports agree on outlasts one report: it shows a lasting imbalance even when every
 	// single report is too old to say how many requests there are now.
-	usualMemory = time.Second
+	usualMemory = 100 * time.Millisecond
 	usualWeight = 0.05
 	ownWeight   = 0.1
 	ownSamples  = 8
--- a/core/coordination/choice/model.go
+++ b/core/coordination/choice/model.go
@@ -191,7 +191,9 @@
 		return best.Target, true
 	}
 	other, more := m.best(far)
-	if !ok || (more && other.cost()+2*m.cfg.Hop.Seconds() < best.cost()) {
+	// Reports too old to show a difference would keep an uneven zone uneven, so its nearness counts less.
+	hops := 2 * m.cfg.Hop.Seconds() * (1 - min(best.doubt, other.doubt))
+	if !ok || (more && other.cost()+hops < best.cost()) {
 		return other.Target, true
 	}
 	return best.Target, true
