Add optional mutual TLS to nodes and control processes

Cause: every process that reaches a port of a node or a control process could announce, read rules, forward commands and send attempts.

Change: an optional settings object "tls" (cert, key, ca) in node and control. mtls.Source gives listeners and tcp.Dialers that run TLS below HTTP, so the HTTP layers stay as they are. A refused handshake is a tcp.Error without a byte of the request written. The connection type answers Peek and Await from decrypted state and counts encrypted bytes, so a partial record counts as written. The exchange tests of package tcp run over both transports.

The bound of the event catalogue test rises to 6000 so that it covers the new numbers; the comparison is unchanged.

--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"pollenhill.example/control/transport/peer"
 	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/state/replica"
+	"pollenhill.example/core/transport/mtls"
 )
 
 // maxLogged is how many changes are logged at once, as after a restart with a long history.
@@ -51,6 +52,9 @@
 // build invokes the parts in an order in which cheap checks come before changes on disk.
 func (d *Daemon) build(i do.Injector) error {
 	var err error
+	if _, err = do.Invoke[*mtls.Source](i); err != nil {
+		return err
+	}
 	if d.log, err = do.Invoke[*event.Log](i); err != nil {
 		return err
 	}
--- a/control/daemon/settings.go
+++ b/control/daemon/settings.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"pollenhill.example/core/state/settings"
+	"pollenhill.example/core/transport/mtls"
 )
 
 // Settings is the JSON settings file of a control process.
@@ -22,6 +23,7 @@
 	Join   bool           `json:"join"`                       // start as a learner of an existing group
 	Log    string         `json:"log"`                        // file; empty: standard error
 	Events string         `json:"events"`                     // file; empty: same as log
+	TLS    *mtls.Config   `json:"tls,omitempty"`              // of all connections to other processes; nil: plain
 }
 
 // Peer is one control process of the settings.
--- a/control/daemon/wire.go
+++ b/control/daemon/wire.go
@@ -20,12 +20,14 @@
 	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/state/replica"
 	"pollenhill.example/core/state/rule"
+	"pollenhill.example/core/transport/mtls"
 )
 
 // wire declares how every part is made; nothing is made before it is invoked.
 func wire(s Settings) do.Injector {
 	i := do.New()
 	do.ProvideValue(i, s)
+	do.Provide(i, newSource)
 	do.Provide(i, newLog)
 	do.Provide(i, newListener)
 	do.Provide(i, newClients)
@@ -37,23 +39,39 @@
 	return i
 }
 
+// newSource returns nil if the settings name no TLS files.
+func newSource(i do.Injector) (*mtls.Source, error) {
+	s := do.MustInvoke[Settings](i)
+	if s.TLS == nil {
+		return nil, nil
+	}
+	source, err := mtls.New(*s.TLS)
+	return source, errors.Wrap(err, "tls")
+}
+
 func newLog(i do.Injector) (*event.Log, error) {
 	s := do.MustInvoke[Settings](i)
 	// The file stays open until the process ends, so that the last events are written too.
 	log, _, err := event.Open(s.Name, lo.CoalesceOrEmpty(s.Events, s.Log))
+	if source := do.MustInvoke[*mtls.Source](i); source != nil && err == nil {
+		source.Log(log, time.Now)
+	}
 	return log, err
 }
 
 func newListener(i do.Injector) (net.Listener, error) {
 	s := do.MustInvoke[Settings](i)
 	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(s.Listen))
-	return l, errors.Wrap(err, "listen")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	return do.MustInvoke[*mtls.Source](i).Listen(l, mtls.HTTP2, mtls.HTTP1), nil
 }
 
 func newClients(i do.Injector) (*peer.Clients, error) {
 	s := do.MustInvoke[Settings](i)
 	peers := lo.Map(s.Peers, func(p Peer, _ int) peer.Peer { return peer.Peer{Name: p.Name, Address: p.Address} })
-	return peer.NewClients(peer.Config{Name: s.Name, Bind: s.Bind, Peers: peers}), nil
+	return peer.NewClients(peer.Config{Name: s.Name, Bind: s.Bind, Peers: peers, TLS: do.MustInvoke[*mtls.Source](i)}), nil
 }
 
 func newGroup(i do.Injector) (*group.Group, error) {
--- a/control/transport/peer/client.go
+++ b/control/transport/peer/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -14,6 +13,8 @@
 	"pollenhill.example/control/coordination/group"
 	"pollenhill.example/core/protocol/control"
 	"pollenhill.example/core/protocol/control/controlconnect"
+	"pollenhill.example/core/transport/mtls"
+	"pollenhill.example/core/transport/tcp"
 )
 
 // Times and bounds of the connections between control processes.
@@ -33,7 +34,8 @@
 type Config struct {
 	Name  string // of this process
 	Bind  netip.Addr
-	Peers []Peer // this process may be among them
+	Peers []Peer       // this process may be among them
+	TLS   *mtls.Source // nil: plain connections
 }
 
 // Peer is one control process.
@@ -64,7 +66,7 @@
 
 func newClient(cfg Config, p Peer) *client {
 	url := "http://" + p.Address.String()
-	raft, rest := transport(cfg.Bind), transport(cfg.Bind)
+	raft, rest := transport(cfg), transport(cfg)
 	return &client{
 		name: p.Name,
 		raft: controlconnect.NewPeerClient(&http.Client{Transport: raft}, url),
@@ -74,11 +76,9 @@
 	}
 }
 
-func transport(bind netip.Addr) *http.Transport {
-	d := net.Dialer{Timeout: dialTimeout}
-	if bind.IsValid() {
-		d.LocalAddr = &net.TCPAddr{IP: bind.AsSlice()}
-	}
+// transport speaks HTTP/2 with prior knowledge on connections that are TLS already if the settings say so.
+func transport(cfg Config) *http.Transport {
+	d := cfg.TLS.Dialer(tcp.Dialer{Bind: cfg.Bind, Timeout: dialTimeout})
 	p := new(http.Protocols)
 	p.SetUnencryptedHTTP2(true)
 	return &http.Transport{
--- a/core/state/event/event_test.go
+++ b/core/state/event/event_test.go
@@ -17,7 +17,7 @@
 
 const (
 	catalogue = "../../../docs/events.md"
-	highest   = 5000 // above every event number
+	highest   = 6000 // above every event number
 )
 
 // Guards against event numbers that the operators' catalogue does not explain, and against stale rows.
--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -5,7 +5,7 @@
 // Kind is the number of a log event; numbers are never reused.
 type Kind int
 
-// Kinds by program: 1000 node, 2000 control, 3000 standin, 4000 lab.
+// Kinds by program: 1000 node, 2000 control, 3000 standin, 4000 lab, 5000 any.
 const (
 	NodeStarted    Kind = iota + 1000 // node started
 	NodeStopping                      // node stopping
@@ -23,3 +23,9 @@
 	ChangeAccepted                    // change accepted
 	ChangeRejected                    // change rejected
 )
+
+// Kinds of events of every program.
+const (
+	HandshakeFailed Kind = iota + 5000 // TLS handshake failed
+	FilesRefused                       // TLS files not in use
+)
--- a/core/state/event/kind_string.go
+++ b/core/state/event/kind_string.go
@@ -19,16 +19,20 @@
 	_ = x[LeaderChanged-2002]
 	_ = x[ChangeAccepted-2003]
 	_ = x[ChangeRejected-2004]
+	_ = x[HandshakeFailed-5000]
+	_ = x[FilesRefused-5001]
 }
 
 const (
 	_Kind_name_0 = "node startednode stoppingnode stoppedback end state changedattempt refusedrules in force"
 	_Kind_name_1 = "control startedcontrol stoppedleader changedchange acceptedchange rejected"
+	_Kind_name_2 = "TLS handshake failedTLS files not in use"
 )
 
 var (
 	_Kind_index_0 = [...]uint8{0, 12, 25, 37, 59, 74, 88}
 	_Kind_index_1 = [...]uint8{0, 15, 30, 44, 59, 74}
+	_Kind_index_2 = [...]uint8{0, 20, 40}
 )
 
 func (i Kind) String() string {
@@ -39,6 +43,9 @@
 	case 2000 <= i && i <= 2004:
 		i -= 2000
 		return _Kind_name_1[_Kind_index_1[i]:_Kind_index_1[i+1]]
+	case 5000 <= i && i <= 5001:
+		i -= 5000
+		return _Kind_name_2[_Kind_index_2[i]:_Kind_index_2[i+1]]
 	default:
 		return "Kind(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- /dev/null
+++ b/core/transport/mtls/mtlstest/authority.go
@@ -0,0 +1,94 @@
+package mtlstest
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"pollenhill.example/core/transport/mtls"
+)
+
+// Authority signs the certificates of one test.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// New returns an Authority that no other test trusts.
+func New(t testing.TB) Authority {
+	t.Helper()
+	key := newKey(t)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Authority{cert: cert, key: key}
+}
+
+func newKey(t testing.TB) *ecdsa.PrivateKey {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+// Issue writes the files of one process into dir and returns their names; files of the same name are replaced.
+func (a Authority) Issue(t testing.TB, dir, name string, notAfter time.Time, ips ...net.IP) mtls.Config {
+	t.Helper()
+	key := newKey(t)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, IPAddresses: ips,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: notAfter,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := mtls.Config{Cert: filepath.Join(dir, name+".crt"), Key: filepath.Join(dir, name+".key"), CA: filepath.Join(dir, name+".ca")}
+	Write(t, cfg.Cert, "CERTIFICATE", raw)
+	Write(t, cfg.Key, "PRIVATE KEY", private)
+	Write(t, cfg.CA, "CERTIFICATE", a.cert.Raw)
+	return cfg
+}
+
+// Write writes one PEM file.
+func Write(t testing.TB, path, kind string, raw []byte) {
+	t.Helper()
+	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Touch sets the modification times of the files, which change detection depends on.
+func Touch(t testing.TB, cfg mtls.Config, at time.Time) {
+	t.Helper()
+	for _, path := range []string{cfg.Cert, cfg.Key, cfg.CA} {
+		if err := os.Chtimes(path, at, at); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/core/transport/mtls/mtlstest/doc.go
@@ -0,0 +1,2 @@
+// Package mtlstest issues certificates for tests of processes that use mutual TLS.
+package mtlstest
--- a/core/transport/mtls/source.go
+++ b/core/transport/mtls/source.go
@@ -20,6 +20,8 @@
 	pair   *tls.Certificate
 	roots  *x509.CertPool
 	failed error // why the newest files are not in use, or nil
+
+	report *report // nil: failed handshakes are not logged
 }
 
 // Config names the PEM files of one process.
@@ -42,8 +44,9 @@
 	return s, nil
 }
 
-// Server returns the settings of a listener: every peer must show a certificate of the authorities.
-func (s *Source) Server() *tls.Config {
+// Server returns the settings of a listener that offers the given application protocols: every peer must show a
+// certificate of the authorities.
+func (s *Source) Server(protocols ...string) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
@@ -53,6 +56,9 @@
 				Certificates: []tls.Certificate{*pair},
 				ClientAuth:   tls.RequireAndVerifyClientCert,
 				ClientCAs:    roots,
+				NextProtos:   protocols,
+				// Every connection checks both certificates against the files in use.
+				SessionTicketsDisabled: true,
 			}, nil
 		},
 	}
--- a/core/transport/tcp/conn.go
+++ b/core/transport/tcp/conn.go
@@ -29,9 +29,20 @@
 	n int64
 }
 
+// sent is a connection that encodes what is written; Sent returns the bytes that the kernel took.
+type sent interface{ Sent() int64 }
+
 func (c *counter) Write(b []byte) (int, error) {
+	s, encoded := c.Conn.(sent)
+	if !encoded {
+		n, err := c.Conn.Write(b)
+		c.n += int64(n)
+		return n, err
+	}
+	// A failed write of an encoded block reports no byte although the kernel may have taken a part of it.
+	before := s.Sent()
 	n, err := c.Conn.Write(b)
-	c.n += int64(n)
+	c.n += s.Sent() - before
 	return n, err
 }
 
--- a/core/transport/tcp/error.go
+++ b/core/transport/tcp/error.go
@@ -17,6 +17,8 @@
 	Write               // write request
 	Read                // read response header
 	Body                // read response body
+	Greet               // TLS handshake to
+	Admit               // TLS handshake from
 )
 
 // Error is a failed step of an exchange with Peer.
@@ -25,7 +27,7 @@
 	Peer  netip.AddrPort
 	Wrote bool // at least one byte of the request was handed to the kernel
 	Err   error
-	Ended <-chan struct{} // closed when Peer is known to work on the request no longer, or PoolConfig.Reap has passed; nil before Connect
+	Ended <-chan struct{} // closed when Peer is known to work on the request no longer, or PoolConfig.Reap has passed; nil if there was no connection
 }
 
 // Error names the step and the peer.
--- a/core/transport/tcp/exchange_test.go
+++ b/core/transport/tcp/exchange_test.go
@@ -15,12 +15,15 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"pollenhill.example/core/transport/mtls"
+	"pollenhill.example/core/transport/mtls/mtlstest"
 	"pollenhill.example/core/transport/tcp"
 )
 
 // server answers each request on a connection with the next reply; an empty one closes the connection.
 type server struct {
 	ln      net.Listener
+	source  *mtls.Source // nil: plain
 	conns   atomic.Int32 // accepted
 	open    atomic.Int32
 	mu      sync.Mutex
@@ -30,13 +33,26 @@
 	replies func(conn, request int) (reply string, keep bool)
 }
 
-func serve(t *testing.T, replies func(conn, request int) (string, bool)) *server {
+// transports runs a test over plain connections and over TLS, which give the same guarantees.
+func transports(t *testing.T, test func(*testing.T, *mtls.Source)) {
+	t.Run("plain", func(t *testing.T) { test(t, nil) })
+	t.Run("TLS", func(t *testing.T) {
+		source, err := mtls.New(mtlstest.New(t).Issue(t, t.TempDir(), "process", time.Now().Add(time.Hour)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		test(t, source)
+	})
+}
+
+func serve(t *testing.T, source *mtls.Source, replies func(conn, request int) (string, bool)) *server {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &server{ln: ln, replies: replies, closed: make(chan struct{}, 1000), ended: make(chan struct{}, 1000)}
+	ln = source.Listen(ln)
+	s := &server{ln: ln, source: source, replies: replies, closed: make(chan struct{}, 1000), ended: make(chan struct{}, 1000)}
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		for {
@@ -76,7 +92,7 @@
 func pool(t *testing.T, s *server, size int) *tcp.Pool {
 	p := tcp.NewPool(tcp.PoolConfig{
 		Address: netip.MustParseAddrPort(s.ln.Addr().String()),
-		Dialer:  tcp.Dialer{Bind: netip.MustParseAddr("127.0.0.1"), Timeout: 5 * time.Second},
+		Dialer:  s.source.Dialer(tcp.Dialer{Bind: netip.MustParseAddr("127.0.0.1"), Timeout: 5 * time.Second}),
 		Cap:     size,
 		Idle:    time.Minute,
 	})
@@ -97,6 +113,10 @@
 // Guards against a response that is taken for complete although it is not, and against a connection
 // that is used again although bytes of another response are on it.
 func TestExchangeReadsWholeResponsesOnly(t *testing.T) {
+	transports(t, exchangeReadsWholeResponsesOnly)
+}
+
+func exchangeReadsWholeResponsesOnly(t *testing.T, source *mtls.Source) {
 	tests := map[string]struct {
 		reply  string
 		keep   bool
@@ -132,7 +152,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := serve(t, func(conn, _ int) (string, bool) {
+			s := serve(t, source, func(conn, _ int) (string, bool) {
 				if conn > 1 {
 					return whole, true
 				}
@@ -172,7 +192,11 @@
 
 // Guards against "not run" for a request of which the other side may have seen a byte.
 func TestErrorTellsWhetherAByteWasWritten(t *testing.T) {
-	s := serve(t, func(int, int) (string, bool) { return "", false })
+	transports(t, errorTellsWhetherAByteWasWritten)
+}
+
+func errorTellsWhetherAByteWasWritten(t *testing.T, source *mtls.Source) {
+	s := serve(t, source, func(int, int) (string, bool) { return "", false })
 	_, err := pool(t, s, 1).Exchange(context.Background(), header("GET"), nil)
 	var failed *tcp.Error
 	if !errors.As(err, &failed) || !failed.Wrote || failed.Step != tcp.Read {
@@ -187,7 +211,11 @@
 
 // Guards against writing a request to an idle connection that the other side has closed.
 func TestIdleConnectionIsCheckedBeforeUse(t *testing.T) {
-	s := serve(t, func(conn, _ int) (string, bool) { return whole, conn > 1 })
+	transports(t, idleConnectionIsCheckedBeforeUse)
+}
+
+func idleConnectionIsCheckedBeforeUse(t *testing.T, source *mtls.Source) {
+	s := serve(t, source, func(conn, _ int) (string, bool) { return whole, conn > 1 })
 	p := pool(t, s, 1)
 	for i := range 2 {
 		resp, err := p.Exchange(context.Background(), header("POST"), nil)
@@ -205,8 +233,12 @@
 
 // Guards against work that goes on at the other side after the attempt was given up.
 func TestCancellationClosesTheConnection(t *testing.T) {
+	transports(t, cancellationClosesTheConnection)
+}
+
+func cancellationClosesTheConnection(t *testing.T, source *mtls.Source) {
 	got := make(chan struct{})
-	s := serve(t, func(int, int) (string, bool) {
+	s := serve(t, source, func(int, int) (string, bool) {
 		close(got)
 		return "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", true
 	})
@@ -228,9 +260,11 @@
 }
 
 // Guards against more connections than the back end takes, idle and warmed ones included.
-func TestPoolKeepsItsCap(t *testing.T) {
+func TestPoolKeepsItsCap(t *testing.T) { transports(t, poolKeepsItsCap) }
+
+func poolKeepsItsCap(t *testing.T, source *mtls.Source) {
 	const size = 5
-	s := serve(t, func(int, int) (string, bool) { return whole, true })
+	s := serve(t, source, func(int, int) (string, bool) { return whole, true })
 	p := pool(t, s, size)
 	var wg sync.WaitGroup
 	for range 40 {
--- a/core/transport/tcp/peek.go
+++ b/core/transport/tcp/peek.go
@@ -17,14 +17,26 @@
 	Closed             // closed or reset by the other side
 )
 
+// Peeker is a connection that decodes what arrives on its socket, so that a look at the socket alone is not enough.
+type Peeker interface {
+	Peek() Idle  // as the function Peek
+	Await() Idle // as the function Await
+}
+
 // Peek looks at c without consuming a byte and without waiting.
 func Peek(c net.Conn) Idle {
+	if p, ok := c.(Peeker); ok {
+		return p.Peek()
+	}
 	return peek(c, false)
 }
 
 // Await waits until c has data or is closed; a read deadline on c ends the wait with Quiet.
 // No other goroutine may read from c meanwhile.
 func Await(c net.Conn) Idle {
+	if p, ok := c.(Peeker); ok {
+		return p.Await()
+	}
 	return peek(c, true)
 }
 
--- a/core/transport/tcp/step_string.go
+++ b/core/transport/tcp/step_string.go
@@ -13,11 +13,13 @@
 	_ = x[Write-2]
 	_ = x[Read-3]
 	_ = x[Body-4]
+	_ = x[Greet-5]
+	_ = x[Admit-6]
 }
 
-const _Step_name = "wait for a connectionconnectwrite requestread response headerread response body"
+const _Step_name = "wait for a connectionconnectwrite requestread response headerread response bodyTLS handshake toTLS handshake from"
 
-var _Step_index = [...]uint8{0, 21, 28, 41, 61, 79}
+var _Step_index = [...]uint8{0, 21, 28, 41, 61, 79, 95, 113}
 
 func (i Step) String() string {
 	idx := int(i) - 0
--- a/node/program/control.go
+++ b/node/program/control.go
@@ -11,6 +11,8 @@
 	"pollenhill.example/core/coordination/choice"
 	"pollenhill.example/core/coordination/follow"
 	"pollenhill.example/core/protocol/control"
+	"pollenhill.example/core/transport/mtls"
+	"pollenhill.example/core/transport/tcp"
 	"pollenhill.example/node/transport/caller"
 	client "pollenhill.example/node/transport/control"
 )
@@ -25,8 +27,9 @@
 	Offer(revision uint64, text string)
 }
 
-func newControl(cfg Settings) ControlClient {
+func newControl(cfg Settings, source *mtls.Source) ControlClient {
 	return client.New(client.Config{
+		Dial:   source.Dialer(tcp.Dialer{Bind: cfg.Bind, Timeout: client.Timeout}).DialContext,
 		Node:   cfg.Name,
 		Zone:   cfg.Zone,
 		Region: cfg.Region,
--- a/node/program/program.go
+++ b/node/program/program.go
@@ -14,6 +14,7 @@
 
 	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/state/rule"
+	"pollenhill.example/core/transport/mtls"
 	"pollenhill.example/core/transport/tcp"
 	"pollenhill.example/node/coordination/arrival"
 	"pollenhill.example/node/coordination/engine"
@@ -36,6 +37,7 @@
 	local       *local.Server
 	control     ControlClient
 	events      *event.Log
+	tls         *mtls.Source // nil: plain connections
 	metrics     *metrics
 	rules       atomic.Pointer[inForce]
 	leaving     atomic.Bool
--- a/node/program/settings.go
+++ b/node/program/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pollenhill.example/core/state/settings"
+	"pollenhill.example/core/transport/mtls"
 )
 
 // Settings is the JSON settings file of a node.
@@ -21,6 +22,7 @@
 	Limits  Limits         `json:"limits"`
 	Log     string         `json:"log"`
 	Events  string         `json:"events"`
+	TLS     *mtls.Config   `json:"tls,omitempty"` // of connections to other nodes and control processes; nil: plain
 }
 
 // Control is one control process.
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -29,8 +29,12 @@
 func New(cfg Config) (*Program, error) {
 	cfg.Settings.Limits = cfg.Settings.Limits.withDefaults()
 	p := &Program{cfg: cfg.Settings, incarnation: uint64(time.Now().UnixNano()), events: cfg.Events, control: cfg.Control}
+	var err error
+	if p.tls, err = newSource(cfg); err != nil {
+		return nil, err
+	}
 	if p.control == nil {
-		p.control = newControl(cfg.Settings)
+		p.control = newControl(cfg.Settings, p.tls)
 	}
 	p.rules.Store(&inForce{set: &rule.Set{}, since: time.Now()})
 	i := do.New()
@@ -129,7 +133,7 @@
 	p := do.MustInvoke[*Program](i)
 	return peer.NewClient(peer.Config{
 		Node:     p.cfg.Name,
-		Dialer:   p.dialer(),
+		Dialer:   p.tls.Dialer(p.dialer()),
 		Cap:      p.cfg.Limits.Peers,
 		Idle:     time.Duration(p.cfg.Limits.Idle) / 2, // before the other node closes it
 		Stall:    time.Duration(p.cfg.Limits.Stall),
@@ -157,6 +161,7 @@
 		Read:   time.Duration(p.cfg.Limits.Read),
 		Idle:   time.Duration(p.cfg.Limits.Idle),
 		Stall:  time.Duration(p.cfg.Limits.Stall),
+		TLS:    p.tls,
 	}), nil
 }
 
--- a/node/transport/control/client.go
+++ b/node/transport/control/client.go
@@ -31,7 +31,7 @@
 	Servers []Server
 	Seed    uint64 // of the jitter; 0 takes a random one
 
-	// Dial replaces the TCP dialer, for tests on in-memory connections.
+	// Dial replaces the TCP dialer, for TLS and for tests on in-memory connections.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
--- a/node/transport/peer/server.go
+++ b/node/transport/peer/server.go
@@ -14,6 +14,7 @@
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/hint"
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/transport/mtls"
 	"pollenhill.example/node/coordination/arrival"
 	"pollenhill.example/node/protocol/message"
 	"pollenhill.example/node/transport/inbound"
@@ -46,6 +47,7 @@
 	Read   time.Duration // longest time for receiving a request
 	Idle   time.Duration // after which an unused connection is closed
 	Stall  time.Duration // longest time for one write
+	TLS    *mtls.Source  // nil: plain connections
 }
 
 // NewServer returns a Server.
@@ -77,7 +79,7 @@
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(inbound.Listen(ln, s.cfg.Stall))
+	return s.http.Serve(s.cfg.TLS.Listen(inbound.Listen(ln, s.cfg.Stall), mtls.HTTP1))
 }
 
 // Shutdown stops accepting and waits for the requests in flight.
