--- a/control/daemon/daemon_test.go
+++ b/control/daemon/daemon_test.go
@@ -73,6 +73,9 @@
 	t.Helper()
 	cfg := client.Config{Node: name, Zone: "oslo-a", Region: "oslo", Bind: netip.MustParseAddr("127.0.0.1")}
 	for _, s := range servers {
+		if s.TLS != nil {
+			cfg.Dial = secured(t, *s.TLS)
+		}
 		cfg.Servers = append(cfg.Servers, client.Server{Name: s.Name, Address: s.Listen, Region: s.Region})
 	}
 	c := client.New(cfg)
