Test node paths over TLS and use one dialer in the command line

Cause: the command line had its own TLS setup, whose errors named no step when the other side refused the certificate, and the tests of a call through two nodes knew plain connections only.

Change: pollenhill dials through mtls.Source as nodes and control processes do. The whole path, the faults of a back end and a caller that leaves are tested over plain connections and over TLS; a destination that another authority certified gives a proven not-run.

--- a/node/program/fault_test.go
+++ b/node/program/fault_test.go
@@ -25,7 +25,9 @@
 
 // Guards against a cut response that looks complete to the caller, an unknown outcome that is retried
 // or reported as not run, and a refusal by the back end that is not taken for one.
-func TestBackendFaults(t *testing.T) {
+func TestBackendFaults(t *testing.T) { transports(t, backendFaults) }
+
+func backendFaults(t *testing.T, files issue) {
 	const reset = ""
 	tests := map[string]struct {
 		answer  http.HandlerFunc
@@ -57,7 +59,7 @@
 					test.answer(w, r)
 				}
 			})
-			entry, destination := pair(t, newGroup(), f)
+			entry, destination := pair(t, newGroup(), f, files)
 			for i, v := range []*vm{entry, destination} {
 				path := fmt.Sprintf("/seat/%d", i)
 				resp := send(t, v, test.method, path, "", map[string]string{"Pollenhill-Deadline": "300"})
@@ -104,6 +106,10 @@
 
 // Guards against work that goes on for a caller that has left.
 func TestCallerThatLeavesCancelsItsAttempt(t *testing.T) {
+	transports(t, callerThatLeavesCancelsItsAttempt)
+}
+
+func callerThatLeavesCancelsItsAttempt(t *testing.T, files issue) {
 	started, ended := make(chan struct{}, 1), make(chan struct{}, 1)
 	f := newFake(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/warm" {
@@ -113,7 +119,7 @@
 		<-r.Context().Done()
 		ended <- struct{}{}
 	})
-	entry, _ := pair(t, newGroup(), f)
+	entry, _ := pair(t, newGroup(), f, files)
 	ctx, cancel := context.WithCancel(context.Background())
 	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+entry.settings.Caller.String()+"/slow", nil)
 	if err != nil {
--- a/node/program/fleet_test.go
+++ b/node/program/fleet_test.go
@@ -139,13 +139,14 @@
 	return netip.MustParseAddrPort(ln.Addr().String())
 }
 
-func config(t testing.TB, name string) program.Settings {
+func config(t testing.TB, name string, files ...issue) program.Settings {
 	n := lastIP.Add(1)
 	ip := netip.AddrFrom4([4]byte{127, 77, byte(n >> 8), byte(n)})
 	return program.Settings{
 		Name: name, Zone: "a", Region: "r", Bind: ip,
 		Caller: address(t, ip), Peer: address(t, ip), Local: address(t, ip),
 		Limits: program.Limits{Linger: settings.Duration(20 * time.Millisecond)},
+		TLS:    tlsFiles(name, files),
 	}
 }
 
--- a/node/program/path_test.go
+++ b/node/program/path_test.go
@@ -8,10 +8,10 @@
 )
 
 // pair starts an entry node without a back end and a destination node with one.
-func pair(t testing.TB, g *group, f *fake) (entry, destination *vm) {
+func pair(t testing.TB, g *group, f *fake, files ...issue) (entry, destination *vm) {
 	t.Helper()
-	entry = start(t, g, config(t, "entry"))
-	destination = start(t, g, config(t, "destination"))
+	entry = start(t, g, config(t, "entry", files...))
+	destination = start(t, g, config(t, "destination", files...))
 	destination.keep(t, f, "desk-1")
 	eventually(t, "entry node answers", func() bool {
 		resp := send(t, entry, "GET", "/warm", "", nil)
@@ -46,9 +46,11 @@
 }
 
 // Guards against a path from caller to back end that loses, changes or adds a part of the message.
-func TestWholePath(t *testing.T) {
+func TestWholePath(t *testing.T) { transports(t, wholePath) }
+
+func wholePath(t *testing.T, files issue) {
 	f := newFake(t, nil)
-	entry, destination := pair(t, newGroup(), f)
+	entry, destination := pair(t, newGroup(), f, files)
 	for _, v := range []*vm{entry, destination} {
 		resp := send(t, v, "POST", "/reserve/7?boat=3", "two oars", map[string]string{"X-Club": "Bygdøy", "Connection": "X-Hop", "X-Hop": "1"})
 		if resp.StatusCode != http.StatusOK || resp.body != "echo two oars" || resp.err != nil {
--- /dev/null
+++ b/node/program/tls_test.go
@@ -0,0 +1,101 @@
+package program_test
+
+import (
+	"encoding/json"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pollenhill.example/core/state/event"
+	"pollenhill.example/core/state/settings"
+	"pollenhill.example/core/transport/mtls"
+	"pollenhill.example/core/transport/mtls/mtlstest"
+	"pollenhill.example/node/program"
+)
+
+// Guards against settings without a key or authorities, and against a node that starts plain, or in part, although its
+// settings ask for TLS.
+func TestBadStartWithTLS(t *testing.T) {
+	files := mtlstest.New(t).Issue(t, t.TempDir(), "node", time.Now().Add(time.Hour))
+	cases := []struct {
+		name, want string
+		tls        map[string]string
+	}{
+		{"missing key", "tls.key", map[string]string{"cert": files.Cert, "ca": files.CA}},
+		{"unknown field", "tls.crt", map[string]string{"crt": files.Cert}},
+		{"absent file", "absent", map[string]string{"cert": files.Cert, "key": files.Key, "ca": filepath.Join(t.TempDir(), "absent")}},
+		{"not a key", files.CA, map[string]string{"cert": files.Cert, "key": files.CA, "ca": files.CA}},
+		{"not an authority", files.Key, map[string]string{"cert": files.Cert, "key": files.Key, "ca": files.Key}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			raw, err := json.Marshal(config(t, "n"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var object map[string]any
+			if err := json.Unmarshal(raw, &object); err != nil {
+				t.Fatal(err)
+			}
+			object["tls"] = tc.tls
+			if raw, err = json.Marshal(object); err != nil {
+				t.Fatal(err)
+			}
+			cfg, err := settings.Parse[program.Settings](raw)
+			if err == nil {
+				log := event.New(event.Config{Process: "n", Zap: zap.NewNop(), Clock: event.NewClock(time.Now)})
+				_, err = program.New(program.Config{Settings: cfg, Control: newGroup(), Events: log})
+			}
+			if err == nil || !strings.Contains(err.Error(), tc.want) {
+				t.Fatalf("error %v does not mention %q", err, tc.want)
+			}
+		})
+	}
+}
+
+// issue returns the TLS files of a node.
+type issue func(name string) *mtls.Config
+
+// authority returns an issue of files that no other authority's processes accept.
+func authority(t testing.TB) issue {
+	t.Helper()
+	a := mtlstest.New(t)
+	return func(name string) *mtls.Config {
+		cfg := a.Issue(t, t.TempDir(), name, time.Now().Add(time.Hour))
+		return &cfg
+	}
+}
+
+func tlsFiles(name string, files []issue) *mtls.Config {
+	if len(files) == 0 || files[0] == nil {
+		return nil
+	}
+	return files[0](name)
+}
+
+// transports runs a test with plain connections between the nodes and with TLS.
+func transports(t *testing.T, test func(*testing.T, issue)) {
+	t.Run("plain", func(t *testing.T) { test(t, nil) })
+	t.Run("TLS", func(t *testing.T) { test(t, authority(t)) })
+}
+
+// Guards against an unauthenticated destination after which it is unknown whether a reservation ran: it is not run, so
+// the caller may try again.
+func TestRefusedHandshakeIsNotRun(t *testing.T) {
+	f := newFake(t, nil)
+	g := newGroup()
+	entry := start(t, g, config(t, "entry", authority(t)))
+	destination := start(t, g, config(t, "destination", authority(t)))
+	destination.keep(t, f, "desk-1")
+	var got answer
+	eventually(t, "the destination is known", func() bool {
+		got = send(t, entry, "POST", "/reserve", "", nil)
+		return strings.Contains(got.Header.Get("Proxy-Status"), "broken") || got.StatusCode == 502
+	})
+	if got.Header.Get("Pollenhill-Outcome") != "not-run" || f.total() != 0 {
+		t.Fatalf("status %d, %v, %d runs", got.StatusCode, got.Header, f.total())
+	}
+}
--- a/pollenhill/command/run.go
+++ b/pollenhill/command/run.go
@@ -151,8 +151,12 @@
 		}
 		cfg.Bind = ip
 	}
-	if c.String("cert") != "" || c.String("key") != "" || c.String("ca") != "" {
-		cfg.TLS = &mtls.Config{Cert: c.String("cert"), Key: c.String("key"), CA: c.String("ca")}
+	switch files := (mtls.Config{Cert: c.String("cert"), Key: c.String("key"), CA: c.String("ca")}); {
+	case files == mtls.Config{}:
+	case files.Cert == "" || files.Key == "" || files.CA == "":
+		return nil, fail(ExitFile, errors.New("mutual TLS needs all of --cert, --key and --ca"))
+	default:
+		cfg.TLS = &files
 	}
 	found, err := control.New(cfg)
 	return found, fail(ExitFile, err)
--- a/pollenhill/transport/control/clients.go
+++ b/pollenhill/transport/control/clients.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -13,6 +12,7 @@
 	"pollenhill.example/core/protocol/control"
 	"pollenhill.example/core/protocol/control/controlconnect"
 	"pollenhill.example/core/transport/mtls"
+	"pollenhill.example/core/transport/tcp"
 )
 
 // Config says which control processes are asked and how.
@@ -60,17 +60,9 @@
 }
 
 func newClient(cfg Config, address netip.AddrPort, source *mtls.Source) controlconnect.ControlClient {
-	dialer := &net.Dialer{}
-	if cfg.Bind.IsValid() {
-		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(cfg.Bind, 0))
-	}
+	dialer := source.Dialer(tcp.Dialer{Bind: cfg.Bind})
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
-	base := "http://" + address.String()
-	if source != nil {
-		transport.TLSClientConfig = source.Client(address.Addr())
-		base = "https://" + address.String()
-	}
-	return controlconnect.NewControlClient(&http.Client{Transport: transport}, base, connect.WithReadMaxBytes(maxMessage))
+	return controlconnect.NewControlClient(&http.Client{Transport: transport}, "http://"+address.String(), connect.WithReadMaxBytes(maxMessage))
 }
 
 // Status asks every control process and returns one answer for each, in the order of the addresses.
