--- a/core/transport/mtls/listen.go
+++ b/core/transport/mtls/listen.go
@@ -45,10 +45,10 @@
 	timer := time.AfterFunc(handshakeTimeout, func() { _ = sock.Close() })
 	defer timer.Stop()
 	err := t.Handshake()
+	s.stale()
 	if err == nil && t.ConnectionState().NegotiatedProtocol == Protocol {
 		_, err = t.Write([]byte{Ready})
 	}
-	s.stale()
 	if err == nil {
 		return nil
 	}
