--- a/control/daemon/tls_test.go
+++ b/control/daemon/tls_test.go
@@ -36,7 +36,8 @@
 
 type dial = func(ctx context.Context, network, address string) (net.Conn, error)
 
-var loopback = net.IPv4(127, 0, 0, 1)
+// Processes dial from loopback; free hands out addresses of listening.
+var loopback, listening = net.IPv4(127, 0, 0, 1), net.IPv4(127, 0, 0, 2)
 
 // secured returns the dialer of a process with valid files.
 func secured(t testing.TB, cfg mtls.Config) dial {
@@ -51,7 +52,7 @@
 // process returns the files of a process, valid for an hour.
 func process(t testing.TB, a mtlstest.Authority, name string) *mtls.Config {
 	t.Helper()
-	cfg := a.Issue(t, t.TempDir(), name, time.Now().Add(time.Hour), loopback)
+	cfg := a.Issue(t, t.TempDir(), name, time.Now().Add(time.Hour), loopback, listening)
 	return &cfg
 }
 
@@ -311,7 +312,7 @@
 	ours := mtlstest.New(t)
 	dir := t.TempDir()
 	issue := func(a mtlstest.Authority, name string) *mtls.Config {
-		cfg := a.Issue(t, dir, name, time.Now().Add(time.Hour), loopback)
+		cfg := a.Issue(t, dir, name, time.Now().Add(time.Hour), loopback, listening)
 		return &cfg
 	}
 	s := newSystem(t, func(name string) *mtls.Config { return issue(ours, name) })
