--- a/core/state/settings/load.go
+++ b/core/state/settings/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding"
 	"encoding/json"
 	"os"
 	"reflect"
@@ -84,8 +85,10 @@
 	for t.Kind() == reflect.Pointer {
 		t = t.Elem()
 	}
-	if reflect.PointerTo(t).Implements(reflect.TypeFor[json.Unmarshaler]()) {
-		return nil
+	if p := reflect.PointerTo(t); p.Implements(reflect.TypeFor[json.Unmarshaler]()) || p.Implements(reflect.TypeFor[encoding.TextUnmarshaler]()) {
+		// Decode reports errors of such types without the path.
+		err := json.Unmarshal(raw, reflect.New(t).Interface())
+		return errors.Wrapf(err, "field %s", strings.TrimSuffix(path, "."))
 	}
 	switch t.Kind() {
 	case reflect.Struct:
--- a/node/main.go
+++ b/node/main.go
@@ -12,7 +12,6 @@
 	"github.com/urfave/cli/v3"
 
 	"pollenhill.example/core/state/event"
-	"pollenhill.example/core/state/settings"
 	"pollenhill.example/node/program"
 )
 
@@ -34,7 +33,7 @@
 }
 
 func run(ctx context.Context, path string) error {
-	cfg, err := settings.Load[program.Settings](path)
+	cfg, err := program.Load(path)
 	if err != nil {
 		return err
 	}
--- a/node/program/settings.go
+++ b/node/program/settings.go
@@ -70,3 +70,8 @@
 		Linger:   cmp.Or(l.Linger, settings.Duration(defaultLinger)),
 	}
 }
+
+// Load reads the settings file at path; errors name the field's path.
+func Load(path string) (Settings, error) {
+	return settings.Load[Settings](path)
+}
