Keep a living member when another process takes its name

Cause: a joining process with the name of a member made that member leave even if it was alive, so two processes started with one name pushed each other out. Change: the leader replaces a member only if it has not acknowledged a heartbeat for an election timeout. Tests for this and for a leader that hangs in its disk, which must not call itself current; both fail when the check is taken out on a copy.

--- a/control/coordination/group/cluster_test.go
+++ b/control/coordination/group/cluster_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,7 +15,6 @@
 	"github.com/cockroachdb/errors"
 
 	"pollenhill.example/control/coordination/group"
-	"pollenhill.example/core/coordination/engine"
 	"pollenhill.example/core/state/disk"
 	"pollenhill.example/core/state/replica"
 )
@@ -327,6 +327,58 @@
 	}
 }
 
+// hanging is a disk whose syncs wait for a gate.
+type hanging struct {
+	disk.FS
+	gate atomic.Pointer[chan struct{}] // nil: open
+}
+
+type hangingFile struct {
+	disk.File
+	disk *hanging
+}
+
+func (d *hanging) Create(path string) (disk.File, error) {
+	f, err := d.FS.Create(path)
+	return &hangingFile{f, d}, err
+}
+
+func (f *hangingFile) Sync() error {
+	if gate := f.disk.gate.Load(); gate != nil {
+		<-*gate
+	}
+	return f.File.Sync()
+}
+
+// Guards against a leader that calls itself current while it hangs in its disk.
+func TestHangingDiskIsNotCurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &hanging{FS: disk.NewFake(rand.New(rand.NewPCG(1, 1)))}
+		g, err := group.Open(group.Config{Name: "c1", Data: "/data", FS: d, Peers: []group.Peer{{Name: "c1"}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !g.View().Current {
+			t.Error("not current before the disk hangs")
+		}
+		gate := make(chan struct{})
+		d.gate.Store(&gate)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := g.Propose(ctx, replica.Command{Kind: replica.Change, Number: 1}); !errors.Is(err, group.ErrUnknown) {
+			t.Errorf("proposal on a hanging disk: %v", err)
+		}
+		if g.View().Current {
+			t.Error("current although the disk hangs")
+		}
+		d.gate.Store(nil)
+		close(gate)
+		if err := g.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // Guards against a voter that lost its disk and votes again, and against a replacement that cannot take its place.
 func TestWipedVoterIsRefusedAndRejoins(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -341,7 +393,7 @@
 		}
 		wiped := c.get("c3")
 		<-wiped.Done()
-		if err := wiped.Failed(); !errors.Is(err, engine.ErrReplaced) {
+		if err := wiped.Failed(); !errors.Is(err, group.ErrReplaced) {
 			t.Fatalf("the wiped voter stopped with %v", err)
 		}
 		c.disks["c3"].Kill()
--- a/control/coordination/group/config.go
+++ b/control/coordination/group/config.go
@@ -25,7 +25,8 @@
 	Election  time.Duration // shortest election timeout, 0: 500 ms; timeouts are drawn up to twice as long
 	Heartbeat time.Duration // 0: 100 ms
 
-	// Send passes encoded messages to a member by name; it must not block, and it may lose them.
+	// Send passes encoded messages to a member by name; it must not block, and it may lose them. It is
+	// called from one goroutine at a time, for the first time before Open returns.
 	Send func(to string, messages [][]byte)
 	// Forward proposes an encoded command at the leader, where Serve answers it; nil: Propose returns NotLeader.
 	// It returns a NotLeader error only if the other member did; after any other error the outcome is unknown.
--- a/control/coordination/group/errors.go
+++ b/control/coordination/group/errors.go
@@ -13,6 +13,8 @@
 	ErrBusy    = engine.ErrBusy
 	ErrRefused = engine.ErrRefused
 	ErrLost    = engine.ErrLost
+	// ErrReplaced stops a first voter whose data folder is new although the group knows it from another one.
+	ErrReplaced = engine.ErrReplaced
 )
 
 // NotLeader means that the command was not proposed, because this member does not lead.
--- a/control/coordination/group/group.go
+++ b/control/coordination/group/group.go
@@ -82,6 +82,7 @@
 func (g *Group) Barrier(ctx context.Context) error {
 	for {
 		try, cancel := context.WithTimeout(ctx, g.cfg.Election)
+		go cancelOn(try, cancel, *g.moved.Load())
 		_, err := g.ask(try, engine.Read{})
 		cancel()
 		if err == nil || ctx.Err() != nil || errors.Is(err, ErrClosed) || g.Failed() != nil {
--- a/core/coordination/engine/basic_test.go
+++ b/core/coordination/engine/basic_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"testing"
 	"time"
 
@@ -152,6 +153,28 @@
 	}
 }
 
+// Guards against a second process of the same name that pushes a living member out of the group.
+func TestLivingMemberIsNotReplaced(t *testing.T) {
+	s := newSim(5, 3)
+	s.propose(t, change(1, "text"))
+	members := s.leader().process.View(s.now).Members
+	other, err := engine.Open(engine.Config{
+		Name: "c3", FS: disk.NewFake(s.r), Dir: dataDir, Peers: s.peers(), Join: true, Rand: s.r,
+		Send: func(to string, messages [][]byte) { s.send("c3", to, messages) },
+	}, s.now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 100 {
+		other.Step(s.now, engine.Tick{})
+		s.run(50*time.Millisecond, nil)
+	}
+	if got := s.leader().process.View(s.now).Members; !reflect.DeepEqual(got, members) {
+		t.Errorf("members %+v, before the second process %+v", got, members)
+	}
+	s.report(t, 5)
+}
+
 // Guards against member names that make two members look like one.
 func TestOpenRefusesPeers(t *testing.T) {
 	for name, peers := range map[string][]engine.Peer{
--- a/core/coordination/engine/join.go
+++ b/core/coordination/engine/join.go
@@ -48,7 +48,11 @@
 		return nil
 	}
 	for _, id := range all {
-		if NameOf(id) == m.Name {
+		switch {
+		case NameOf(id) != m.Name:
+		case e.model.Heard(now, id):
+			return nil // two processes have this name, and the older one lives
+		default:
 			return e.alter(now, 0, replica.Command{Kind: replica.Leave, Member: replica.Member{ID: id}})
 		}
 	}
--- a/core/coordination/raft/lead.go
+++ b/core/coordination/raft/lead.go
@@ -125,6 +125,19 @@
 	return set.quorum(n)
 }
 
+// Heard returns whether this member leads and another acknowledged a heartbeat within the election timeout; a new
+// leader counts everyone as heard at its start.
+func (m *Model) Heard(now time.Time, id string) bool {
+	if m.role != Leader || id == m.cfg.ID {
+		return m.role == Leader
+	}
+	heard := m.lead.since
+	if p := m.lead.peers[id]; p != nil && p.contact.After(heard) {
+		heard = p.contact
+	}
+	return now.Before(heard.Add(m.cfg.Election))
+}
+
 // beat starts a new heartbeat round.
 func (m *Model) beat() {
 	m.lead.round++
