Measure attempts over TLS and write large records

Cause: below TLS the buffered writer of fasthttp wrote records of 4 KB, since the TLS connection had no ReadFrom as the plain connection has.

Change: mtls.Conn copies bodies in 32 KB pieces. New benchmarks measure an attempt over a pooled connection, one that opens its connection, and the memory of an idle connection, with and without TLS.

Conclusion: keep the copies, leave the record size to crypto/tls.

--- a/core/transport/mtls/conn.go
+++ b/core/transport/mtls/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"crypto/tls"
+	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,6 +52,18 @@
 	return c.Conn.Write(b)
 }
 
+// copySize is the memory for one streaming body, in bytes: two TLS records of the largest size.
+const copySize = 32 << 10
+
+var copies = sync.Pool{New: func() any { b := make([]byte, copySize); return &b }}
+
+// ReadFrom copies r in large records; without it a buffered writer above would write records of its own, smaller size.
+func (c *Conn) ReadFrom(r io.Reader) (int64, error) {
+	buf, _ := copies.Get().(*[]byte)
+	defer copies.Put(buf)
+	return io.CopyBuffer(struct{ io.Writer }{c}, struct{ io.Reader }{r}, *buf)
+}
+
 // Close closes the socket.
 func (c *Conn) Close() error {
 	return c.socket.Close()
--- /dev/null
+++ b/node/transport/peer/bench_test.go
@@ -0,0 +1,166 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"pollenhill.example/core/coordination/choice"
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/hint"
+	"pollenhill.example/core/transport/mtls"
+	"pollenhill.example/core/transport/mtls/mtlstest"
+	"pollenhill.example/core/transport/tcp"
+	"pollenhill.example/node/coordination/arrival"
+	"pollenhill.example/node/protocol/message"
+	"pollenhill.example/node/transport/peer"
+)
+
+// destination answers every attempt with a body of fixed size.
+type destination struct{ body []byte }
+
+func (d destination) Serve(context.Context, message.Attempt, *message.Request) *message.Reply {
+	r := &message.Reply{Outcome: attempt.Answered, Length: len(d.body), Body: io.NopCloser(bytes.NewReader(d.body))}
+	r.Header.SetStatusCode(200)
+	r.Header.SetContentLength(len(d.body))
+	return r
+}
+
+func (destination) Cancel(context.Context, arrival.Cancel) arrival.Answer { return arrival.Unsure }
+
+// serve starts a destination node's peer server and returns its address.
+func serve(b *testing.B, source *mtls.Source, size int) netip.AddrPort {
+	b.Helper()
+	ln, err := tcp.Listen(b.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := peer.NewServer(peer.ServerConfig{
+		Node: "destination", Local: destination{body: make([]byte, size)},
+		Hint:   func() hint.Hint { return hint.Hint{} },
+		Rules:  func() (uint64, string) { return 1, "" },
+		Seen:   func(string, uint64) {},
+		Header: 16 << 10, Body: 1 << 20, Memory: semaphore.NewWeighted(64 << 20),
+		Read: 10 * time.Second, Idle: time.Minute, Stall: 10 * time.Second,
+		TLS: source,
+	})
+	go func() { _ = s.Serve(ln) }()
+	b.Cleanup(func() { _ = s.Shutdown(context.Background()) })
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+func newClient(b *testing.B, source *mtls.Source) *peer.Client {
+	b.Helper()
+	c := peer.NewClient(peer.Config{
+		Node: "entry", Dialer: source.Dialer(tcp.Dialer{Bind: netip.MustParseAddr("127.0.0.1"), Timeout: time.Second}),
+		Cap: 256, Idle: 30 * time.Second, Stall: 10 * time.Second,
+		Local: destination{}, Revision: func() uint64 { return 1 }, Offer: func(uint64, string) {},
+	})
+	b.Cleanup(c.Close)
+	return c
+}
+
+// send makes one attempt and reads its whole body.
+func send(b *testing.B, c *peer.Client, target choice.Target, sequence uint64) {
+	req := &message.Request{}
+	req.Header.SetMethod("GET")
+	req.Header.SetRequestURI("/free")
+	req.Header.SetHost("booking.example")
+	a := message.Attempt{ID: attempt.ID{Node: "entry", Incarnation: 1, Sequence: sequence}, Deadline: time.Now().Add(time.Minute), Service: "booking"}
+	reply := c.Send(context.Background(), target, a, req)
+	if reply.Outcome != attempt.Answered {
+		b.Fatalf("outcome %v, %+v", reply.Outcome, reply.Refusal)
+	}
+	if reply.Body == nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, reply.Body); err != nil {
+		b.Fatal(err)
+	}
+	_ = reply.Body.Close()
+}
+
+func transports(b *testing.B, run func(*testing.B, *mtls.Source)) {
+	b.Run("plain", func(b *testing.B) { run(b, nil) })
+	b.Run("tls", func(b *testing.B) {
+		source, err := mtls.New(mtlstest.New(b).Issue(b, b.TempDir(), "process", time.Now().Add(time.Hour)))
+		if err != nil {
+			b.Fatal(err)
+		}
+		run(b, source)
+	})
+}
+
+var sizes = []struct {
+	name string
+	size int
+}{{"200B", 200}, {"64KB", 64 << 10}, {"1MB", 1 << 20}}
+
+// BenchmarkAttempt measures one attempt over a pooled connection, both nodes in this process.
+func BenchmarkAttempt(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.name, func(b *testing.B) {
+			transports(b, func(b *testing.B, source *mtls.Source) {
+				target := choice.Target{Node: "destination", Peer: serve(b, source, size.size)}
+				c := newClient(b, source)
+				send(b, c, target, 1)
+				b.ReportAllocs()
+				sequence := uint64(1)
+				for b.Loop() {
+					sequence++
+					send(b, c, target, sequence)
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkConnection measures an attempt that opens its connection, and the memory of both ends of an idle one.
+func BenchmarkConnection(b *testing.B) {
+	transports(b, func(b *testing.B, source *mtls.Source) {
+		target := choice.Target{Node: "destination", Peer: serve(b, source, 200)}
+		sequence := uint64(0)
+		for b.Loop() {
+			sequence++
+			c := newClient(b, source)
+			send(b, c, target, sequence)
+			c.Close()
+		}
+	})
+}
+
+// connections is how many idle connections BenchmarkMemory holds.
+const connections = 200
+
+// BenchmarkMemory measures the heap of both ends of an idle pooled connection after one attempt on it.
+func BenchmarkMemory(b *testing.B) {
+	transports(b, func(b *testing.B, source *mtls.Source) {
+		target := choice.Target{Node: "destination", Peer: serve(b, source, 200)}
+		for b.Loop() {
+			before := heap()
+			clients := make([]*peer.Client, connections)
+			for i := range clients {
+				clients[i] = newClient(b, source)
+				send(b, clients[i], target, uint64(i+1))
+			}
+			b.ReportMetric(float64(heap()-before)/connections, "B/connection")
+			for _, c := range clients {
+				c.Close()
+			}
+		}
+	})
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
