Report unknown for a keyed request refused before its claim was granted

The property test compared requests with a key only with their own runs; it now compares with the runs of every earlier request with the key and failed in 2.9 s before the change. Change: such refusals are unknown, also for full nodes, late requests and rejected input.

--- a/node/coordination/call/attempt.go
+++ b/node/coordination/call/attempt.go
@@ -49,16 +49,24 @@
 
 // refused handles a proof that the attempt did not run.
 func (m *Model) refused(now time.Time, s *state, msg Head) []Cmd {
-	s.last = msg.Refusal
+	s.note(msg.Refusal)
 	if cmds := m.again(now, s, msg); len(cmds) > 0 {
 		return cmds
 	}
 	return m.conclude(s)
 }
 
+// note keeps the newest refusal as the reason to report; past the deadline the reason is the deadline, whatever the
+// cancelled attempts answer.
+func (s *state) note(f refusal.Refusal) {
+	if s.phase != expiring {
+		s.last = f
+	}
+}
+
 // failed handles an attempt that may have run.
 func (m *Model) failed(now time.Time, s *state, t *try, msg Head) []Cmd {
-	s.last = msg.Refusal
+	s.note(msg.Refusal)
 	if cmds := m.again(now, s, msg); len(cmds) > 0 {
 		return cmds
 	}
--- a/node/coordination/call/model.go
+++ b/node/coordination/call/model.go
@@ -131,9 +131,9 @@
 	m.budget(msg.Service).Call(now)
 	switch {
 	case msg.Depth > attempt.MaxDepth:
-		return m.refuse(s, refusal.Deep, attempt.NotRun)
+		return m.refuse(s, refusal.Deep, Unclaimed(msg.Keyed))
 	case !now.Before(msg.Deadline):
-		return m.refuse(s, refusal.Late, attempt.NotRun)
+		return m.refuse(s, refusal.Late, Unclaimed(msg.Keyed))
 	case msg.Keyed:
 		s.claim = true
 		return []Cmd{Claim{msg.Call}, s.wake()}
@@ -169,7 +169,16 @@
 	case Failed:
 	}
 	// The claim may have been granted without this node hearing of it.
-	return m.notRun(s, refusal.NoQuorum)
+	return append([]Cmd{Release{s.Call}}, m.refuse(s, refusal.NoQuorum, Unclaimed(true))...)
+}
+
+// Unclaimed returns the outcome of a request that was refused before its key was claimed. It did not run itself, but
+// an earlier request with the same key may have, and "not run" would tell the caller that nothing happened.
+func Unclaimed(keyed bool) attempt.Outcome {
+	if keyed {
+		return attempt.Unknown
+	}
+	return attempt.NotRun
 }
 
 func (m *Model) start(now time.Time, s *state) []Cmd {
@@ -214,7 +223,7 @@
 	switch {
 	case s.phase == claiming && !now.Before(s.Deadline.Add(Grace)):
 		// Nothing was sent; a claim that is granted later is released.
-		return m.refuse(s, refusal.Late, attempt.NotRun)
+		return m.refuse(s, refusal.Late, Unclaimed(true))
 	case s.phase == active && !now.Before(s.Deadline):
 		return m.expire(s)
 	case s.phase == expiring && !now.Before(s.Deadline.Add(Grace)):
--- a/node/coordination/call/property_test.go
+++ b/node/coordination/call/property_test.go
@@ -97,6 +97,10 @@
 		if r.key == "" && r.answers > 0 && r.outcome == attempt.NotRun && s.runs[r.name] > 0 {
 			s.t.Fatalf("%s of %s was reported as not run but ran", r.name, key.entry)
 		}
+		// A later request with the key may run; an earlier one must not have when "not run" was reported.
+		if r.answers > 0 && r.outcome == attempt.NotRun && r.ranBefore > 0 {
+			s.t.Fatalf("%s of %s was reported as not run after an earlier request had run", r.name, key.entry)
+		}
 	}
 	for _, e := range s.entries {
 		if n := e.model.Open(); n != 0 {
--- a/node/coordination/call/sim_test.go
+++ b/node/coordination/call/sim_test.go
@@ -48,6 +48,7 @@
 	answers   int
 	gone      bool
 	forgotten bool
+	ranBefore int // runs under its name when it was refused
 }
 
 type event struct {
@@ -213,6 +214,7 @@
 		r := e.req(cmd.Call)
 		r.answers++
 		r.outcome = cmd.Refusal.Outcome
+		r.ranBefore = e.s.runs[r.name]
 	case call.Forget:
 		e.req(cmd.Call).forgotten = true
 	}
--- a/node/program/fault_test.go
+++ b/node/program/fault_test.go
@@ -143,6 +143,7 @@
 // Guards against a refusal that says "not run" without a destination, and against one that lacks the standard headers.
 func TestRefusalWithoutBackend(t *testing.T) {
 	entry := start(t, newGroup(), config(t, "entry"))
+	eventually(t, "rules are in force", func() bool { return send(t, entry, "GET", "/seat", "", nil).StatusCode != 404 })
 	resp := send(t, entry, "POST", "/seat", "", nil)
 	if resp.StatusCode != 503 || resp.Header.Get("Pollenhill-Outcome") != "not-run" || resp.Header.Get("Retry-After") == "" {
 		t.Errorf("status %d, header %v", resp.StatusCode, resp.Header)
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -18,6 +18,7 @@
 	"pollenhill.example/core/protocol/refusal"
 	"pollenhill.example/core/state/rule"
 	"pollenhill.example/node/coordination/arrival"
+	"pollenhill.example/node/coordination/call"
 	"pollenhill.example/node/coordination/engine"
 	"pollenhill.example/node/protocol/message"
 	"pollenhill.example/node/transport/inbound"
@@ -148,20 +149,22 @@
 	return err
 }
 
-func (s *Server) refuse(reason refusal.Reason) *message.Reply {
-	return message.Refuse(refusal.Refusal{Reason: reason, Outcome: attempt.NotRun, After: time.Second, Node: s.cfg.Node})
+// refuse refuses a request before a key that it may carry was claimed.
+func (s *Server) refuse(h *fasthttp.RequestHeader, reason refusal.Reason) *message.Reply {
+	keyed := len(h.Peek(headerKey)) > 0
+	return message.Refuse(refusal.Refusal{Reason: reason, Outcome: call.Unclaimed(keyed), After: time.Second, Node: s.cfg.Node})
 }
 
 // serve carries out one call.
 func (s *Server) serve(ctx context.Context, in inbound.Request) *message.Reply {
 	defer s.inflight.Add(-1)
 	if s.inflight.Add(1) > int64(s.cfg.Inflight) {
-		return s.refuse(refusal.Full)
+		return s.refuse(in.Header, refusal.Full)
 	}
 	began := time.Now()
 	req, reason := s.request(in, began)
 	if reason != refusal.None {
-		return s.refuse(reason)
+		return s.refuse(in.Header, reason)
 	}
 	r := s.start(ctx, req)
 	reply := <-r.answer
--- a/node/transport/inbound/handler.go
+++ b/node/transport/inbound/handler.go
@@ -15,10 +15,10 @@
 
 // Config bounds what one listener accepts.
 type Config struct {
-	Body   int                                           // largest request body, in bytes
-	Memory *semaphore.Weighted                           // bytes for the request bodies of all listeners
-	Refuse func(refusal.Reason) *message.Reply           // reply to a request that is not passed on
-	Serve  func(context.Context, Request) *message.Reply // carries out a request; ctx ends when the other side disconnects
+	Body   int                                                          // largest request body, in bytes
+	Memory *semaphore.Weighted                                          // bytes for the request bodies of all listeners
+	Refuse func(*fasthttp.RequestHeader, refusal.Reason) *message.Reply // reply to a request that is not passed on
+	Serve  func(context.Context, Request) *message.Reply                // carries out a request; ctx ends when the other side disconnects
 }
 
 // Request is a completely received request; Header belongs to the listener until Serve returns.
@@ -63,7 +63,7 @@
 // Reject refuses a request and closes its connection, where the next request may not begin at a known byte.
 func (h *Handler) Reject(rc *fasthttp.RequestCtx, reason refusal.Reason) {
 	rc.Response.Reset()
-	Write(rc, h.cfg.Refuse(reason), func() {})
+	Write(rc, h.cfg.Refuse(&rc.Request.Header, reason), func() {})
 	rc.SetConnectionClose()
 }
 
--- a/node/transport/peer/server.go
+++ b/node/transport/peer/server.go
@@ -53,7 +53,7 @@
 // NewServer returns a Server.
 func NewServer(cfg ServerConfig) *Server {
 	s := &Server{cfg: cfg}
-	s.in = inbound.New(inbound.Config{Body: cfg.Body, Memory: cfg.Memory, Refuse: s.refuse, Serve: s.attempt})
+	s.in = inbound.New(inbound.Config{Body: cfg.Body, Memory: cfg.Memory, Refuse: s.reject, Serve: s.attempt})
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 func(rc *fasthttp.RequestCtx, _ error) { s.in.Reject(rc, refusal.Malformed) },
@@ -109,6 +109,10 @@
 	return message.Refuse(refusal.Refusal{Reason: reason, Outcome: attempt.NotRun, After: time.Second, Node: s.cfg.Node})
 }
 
+func (s *Server) reject(_ *fasthttp.RequestHeader, reason refusal.Reason) *message.Reply {
+	return s.refuse(reason)
+}
+
 // attempt serves one attempt. A request that was not received completely never gets here.
 func (s *Server) attempt(ctx context.Context, in inbound.Request) *message.Reply {
 	a, err := message.ReadAttempt(in.Header, time.Now())
