Ask the other control processes for newer rules in doubt

Cause: a node whose control process was cut off from the group, or lost with its VM, learned of a change accepted by the new leader only after its patience of 1.5 s.

Change: after one missing heartbeat, or one that says not current, the node probes the others while it stays, and takes newer rules from a current one (a watch without a node gets rules only). A forwarded proposal waits at most 750 ms for a silent leader.

--- a/control/coordination/watch/hub.go
+++ b/control/coordination/watch/hub.go
@@ -18,7 +18,8 @@
 	members  map[string]*control.Member
 	services map[string][]subset.Member // sorted by node; slices are replaced, never changed
 	watchers map[*Watcher]struct{}
-	ready    bool // the members are complete, so that they may replace what a node knows
+	readers  map[*Watcher]struct{} // get rules only
+	ready    bool                  // the members are complete, so that they may replace what a node knows
 	history  history
 }
 
@@ -28,6 +29,7 @@
 		members:  map[string]*control.Member{},
 		services: map[string][]subset.Member{},
 		watchers: map[*Watcher]struct{}{},
+		readers:  map[*Watcher]struct{}{},
 	}
 }
 
@@ -38,8 +40,10 @@
 	if !h.history.add(version{revision: revision, number: number, text: text}) {
 		return
 	}
-	for w := range h.watchers {
-		w.signal()
+	for _, set := range []map[*Watcher]struct{}{h.watchers, h.readers} {
+		for w := range set {
+			w.signal()
+		}
 	}
 }
 
--- a/control/coordination/watch/watcher.go
+++ b/control/coordination/watch/watcher.go
@@ -27,7 +27,7 @@
 	full    bool                // the next members replace everything
 }
 
-// Watch starts the stream of a node; end it with Close.
+// Watch starts the stream of a node, without a node that of a reader of rules; end it with Close.
 func (h *Hub) Watch(req *control.WatchRequest) *Watcher {
 	w := &Watcher{
 		hub:      h,
@@ -40,9 +40,13 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	w.moved = lo.Keyify(lo.Keys(h.services))
-	w.full = h.ready
-	h.watchers[w] = struct{}{}
+	if w.node == "" {
+		h.readers[w] = struct{}{}
+	} else {
+		h.watchers[w] = struct{}{}
+		w.moved = lo.Keyify(lo.Keys(h.services))
+		w.full = h.ready
+	}
 	w.signal()
 	return w
 }
@@ -52,6 +56,7 @@
 	w.hub.mu.Lock()
 	defer w.hub.mu.Unlock()
 	delete(w.hub.watchers, w)
+	delete(w.hub.readers, w)
 }
 
 // Wake returns a channel that receives when Take may have something new.
--- a/control/transport/peer/client.go
+++ b/control/transport/peer/client.go
@@ -20,7 +20,9 @@
 const (
 	dialTimeout = 500 * time.Millisecond
 	raftTimeout = 500 * time.Millisecond // of one batch; consensus sends again what is lost
-	backlog     = 256                    // batches that wait for a slow peer, then batches are dropped
+	// A leader that is lost silently is replaced within about a second; the caller then has to ask the new one.
+	forwardTimeout = 750 * time.Millisecond
+	backlog        = 256 // batches that wait for a slow peer, then batches are dropped
 )
 
 // Clients holds the connections to the other control processes; it is safe for concurrent use.
@@ -177,6 +179,8 @@
 	if !ok {
 		return nil, &group.NotLeader{}
 	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
 	resp, err := p.rest.Forward(ctx, connect.NewRequest(&control.ForwardRequest{Command: command}))
 	if connect.CodeOf(err) == connect.CodeFailedPrecondition {
 		return nil, &group.NotLeader{}
--- a/core/coordination/follow/model_test.go
+++ b/core/coordination/follow/model_test.go
@@ -239,3 +239,36 @@
 		}
 	})
 }
+
+// Guards against a node that learns of newer rules only when it leaves its control process, 1.5 s after that fell silent.
+func TestDoubtAsksTheOthers(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(s *server)
+	}{
+		{"silent", func(s *server) { s.silent = true }},
+		{"not current", func(s *server) { s.current = false }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newNode(5)
+			n.pass(5 * time.Second)
+			at, before := n.view().Server, n.probes
+			tt.fault(n.servers[at])
+			n.pass(follow.Patience - beats - 100*time.Millisecond) // the last heartbeat is up to beats old
+			if n.probes == before {
+				t.Error("no search before the end of the patience")
+			}
+			if v := n.view(); v.Server != at || !v.Confirmed && tt.name == "silent" {
+				t.Errorf("left %s too early: %+v", at, v)
+			}
+			*n.servers[at] = server{up: true, current: true}
+			n.pass(5 * time.Second)
+			before = n.probes
+			n.pass(time.Minute)
+			if v := n.view(); v.Server != at || n.probes != before {
+				t.Errorf("after the fault: %+v, %d probes", v, n.probes-before)
+			}
+		})
+	}
+}
--- a/node/transport/control/session.go
+++ b/node/transport/control/session.go
@@ -150,18 +150,41 @@
 
 func (s *session) probe(ctx context.Context, cmd follow.Probe) {
 	s.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(ctx, Timeout)
+		one, cancel := context.WithTimeout(ctx, Timeout)
 		defer cancel()
 		// An announcement without a member only asks for the answer.
-		resp, err := s.c.remotes[cmd.Server].rpc.Announce(ctx, connect.NewRequest(&control.AnnounceRequest{}))
-		m := follow.Probed{Server: cmd.Server, Round: cmd.Round, OK: err == nil}
-		if err == nil {
-			m.Current = resp.Msg.GetCurrent()
+		r := s.c.remotes[cmd.Server]
+		resp, err := r.rpc.Announce(one, connect.NewRequest(&control.AnnounceRequest{}))
+		if err != nil {
+			s.send(ctx, follow.Probed{Server: cmd.Server, Round: cmd.Round})
+			return
+		}
+		s.send(ctx, follow.Probed{Server: cmd.Server, Round: cmd.Round, OK: true, Current: resp.Msg.GetCurrent()})
+		if resp.Msg.GetCurrent() && resp.Msg.GetRevision() > s.c.State().Revision {
+			s.fetch(one, r)
 		}
-		s.send(ctx, m)
 	})
 }
 
+// fetch takes newer rules from a control process that the node does not follow.
+func (s *session) fetch(ctx context.Context, r *remote) {
+	// A watch without a node gets rules only.
+	in, err := r.rpc.Watch(ctx, connect.NewRequest(&control.WatchRequest{Revision: s.c.State().Revision}))
+	if err != nil {
+		return
+	}
+	defer in.Close()
+	for in.Receive() {
+		if rules := in.Msg().GetRules(); rules != nil {
+			s.c.update(func(st *follow.State) *follow.State {
+				next, _ := st.WithRules(rules) // after a gap the followed one or the next search provides them
+				return next
+			})
+			return
+		}
+	}
+}
+
 func (s *session) attach(ctx context.Context, cmd follow.Attach) {
 	s.cancel()
 	s.stream++
