--- a/control/transport/peer/client.go
+++ b/control/transport/peer/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -14,15 +13,15 @@
 	"pollenhill.example/control/coordination/group"
 	"pollenhill.example/core/protocol/control"
 	"pollenhill.example/core/protocol/control/controlconnect"
+	"pollenhill.example/core/transport/mtls"
+	"pollenhill.example/core/transport/tcp"
 )
 
 // Times and bounds of the connections between control processes.
 const (
 	dialTimeout = 500 * time.Millisecond
 	raftTimeout = 500 * time.Millisecond // of one batch; consensus sends again what is lost
-	// A leader that is lost silently is replaced within about a second; the caller then has to ask the new one.
-	forwardTimeout = 750 * time.Millisecond
-	backlog        = 256 // batches that wait for a slow peer, then batches are dropped
+	backlog     = 256                    // batches that wait for a slow peer, then batches are dropped
 )
 
 // Clients holds the connections to the other control processes; it is safe for concurrent use.
@@ -35,7 +34,8 @@
 type Config struct {
 	Name  string // of this process
 	Bind  netip.Addr
-	Peers []Peer // this process may be among them
+	Peers []Peer       // this process may be among them
+	TLS   *mtls.Source // nil: plain connections
 }
 
 // Peer is one control process.
@@ -66,7 +66,7 @@
 
 func newClient(cfg Config, p Peer) *client {
 	url := "http://" + p.Address.String()
-	raft, rest := transport(cfg.Bind), transport(cfg.Bind)
+	raft, rest := transport(cfg), transport(cfg)
 	return &client{
 		name: p.Name,
 		raft: controlconnect.NewPeerClient(&http.Client{Transport: raft}, url),
@@ -76,11 +76,9 @@
 	}
 }
 
-func transport(bind netip.Addr) *http.Transport {
-	d := net.Dialer{Timeout: dialTimeout}
-	if bind.IsValid() {
-		d.LocalAddr = &net.TCPAddr{IP: bind.AsSlice()}
-	}
+// transport speaks HTTP/2 with prior knowledge on connections that are TLS already if the settings say so.
+func transport(cfg Config) *http.Transport {
+	d := cfg.TLS.Dialer(tcp.Dialer{Bind: cfg.Bind, Timeout: dialTimeout})
 	p := new(http.Protocols)
 	p.SetUnencryptedHTTP2(true)
 	return &http.Transport{
@@ -179,8 +177,6 @@
 	if !ok {
 		return nil, &group.NotLeader{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
-	defer cancel()
 	resp, err := p.rest.Forward(ctx, connect.NewRequest(&control.ForwardRequest{Command: command}))
 	if connect.CodeOf(err) == connect.CodeFailedPrecondition {
 		return nil, &group.NotLeader{}
--- a/core/coordination/choice/msg.go
+++ b/core/coordination/choice/msg.go
@@ -46,6 +46,7 @@
 type Report struct {
 	Backend string
 	Hint    hint.Hint
+	Age     time.Duration // since the hint was true, as far as it is known
 }
 
 func (Report) msg()  {}
@@ -58,4 +59,5 @@
 type Query struct {
 	Service string
 	Avoid   []string // back ends already tried
+	Spare   bool     // only back ends with free slots, as for a hedge
 }
--- a/core/coordination/engine/engine.go
+++ b/core/coordination/engine/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,11 +14,14 @@
 	"pollenhill.example/core/state/wal"
 )
 
-// SnapshotEntries is after how many applied entries a snapshot is taken; it bounds the replay at a start.
-const SnapshotEntries = 4096
-
-// SnapshotBytes is at which size of the log a snapshot is taken earlier, because rule files can be long.
-const SnapshotBytes = 64 << 20
+// A snapshot is taken after SnapshotEntries applied entries once the log is as long as the last snapshot, so that
+// many claims do not make the group write snapshots all the time; in any case after SnapshotFactor times as many
+// entries, or when the log has SnapshotBytes. This bounds the replay at a start.
+const (
+	SnapshotEntries = 4096
+	SnapshotFactor  = 16
+	SnapshotBytes   = 64 << 20
+)
 
 // Config describes one member.
 type Config struct {
@@ -31,6 +35,7 @@
 	Election  time.Duration // 0: raft.DefaultElection
 	Heartbeat time.Duration // 0: raft.DefaultHeartbeat
 	Entries   uint64        // 0: SnapshotEntries
+	Trailing  uint64        // 0: raft.DefaultTrailing
 	Rand      *rand.Rand
 
 	// Send passes messages to a member by name; it may lose, repeat and reorder them.
@@ -46,6 +51,21 @@
 	Region  string
 }
 
+// check refuses names that cannot be told apart in member IDs.
+func (c Config) check() error {
+	seen := map[string]bool{}
+	for _, p := range c.Peers {
+		if p.Name == "" || strings.Contains(p.Name, "/") || seen[p.Name] {
+			return errors.Newf("open member %s: peer name %q is empty, repeated or contains a slash", c.Name, p.Name)
+		}
+		seen[p.Name] = true
+	}
+	if !c.Join && !seen[c.Name] {
+		return errors.Newf("open member %s: it is not among its peers", c.Name)
+	}
+	return nil
+}
+
 // Errors of outcomes. After ErrLost and ErrRefused the command is not and will not be applied.
 var (
 	ErrBusy    = errors.New("too many proposals are not committed yet")
@@ -82,6 +102,7 @@
 	outbox   []outgoing
 	outcomes []Outcome
 	joinAt   time.Time
+	size     int // of the last snapshot in bytes
 	err      error
 }
 
@@ -108,6 +129,9 @@
 	if cfg.Guard == nil {
 		cfg.Guard = &sync.Mutex{}
 	}
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
 	log, content, err := wal.Open(wal.Config{FS: cfg.FS, Dir: cfg.Dir})
 	if err != nil && !errors.Is(err, wal.ErrEmpty) {
 		return nil, errors.Wrapf(err, "open member %s", cfg.Name)
@@ -154,7 +178,7 @@
 	}
 	model, err := raft.New(raft.Config{
 		ID: e.identity.id, Founders: e.identity.membership(),
-		Election: e.cfg.Election, Heartbeat: e.cfg.Heartbeat, Rand: e.cfg.Rand,
+		Election: e.cfg.Election, Heartbeat: e.cfg.Heartbeat, Trailing: e.cfg.Trailing, Rand: e.cfg.Rand,
 	}, now, e.content)
 	e.model = model
 	e.content = wal.Content{Meta: e.content.Meta}
--- /dev/null
+++ b/core/transport/tcp/conn.go
@@ -0,0 +1,115 @@
+package tcp
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// BufferSize bounds a response header and the memory of one connection per direction, in bytes.
+const BufferSize = 16 << 10
+
+// Conn is one pooled connection; it carries one exchange at a time.
+type Conn struct {
+	net   net.Conn
+	pool  *Pool
+	r     *bufio.Reader
+	w     *bufio.Writer
+	out   *counter
+	since time.Time // when it became idle
+	once  *sync.Once
+	ended chan struct{} // closed when the other side is known to work on the exchange no longer
+}
+
+// counter tells whether the kernel took a byte.
+type counter struct {
+	net.Conn
+	n int64
+}
+
+// sent is a connection that encodes what is written; Sent returns the bytes that the kernel took.
+type sent interface{ Sent() int64 }
+
+func (c *counter) Write(b []byte) (int, error) {
+	s, encoded := c.Conn.(sent)
+	if !encoded {
+		n, err := c.Conn.Write(b)
+		c.n += int64(n)
+		return n, err
+	}
+	// A failed write of an encoded block reports no byte although the kernel may have taken a part of it.
+	before := s.Sent()
+	n, err := c.Conn.Write(b)
+	c.n += s.Sent() - before
+	return n, err
+}
+
+func newConn(raw net.Conn, p *Pool) *Conn {
+	out := &counter{Conn: raw}
+	return &Conn{
+		net:  raw,
+		pool: p,
+		r:    bufio.NewReaderSize(raw, BufferSize),
+		w:    bufio.NewWriterSize(out, BufferSize),
+		out:  out,
+		once: &sync.Once{},
+
+		ended: make(chan struct{}),
+	}
+}
+
+func (c *Conn) quiet() bool {
+	return c.r.Buffered() == 0 && Peek(c.net) == Quiet
+}
+
+// watch interrupts the exchange when ctx ends; the returned function stops that and reports whether ctx was later.
+func (c *Conn) watch(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, func() {
+		if c.pool.cfg.Reap == 0 {
+			_ = c.net.Close()
+			return
+		}
+		// The socket stays open for reap; no deadline is set in between, since bodies set theirs after the header.
+		_ = c.net.SetDeadline(time.Unix(1, 0))
+	})
+}
+
+// abandon gives up an exchange whose response header has not arrived. The other side may still be at work: closing
+// the write side asks it to cancel, and the first byte or the end of its response shows that it has finished.
+func (c *Conn) abandon() {
+	if c.pool.cfg.Reap == 0 || c.out.n == 0 {
+		c.finish(false)
+		return
+	}
+	c.once.Do(func() { go c.reap() })
+}
+
+func (c *Conn) reap() {
+	if half, ok := c.net.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	_ = c.net.SetDeadline(time.Now().Add(c.pool.cfg.Reap))
+	_, _ = c.net.Read(make([]byte, 1))
+	c.end(c.pool.drop)
+}
+
+func (c *Conn) end(give func(*Conn)) {
+	give(c)
+	close(c.ended)
+}
+
+func (c *Conn) finish(keep bool) {
+	c.once.Do(func() {
+		if !keep || c.r.Buffered() > 0 {
+			c.end(c.pool.drop)
+			return
+		}
+		c.out.n = 0
+		next := *c
+		next.once = &sync.Once{}
+		next.ended = make(chan struct{})
+		c.end(func(*Conn) { c.pool.put(&next) })
+	})
+}
--- a/lab/demo/run.go
+++ b/lab/demo/run.go
@@ -27,6 +27,8 @@
 	most         = 1024    // requests at once, per kind
 	timeout      = 10 * time.Second
 	phaseTime    = 7 * time.Second
+	startTime    = 3 * time.Second // all back ends are cold at first, so refusals are no fault
+	starting     = "start"
 	readyTime    = 15 * time.Second // longest wait for the first whole answer of every service
 	outLimit     = 3 * time.Second  // a zone that is out gets no new work after this time
 )
@@ -40,6 +42,8 @@
 	notes   *ledger
 	mu      sync.Mutex
 	phase   string
+
+	failures []string // requests without a whole answer
 }
 
 // Config says where the demonstration runs and where it prints.
@@ -66,6 +70,9 @@
 	if err := r.table.Write(cfg.Out); err != nil {
 		return errors.Wrap(err, "print the table")
 	}
+	for _, failure := range r.failures[:min(len(r.failures), shown)] {
+		fmt.Fprintln(cfg.Out, failure)
+	}
 	return r.verify(moved)
 }
 
@@ -97,7 +104,7 @@
 func (r *run) load(ctx context.Context) (move, error) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	r.enter("steady")
+	r.enter(starting)
 	var wg sync.WaitGroup
 	r.start(ctx, &wg)
 	m, err := r.moveZone(ctx)
@@ -109,6 +116,8 @@
 // moveZone goes through the phases while the load runs.
 func (r *run) moveZone(ctx context.Context) (move, error) {
 	var m move
+	pause(ctx, startTime)
+	r.enter("steady")
 	pause(ctx, phaseTime)
 	r.enter("zone out")
 	m.out = time.Now()
@@ -158,6 +167,11 @@
 
 func (r *run) add(kind tally.Kind, phase string, res node.Result) {
 	r.table.Add(tally.Row{Phase: phase, Kind: kind}, res.Whole, res.Outcome, res.Latency)
+	if !res.Whole {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.failures = append(r.failures, fmt.Sprintf("%s, %s: status %d, %s, after %s, error %v", phase, kind, res.Status, res.Reason, res.Latency, res.Err))
+	}
 }
 
 func (r *run) now() string {
--- a/lab/main.go
+++ b/lab/main.go
@@ -12,13 +12,14 @@
 	"pollenhill.example/lab/demo"
 	"pollenhill.example/lab/fleet"
 	"pollenhill.example/lab/load"
+	"pollenhill.example/lab/model"
 )
 
 func main() {
 	app := &cli.Command{
 		Name:     "lab",
 		Usage:    "load, demonstration and experiments",
-		Commands: []*cli.Command{demo.Command(), fleet.Command(), load.Command()},
+		Commands: []*cli.Command{demo.Command(), fleet.Command(), load.Command(), model.Command()},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- /dev/null
+++ b/node/coordination/arrival/model.go
@@ -0,0 +1,187 @@
+package arrival
+
+import (
+	"time"
+
+	"pollenhill.example/core/coordination/admission"
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/state/rule"
+)
+
+// Model is the destination side of all attempts at one node; it is not safe for concurrent use.
+// Admission remembers the fate of every attempt, so a late or repeated one never runs twice.
+type Model struct {
+	cfg       Config
+	admission *admission.Model
+	backend   Backend
+	rules     *rule.Set
+	leaving   bool
+}
+
+// Config identifies the node.
+type Config struct {
+	Zone        string
+	Incarnation uint64
+}
+
+// New returns a Model without a back end.
+func New(cfg Config) *Model {
+	m := &Model{cfg: cfg, rules: &rule.Set{}}
+	m.admission = admission.New(m.limits())
+	return m
+}
+
+// Update applies one message at the given time and returns the effects.
+func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	switch msg := msg.(type) {
+	case Arrive:
+		return m.arrive(now, msg)
+	case Cancel:
+		return m.cancel(now, msg)
+	case Lost:
+		return m.admit(now, admission.Cancel(msg), false)
+	case Done:
+		return m.admit(now, admission.Done(msg), false)
+	case Backend:
+		m.backend = msg
+		cmds := m.admit(now, m.limits(), false)
+		return append(cmds, m.admit(now, m.state(), false)...)
+	case Rules:
+		m.rules = msg.Set
+		return m.admit(now, m.limits(), false)
+	case Leave:
+		m.leaving = true
+		return m.admit(now, m.state(), false)
+	case Pool:
+		return m.pool(now, msg)
+	case Check:
+		return m.admit(now, admission.Check(msg), false)
+	case Tick:
+		return m.admit(now, admission.Tick{}, false)
+	}
+	return nil
+}
+
+// View returns the figures of admission.
+func (m *Model) View() admission.View {
+	return m.admission.View()
+}
+
+func (m *Model) state() admission.Backend {
+	if m.leaving {
+		return admission.Backend{State: admission.Leaving}
+	}
+	return admission.Backend{State: m.backend.State}
+}
+
+func (m *Model) arrive(now time.Time, msg Arrive) []Cmd {
+	if msg.Incarnation != m.cfg.Incarnation {
+		return refuse(msg.ID, refusal.Incarnation, attempt.NotRun)
+	}
+	if reason := m.refusal(msg); reason != refusal.None {
+		return m.never(now, msg.ID, reason)
+	}
+	return m.admit(now, admission.Arrive{ID: msg.ID, Deadline: msg.Deadline, Priority: msg.Level}, false)
+}
+
+// never refuses an attempt without admission and makes sure that no other copy of it starts later.
+func (m *Model) never(now time.Time, id attempt.ID, reason refusal.Reason) []Cmd {
+	var cmds []Cmd
+	for _, cmd := range m.admit(now, admission.Cancel{ID: id}, true) {
+		verdict, ok := cmd.(Verdict)
+		switch {
+		case !ok:
+			cmds = append(cmds, cmd)
+		case verdict.Answer == NotRun:
+			cmds = append(cmds, refuse(id, reason, attempt.NotRun)...)
+		default:
+			cmds = append(cmds, refuse(id, refusal.Duplicate, attempt.Unknown)...)
+		}
+	}
+	return cmds
+}
+
+func (m *Model) refusal(msg Arrive) refusal.Reason {
+	switch {
+	case msg.Depth > attempt.MaxDepth:
+		return refusal.Deep
+	case !m.leaving && msg.Service != m.backend.Service:
+		return refusal.Absent
+	}
+	return refusal.None
+}
+
+func (m *Model) cancel(now time.Time, msg Cancel) []Cmd {
+	if msg.Incarnation != m.cfg.Incarnation {
+		return []Cmd{Verdict{ID: msg.ID, Answer: Unsure}}
+	}
+	return m.admit(now, admission.Cancel{ID: msg.ID}, true)
+}
+
+func (m *Model) pool(now time.Time, msg Pool) []Cmd {
+	if msg.Closed > 0 {
+		return m.admit(now, admission.Closed{Count: msg.Closed, All: msg.Open == 0}, false)
+	}
+	return m.admit(now, admission.Opened{Count: msg.Open}, false)
+}
+
+// admit applies msg to admission and turns its effects into those of m; asked adds the verdict on a cancel.
+func (m *Model) admit(now time.Time, msg admission.Msg, asked bool) []Cmd {
+	var cmds []Cmd
+	for _, cmd := range m.admission.Update(now, msg) {
+		switch cmd := cmd.(type) {
+		case admission.Start:
+			cmds = append(cmds, Start(cmd))
+		case admission.Refuse:
+			cmds = append(cmds, refused(cmd))
+		case admission.Cancelled:
+			if asked {
+				cmds = append(cmds, Verdict{ID: cmd.ID, Answer: NotRun})
+			}
+		case admission.Running:
+			cmds = append(cmds, Abort(cmd))
+			if asked {
+				cmds = append(cmds, Verdict{ID: cmd.ID, Answer: Begun})
+			}
+		case admission.Warm:
+			cmds = append(cmds, Warm(cmd))
+		}
+	}
+	return cmds
+}
+
+// refused says what a refusal of admission proves: the other copy of a duplicate may run or have run.
+func refused(cmd admission.Refuse) Refuse {
+	outcome := attempt.NotRun
+	if cmd.Reason == refusal.Duplicate {
+		outcome = attempt.Unknown
+	}
+	return Refuse{ID: cmd.ID, Reason: cmd.Reason, Outcome: outcome, After: cmd.After}
+}
+
+// limits returns the rules for the local back end; the smaller of announced and configured slots holds.
+func (m *Model) limits() admission.Limits {
+	s, ok := m.rules.Limits(m.backend.Service)
+	l := admission.Limits{Slots: s.Slots, Queue: s.Queue, Cold: s.Cold, Connections: s.Connections}
+	if ok && s.Queue == 0 {
+		l.Queue = -1 // admission takes 0 for "not set"
+	}
+	if n := m.backend.Slots; n > 0 && (l.Slots == 0 || n < l.Slots) {
+		l.Slots = n
+	}
+	if n := m.backend.Connections; n > 0 && (l.Connections == 0 || n < l.Connections) {
+		l.Connections = n
+	}
+	switch {
+	case m.rules.ZoneOut(m.cfg.Zone):
+		l.Reason = refusal.ZoneOut
+	case m.rules.BackendOut(m.backend.Name):
+		l.Reason = refusal.BackendOut
+	}
+	return l
+}
+
+func refuse(id attempt.ID, reason refusal.Reason, outcome attempt.Outcome) []Cmd {
+	return []Cmd{Refuse{ID: id, Reason: reason, Outcome: outcome, After: time.Second}}
+}
