Check the back end under the measuring budget; test peers and the destination model

Cause: /health and /load were not read, and the peer port and the client for it had no contract tests. Change: arrival.Model owns the probe budget; answers count as evidence, a check that only runs out of its budget proves nothing, load reports are shown in /status only.

--- /dev/null
+++ b/node/coordination/arrival/check.go
@@ -0,0 +1,95 @@
+package arrival
+
+import (
+	"time"
+
+	"pollenhill.example/core/coordination/admission"
+	"pollenhill.example/core/coordination/probe"
+)
+
+// Paths that the node reads at the back end.
+const (
+	PathHealth = "/health"
+	PathLoad   = "/load"
+)
+
+// Probe asks for a check, whose connection must be closed at Until at the latest.
+type Probe struct {
+	ID    uint64
+	Path  string
+	Until time.Time
+}
+
+func (Probe) cmd() {}
+
+// Checked reports the end of a Probe.
+type Checked struct {
+	ID      uint64
+	Path    string
+	Finding Finding
+}
+
+func (Checked) msg() {}
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Finding -linecomment
+
+// Finding is what a check showed; Silent proves nothing.
+type Finding int
+
+// Findings of a check.
+const (
+	Silent Finding = iota // silent
+	Fine                  // fine
+	Bad                   // bad
+)
+
+// probes runs msg through the measuring budget.
+func (m *Model) probes(now time.Time, msg probe.Msg) []Cmd {
+	var cmds []Cmd
+	for _, cmd := range m.probe.Update(now, msg) {
+		// Abort needs no effect: every probe ends by itself at Until.
+		if p, ok := cmd.(probe.Probe); ok {
+			cmds = append(cmds, Probe{ID: p.ID, Path: p.Target, Until: p.Until})
+		}
+	}
+	return cmds
+}
+
+// budget sets the measuring budget from the rules and the targets from the announced state.
+func (m *Model) budget(now time.Time) []Cmd {
+	cfg := probe.Config{Slots: m.limits().Slots}
+	if s, ok := m.rules.Limits(m.backend.Service); ok {
+		cfg.Share = float64(s.Probe)
+		if cfg.Share == 0 {
+			cfg.Share = noShare
+		}
+	}
+	cmds := m.probes(now, cfg)
+	if m.backend.State == admission.Absent || m.leaving {
+		return append(cmds, m.probes(now, probe.Members{})...)
+	}
+	return append(cmds, m.probes(now, probe.Members{Targets: []string{PathHealth, PathLoad}})...)
+}
+
+// noShare turns probing off; zero would mean the default.
+const noShare = -1
+
+func (m *Model) checked(now time.Time, msg Checked) []Cmd {
+	cmds := m.probes(now, probe.Done{ID: msg.ID})
+	if msg.Path != PathHealth || msg.Finding == Silent {
+		return cmds
+	}
+	return append(cmds, m.admit(now, admission.Check{OK: msg.Finding == Fine}, false)...)
+}
+
+// learn takes responses as evidence, which saves probes, and failures as a reason to look.
+func (m *Model) learn(now time.Time, result admission.Result) []Cmd {
+	switch result {
+	case admission.Good:
+		return m.probes(now, probe.Evidence{Target: PathHealth})
+	case admission.Reset, admission.Failed:
+		return m.probes(now, probe.Doubt{Target: PathHealth})
+	case admission.Shed, admission.Aborted:
+	}
+	return nil
+}
--- a/node/coordination/arrival/model.go
+++ b/node/coordination/arrival/model.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pollenhill.example/core/coordination/admission"
+	"pollenhill.example/core/coordination/probe"
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/refusal"
 	"pollenhill.example/core/state/rule"
@@ -14,6 +15,7 @@
 type Model struct {
 	cfg       Config
 	admission *admission.Model
+	probe     *probe.Model
 	backend   Backend
 	rules     *rule.Set
 	leaving   bool
@@ -27,7 +29,7 @@
 
 // New returns a Model without a back end.
 func New(cfg Config) *Model {
-	m := &Model{cfg: cfg, rules: &rule.Set{}}
+	m := &Model{cfg: cfg, rules: &rule.Set{}, probe: probe.New(probe.Config{})}
 	m.admission = admission.New(m.limits())
 	return m
 }
@@ -42,23 +44,24 @@
 	case Lost:
 		return m.admit(now, admission.Cancel(msg), false)
 	case Done:
-		return m.admit(now, admission.Done(msg), false)
+		return append(m.admit(now, admission.Done(msg), false), m.learn(now, msg.Result)...)
 	case Backend:
 		m.backend = msg
 		cmds := m.admit(now, m.limits(), false)
-		return append(cmds, m.admit(now, m.state(), false)...)
+		cmds = append(cmds, m.admit(now, m.state(), false)...)
+		return append(cmds, m.budget(now)...)
 	case Rules:
 		m.rules = msg.Set
-		return m.admit(now, m.limits(), false)
+		return append(m.admit(now, m.limits(), false), m.budget(now)...)
 	case Leave:
 		m.leaving = true
-		return m.admit(now, m.state(), false)
+		return append(m.admit(now, m.state(), false), m.budget(now)...)
 	case Pool:
 		return m.pool(now, msg)
-	case Check:
-		return m.admit(now, admission.Check(msg), false)
+	case Checked:
+		return m.checked(now, msg)
 	case Tick:
-		return m.admit(now, admission.Tick{}, false)
+		return append(m.admit(now, admission.Tick{}, false), m.probes(now, probe.Tick{})...)
 	}
 	return nil
 }
--- a/node/coordination/arrival/msg.go
+++ b/node/coordination/arrival/msg.go
@@ -53,9 +53,6 @@
 // Pool reports the connections to the back end: Open are left after it closed Closed of them.
 type Pool struct{ Open, Closed int }
 
-// Check reports the result of a health check.
-type Check struct{ OK bool }
-
 // Leave makes the node refuse every new attempt: it is shutting down.
 type Leave struct{}
 
@@ -69,7 +66,6 @@
 func (Backend) msg() {}
 func (Rules) msg()   {}
 func (Pool) msg()    {}
-func (Check) msg()   {}
 func (Leave) msg()   {}
 func (Tick) msg()    {}
 
--- a/node/coordination/engine/engine.go
+++ b/node/coordination/engine/engine.go
@@ -36,7 +36,8 @@
 type Config struct {
 	Call    *call.Model
 	Arrival *arrival.Model
-	Warm    func(count int) // opens connections to the back end without waiting; may be nil
+	Warm    func(count int)     // opens connections to the back end without waiting; may be nil
+	Probe   func(arrival.Probe) // checks the back end without waiting; may be nil
 }
 
 // Targets replaces the members and rules that both models use.
@@ -235,6 +236,10 @@
 			if e.cfg.Warm != nil {
 				e.cfg.Warm(cmd.Count)
 			}
+		case arrival.Probe:
+			if e.cfg.Probe != nil {
+				e.cfg.Probe(cmd)
+			}
 		case arrival.Verdict:
 			for _, ask := range e.asks[cmd.ID] {
 				ask <- cmd.Answer
--- a/node/program/fake_test.go
+++ b/node/program/fake_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -14,6 +15,7 @@
 	mu     sync.Mutex
 	runs   map[string]int // by method and path
 	answer http.HandlerFunc
+	checks atomic.Int32 // health and load checks
 }
 
 func newFake(t testing.TB, answer http.HandlerFunc) *fake {
@@ -25,6 +27,10 @@
 }
 
 func (f *fake) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" || r.URL.Path == "/load" {
+		f.checks.Add(1)
+		return
+	}
 	f.mu.Lock()
 	f.runs[r.Method+" "+r.URL.Path]++
 	f.mu.Unlock()
--- a/node/program/status.go
+++ b/node/program/status.go
@@ -36,6 +36,7 @@
 	Inflight int    `json:"inflight"`
 	Queued   int    `json:"queued"`
 	Limit    int    `json:"limit"`
+	Load     string `json:"load"` // newest load report, as the back end wrote it
 }
 
 func (p *Program) status() Status {
@@ -64,6 +65,7 @@
 			Inflight: view.Admission.Hint.Inflight,
 			Queued:   view.Admission.Hint.Queued,
 			Limit:    view.Admission.Hint.Limit,
+			Load:     p.backend.Load().Text,
 		},
 		Members: len(state.Members),
 		Calls:   view.Calls,
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,6 +31,7 @@
 	last   Announcement
 	pool   *tcp.Pool
 	expiry *time.Timer
+	load   atomic.Pointer[Load]
 }
 
 // Config connects a Backend with the rest of the node.
--- /dev/null
+++ b/node/transport/backend/check.go
@@ -0,0 +1,78 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"pollenhill.example/core/transport/tcp"
+	"pollenhill.example/node/coordination/arrival"
+)
+
+// maxLoad bounds what is kept of a load report, in bytes.
+const maxLoad = 256
+
+// Probe carries out one check of the back end without waiting for it; its connection closes at the end of its budget.
+func (b *Backend) Probe(cmd arrival.Probe) {
+	go func() {
+		ctx, cancel := context.WithDeadline(context.Background(), cmd.Until)
+		defer cancel()
+		finding := b.check(ctx, cmd.Path)
+		b.cfg.Engine.Report(arrival.Checked{ID: cmd.ID, Path: cmd.Path, Finding: finding})
+	}()
+}
+
+// check tells a failed check from one that only ran out of its budget, which proves nothing.
+func (b *Backend) check(ctx context.Context, path string) arrival.Finding {
+	pool := b.current()
+	if pool == nil {
+		return arrival.Silent
+	}
+	var h fasthttp.RequestHeader
+	h.SetMethod(fasthttp.MethodGet)
+	h.SetRequestURI(path)
+	h.SetHost(pool.Address().String())
+	resp, err := pool.Exchange(ctx, &h, nil)
+	if err != nil {
+		var step *tcp.Error
+		if ctx.Err() != nil || errors.As(err, &step) && step.Step == tcp.Wait {
+			return arrival.Silent
+		}
+		return arrival.Bad
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxLoad))
+	switch {
+	case err != nil:
+		return arrival.Silent
+	case resp.Header.StatusCode() >= fasthttp.StatusInternalServerError:
+		return arrival.Bad
+	case resp.Header.StatusCode() >= fasthttp.StatusBadRequest:
+		return arrival.Silent // the back end has no such endpoint
+	}
+	if path == arrival.PathLoad {
+		b.report(string(text))
+	}
+	return arrival.Fine
+}
+
+// Load is the newest load report of the back end, as it was written.
+type Load struct {
+	Text string
+	At   time.Time
+}
+
+func (b *Backend) report(text string) {
+	b.load.Store(&Load{Text: text, At: time.Now()})
+}
+
+// Load returns the newest load report; admission does not use it, since such reports are stale or wrong.
+func (b *Backend) Load() Load {
+	if l := b.load.Load(); l != nil {
+		return *l
+	}
+	return Load{}
+}
--- /dev/null
+++ b/node/transport/peer/client_test.go
@@ -0,0 +1,210 @@
+package peer_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pollenhill.example/core/coordination/choice"
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/transport/tcp"
+	"pollenhill.example/node/coordination/arrival"
+	"pollenhill.example/node/protocol/message"
+	"pollenhill.example/node/transport/peer"
+)
+
+// node is a destination node whose responses are raw text; %ID stands for the attempt ID of the request.
+func node(t *testing.T, reply func(request int, h *fasthttp.RequestHeader) string) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	requests := 0
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					var req fasthttp.Request
+					if req.Read(r) != nil {
+						return
+					}
+					mu.Lock()
+					requests++
+					n := requests
+					mu.Unlock()
+					text := reply(n, &req.Header)
+					text = strings.ReplaceAll(text, "%ID", string(req.Header.Peek(attempt.HeaderAttempt)))
+					_, err := io.WriteString(c, text)
+					if err != nil || text == "" || strings.Contains(text, "X-Close") {
+						return
+					}
+				}
+			})
+		}
+	})
+	t.Cleanup(func() { ln.Close(); wg.Wait() })
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+func client(t *testing.T, offer func(uint64, string)) *peer.Client {
+	c := peer.NewClient(peer.Config{
+		Node:     "entry",
+		Dialer:   tcp.Dialer{Timeout: 5 * time.Second},
+		Cap:      4,
+		Idle:     time.Minute,
+		Stall:    5 * time.Second,
+		Revision: func() uint64 { return 5 },
+		Offer:    offer,
+	})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func request() *message.Request {
+	req := &message.Request{}
+	req.Header.SetMethod("POST")
+	req.Header.SetRequestURI("/reserve")
+	req.Header.SetHost("desk.example")
+	req.Header.SetContentLength(0)
+	return req
+}
+
+func try(sequence uint64) message.Attempt {
+	return message.Attempt{
+		ID:       attempt.ID{Node: "entry", Incarnation: 1, Sequence: sequence},
+		Deadline: time.Now().Add(10 * time.Second),
+		Depth:    2,
+		Service:  "desk",
+	}
+}
+
+const good = "HTTP/1.1 200 OK\r\nPollenhill-Attempt: %ID\r\nPollenhill-Outcome: answered\r\nPollenhill-Hint: 1 2 3 4\r\nContent-Length: 2\r\n\r\nok"
+
+// Guards against another attempt's response that reaches the caller, and against an outcome that the
+// destination's behaviour does not prove.
+func TestDestinationFaults(t *testing.T) {
+	tests := map[string]struct {
+		reply   string
+		outcome attempt.Outcome
+		result  choice.Result
+		body    string
+	}{
+		"answered":               {good, attempt.Answered, choice.Good, "ok"},
+		"another attempt's":      {strings.Replace(good, "%ID", "entry/1/99", 1), attempt.Unknown, choice.Lost, ""},
+		"an earlier incarnation": {strings.Replace(good, "%ID", "entry/0/1", 1), attempt.Unknown, choice.Lost, ""},
+		"no attempt":             {strings.Replace(good, "Pollenhill-Attempt: %ID\r\n", "", 1), attempt.Unknown, choice.Lost, ""},
+		"two responses":          {good + good, attempt.Answered, choice.Good, "ok"},
+		"cut small body":         {strings.Replace(good, "Length: 2", "Length: 9\r\nX-Close: 1", 1), attempt.Unknown, choice.Lost, ""},
+		"dies without answer":    {"", attempt.Unknown, choice.Lost, ""},
+		"refused next door":      {refusal("full", 2), attempt.NotRun, choice.Refused, ""},
+		"refused further down":   {refusal("full", 4), attempt.NotRun, choice.Refused, ""},
+		"server error":           {strings.Replace(good, "200 OK", "500 Oops", 1), attempt.Answered, choice.Failed, "ok"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			address := node(t, func(int, *fasthttp.RequestHeader) string { return test.reply })
+			c := client(t, nil)
+			target := choice.Target{Node: "destination", Peer: address, Incarnation: 1}
+			for sequence := range uint64(3) {
+				reply := c.Send(context.Background(), target, try(sequence+1), request())
+				if reply.Outcome != test.outcome || reply.Result != test.result {
+					t.Fatalf("outcome %s, result %s", reply.Outcome, reply.Result)
+				}
+				body := ""
+				if reply.Body != nil {
+					raw, err := io.ReadAll(reply.Body)
+					if err != nil {
+						t.Fatal(err)
+					}
+					body = string(raw)
+				}
+				if body != test.body {
+					t.Errorf("body %q", body)
+				}
+			}
+		})
+	}
+}
+
+func refusal(reason string, level int) string {
+	return "HTTP/1.1 503 Service Unavailable\r\nPollenhill-Attempt: %ID\r\nPollenhill-Outcome: not-run\r\nRetry-After: 1\r\n" +
+		"Proxy-Status: d; error=connection_limit_reached; details=\"" + reason + "\"; level=" + string(rune('0'+level)) +
+		"\r\nContent-Length: 0\r\n\r\n"
+}
+
+// Guards against "not run" for an attempt whose destination may have got a byte, and the other way round.
+func TestUnreachableDestinationProvesNotRun(t *testing.T) {
+	address := node(t, func(int, *fasthttp.RequestHeader) string { return "" })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := netip.MustParseAddrPort(ln.Addr().String())
+	ln.Close()
+	c := client(t, nil)
+	if reply := c.Send(context.Background(), choice.Target{Peer: closed}, try(1), request()); reply.Outcome != attempt.NotRun {
+		t.Errorf("connection refused: %s", reply.Outcome)
+	}
+	if reply := c.Send(context.Background(), choice.Target{Peer: address}, try(2), request()); reply.Outcome != attempt.Unknown {
+		t.Errorf("closed after the request: %s", reply.Outcome)
+	}
+}
+
+// Guards against a verdict "not run" that belongs to another attempt or is none.
+func TestCancelAnswers(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nPollenhill-Attempt: %ID\r\nPollenhill-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+	tests := map[string]struct {
+		reply string
+		want  arrival.Answer
+	}{
+		"not run":           {answer, arrival.NotRun},
+		"started":           {strings.Replace(answer, "not-run", "started", 1), arrival.Begun},
+		"unknown":           {strings.Replace(answer, "not-run", "unknown", 1), arrival.Unsure},
+		"another attempt's": {strings.Replace(answer, "%ID", "entry/1/99", 1), arrival.Unsure},
+		"no answer":         {"", arrival.Unsure},
+	}
+	for name, test := range tests {
+		address := node(t, func(int, *fasthttp.RequestHeader) string { return test.reply })
+		if got := client(t, nil).Cancel(context.Background(), choice.Target{Peer: address}, try(1).ID); got != test.want {
+			t.Errorf("%s: %s, want %s", name, got, test.want)
+		}
+	}
+}
+
+// Guards against a newer revision at a peer that this node sees but does not fetch.
+func TestNewerRevisionIsFetched(t *testing.T) {
+	const rules = "HTTP/1.1 200 OK\r\nPollenhill-Revision: 9\r\nContent-Length: 5\r\n\r\nrules"
+	address := node(t, func(_ int, h *fasthttp.RequestHeader) string {
+		if strings.HasPrefix(string(h.RequestURI()), "/rules?after=5") {
+			return rules
+		}
+		return strings.Replace(good, "Content-Length", "Pollenhill-Revision: 9\r\nContent-Length", 1)
+	})
+	got := make(chan string, 1)
+	c := client(t, func(revision uint64, text string) {
+		if revision == 9 {
+			got <- text
+		}
+	})
+	c.Send(context.Background(), choice.Target{Peer: address}, try(1), request())
+	if text := <-got; text != "rules" {
+		t.Errorf("offered %q", text)
+	}
+}
