--- a/lab/demo/run.go
+++ b/lab/demo/run.go
@@ -14,6 +14,7 @@
 
 	"pollenhill.example/lab/coordination/arrival"
 	"pollenhill.example/lab/state/layout"
+	"pollenhill.example/lab/state/ledger"
 	"pollenhill.example/lab/state/tally"
 	"pollenhill.example/lab/transport/node"
 )
@@ -39,7 +40,7 @@
 	fleet   layout.Fleet
 	callers []*node.Caller
 	table   *tally.Table
-	notes   *ledger
+	notes   *ledger.Ledger
 	mu      sync.Mutex
 	phase   string
 
@@ -54,7 +55,7 @@
 
 // Run sends load through the prepared processes, takes a zone out and back, and returns an error if an invariant broke.
 func Run(ctx context.Context, cfg Config) error {
-	r := &run{cfg: cfg, fleet: fleet(cfg.Dir), table: tally.New(), notes: newLedger()}
+	r := &run{cfg: cfg, fleet: fleet(cfg.Dir), table: tally.New(), notes: ledger.New()}
 	for _, v := range r.fleet.VMs() {
 		r.callers = append(r.callers, node.New(node.Config{
 			Node: v.Caller(), Bind: netip.MustParseAddr(callerAddress), Timeout: timeout, Host: bookingHost,
--- /dev/null
+++ b/lab/state/ledger/ledger_test.go
@@ -0,0 +1,43 @@
+package ledger_test
+
+import (
+	"testing"
+
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/lab/state/ledger"
+)
+
+// Guards against a demo that passes although an invariant of reservations is broken, or fails although none is.
+func TestCheck(t *testing.T) {
+	const answered, notRun, unknown = attempt.Answered, attempt.NotRun, attempt.Unknown
+	cases := []struct {
+		name     string
+		outcomes []attempt.Outcome
+		runs     int
+		broken   bool
+	}{
+		{"answered once", []attempt.Outcome{answered}, 1, false},
+		{"answered and never run", []attempt.Outcome{answered}, 0, true},
+		{"answered and run twice", []attempt.Outcome{answered}, 2, true},
+		{"not run", []attempt.Outcome{notRun}, 0, false},
+		{"reported as not run and run", []attempt.Outcome{notRun}, 1, true},
+		{"unknown and not run", []attempt.Outcome{unknown}, 0, false},
+		{"unknown and run", []attempt.Outcome{unknown}, 1, false},
+		{"unknown and run twice", []attempt.Outcome{unknown}, 2, true},
+		{"two requests, one answer", []attempt.Outcome{unknown, answered}, 1, false},
+		{"two requests, one answer, two runs", []attempt.Outcome{answered, answered}, 2, true},
+		{"two requests, none ran", []attempt.Outcome{notRun, notRun}, 0, false},
+		{"two requests, one unknown", []attempt.Outcome{notRun, unknown}, 1, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := ledger.New()
+			for _, o := range c.outcomes {
+				l.Note("r", o)
+			}
+			if got := l.Check(map[string]int{"r": c.runs}).Broken; (len(got) > 0) != c.broken {
+				t.Fatalf("broken %q", got)
+			}
+		})
+	}
+}
