Let admission pass all downloads of the memory benchmark at once

Cause: without a limit rule the default of 12 slots held back 38 of the 50 downloads, and the benchmark took their refusals for cut streams. Change: rules with 50 slots and a cold cap of 50 for this benchmark; it checks the status of every download.

--- a/node/program/bench_test.go
+++ b/node/program/bench_test.go
@@ -111,7 +111,10 @@
 			}
 		}
 	})
-	entry, _ := pair(b, newGroup(), f)
+	g := newGroup()
+	g.state.Text += "limit desk slots=50 connections=60 queue=24 # test: all downloads at once\n"
+	g.state.Text += "cold desk 50 # test: admission must not hold back a download\n"
+	entry, _ := pair(b, g, f)
 	for range b.N {
 		debug.FreeOSMemory()
 		before := resident(b)
@@ -133,6 +136,10 @@
 		}
 		defer c.Close()
 		_, _ = io.WriteString(c, "GET /book HTTP/1.1\r\nHost: desk.example\r\n\r\n")
+		status := make([]byte, len("HTTP/1.1 200"))
+		if _, err := io.ReadFull(c, status); err != nil || string(status) != "HTTP/1.1 200" {
+			b.Fatalf("%q, error %v", status, err)
+		}
 		conns = append(conns, c)
 	}
 	most, buf := uint64(0), make([]byte, 1<<20)
