--- a/lab/demo/verify.go
+++ b/lab/demo/verify.go
@@ -3,13 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/lab/state/layout"
 	"pollenhill.example/lab/state/tally"
 )
@@ -78,7 +76,9 @@
 			broken = append(broken, fmt.Sprintf("probes of %s took more than 1%% of slot time", v.Name))
 		}
 	}
-	broken = append(broken, r.notes.check(runs, r.cfg.Out)...)
+	report := r.notes.Check(runs)
+	fmt.Fprintf(r.cfg.Out, "reservations: %d run once, %d not run, %d unknown\n", report.Answered, report.NotRun, report.Unknown)
+	broken = append(broken, report.Broken...)
 	if n := r.table.Total(tally.Lookup, starting); n.Whole < n.Sent {
 		broken = append(broken, fmt.Sprintf("%d of %d lookups failed at a load that two zones can bear", n.Sent-n.Whole, n.Sent))
 	}
@@ -94,22 +94,3 @@
 	fmt.Fprintln(r.cfg.Out, "no invariant was broken")
 	return nil
 }
-
-// check returns the reservations whose caller was told something that is not true.
-func (l *ledger) check(runs map[string]int, w io.Writer) []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var broken []string
-	counts := map[attempt.Outcome]int{}
-	for id, results := range l.notes {
-		outcome := reported(results)
-		counts[outcome]++
-		n := runs[id]
-		wrong := n > 1 || outcome == attempt.Answered && n != 1 || outcome == attempt.NotRun && n != 0
-		if wrong {
-			broken = append(broken, fmt.Sprintf("reservation %s: reported %s, ran %d times", id, outcome, n))
-		}
-	}
-	fmt.Fprintf(w, "reservations: %d run once, %d not run, %d unknown\n", counts[attempt.Answered], counts[attempt.NotRun], counts[attempt.Unknown])
-	return broken
-}
