--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"pollenhill.example/control/transport/peer"
 	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/state/replica"
+	"pollenhill.example/core/transport/mtls"
 )
 
 // maxLogged is how many changes are logged at once, as after a restart with a long history.
@@ -51,6 +52,9 @@
 // build invokes the parts in an order in which cheap checks come before changes on disk.
 func (d *Daemon) build(i do.Injector) error {
 	var err error
+	if _, err = do.Invoke[*mtls.Source](i); err != nil {
+		return err
+	}
 	if d.log, err = do.Invoke[*event.Log](i); err != nil {
 		return err
 	}
@@ -121,8 +125,9 @@
 		leader = d.leader(leader)
 		select {
 		case <-changed:
+		case <-d.group.Done():
 		case <-time.After(time.Second):
-			// A failure or a new leader closes no channel.
+			// A new leader closes no channel.
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -161,3 +166,6 @@
 	}
 	return v.Leader
 }
+
+// View returns the consensus state of this process.
+func (d *Daemon) View() group.View { return d.group.View() }
--- a/control/daemon/daemon_test.go
+++ b/control/daemon/daemon_test.go
@@ -23,9 +23,12 @@
 }
 
 // free returns a loopback address that was free a moment ago.
+//
+// Nothing dials from 127.0.0.2: a dialer that gets the port of a stopped process as its own port on the same
+// address would connect to itself.
 func free(t testing.TB) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.0.0.2:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -73,6 +76,9 @@
 	t.Helper()
 	cfg := client.Config{Node: name, Zone: "oslo-a", Region: "oslo", Bind: netip.MustParseAddr("127.0.0.1")}
 	for _, s := range servers {
+		if s.TLS != nil {
+			cfg.Dial = secured(t, *s.TLS)
+		}
 		cfg.Servers = append(cfg.Servers, client.Server{Name: s.Name, Address: s.Listen, Region: s.Region})
 	}
 	c := client.New(cfg)
--- a/lab/demo/run.go
+++ b/lab/demo/run.go
@@ -14,6 +14,7 @@
 
 	"pollenhill.example/lab/coordination/arrival"
 	"pollenhill.example/lab/state/layout"
+	"pollenhill.example/lab/state/ledger"
 	"pollenhill.example/lab/state/tally"
 	"pollenhill.example/lab/transport/node"
 )
@@ -39,9 +40,11 @@
 	fleet   layout.Fleet
 	callers []*node.Caller
 	table   *tally.Table
-	notes   *ledger
+	notes   *ledger.Ledger
 	mu      sync.Mutex
 	phase   string
+
+	failures []string // requests without a whole answer
 }
 
 // Config says where the demonstration runs and where it prints.
@@ -52,7 +55,7 @@
 
 // Run sends load through the prepared processes, takes a zone out and back, and returns an error if an invariant broke.
 func Run(ctx context.Context, cfg Config) error {
-	r := &run{cfg: cfg, fleet: fleet(cfg.Dir), table: tally.New(), notes: newLedger()}
+	r := &run{cfg: cfg, fleet: fleet(cfg.Dir), table: tally.New(), notes: ledger.New()}
 	for _, v := range r.fleet.VMs() {
 		r.callers = append(r.callers, node.New(node.Config{
 			Node: v.Caller(), Bind: netip.MustParseAddr(callerAddress), Timeout: timeout, Host: bookingHost,
@@ -68,6 +71,9 @@
 	if err := r.table.Write(cfg.Out); err != nil {
 		return errors.Wrap(err, "print the table")
 	}
+	for _, failure := range r.failures[:min(len(r.failures), shown)] {
+		fmt.Fprintln(cfg.Out, failure)
+	}
 	return r.verify(moved)
 }
 
@@ -162,6 +168,11 @@
 
 func (r *run) add(kind tally.Kind, phase string, res node.Result) {
 	r.table.Add(tally.Row{Phase: phase, Kind: kind}, res.Whole, res.Outcome, res.Latency)
+	if !res.Whole {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.failures = append(r.failures, fmt.Sprintf("%s, %s: status %d, %s, after %s, error %v", phase, kind, res.Status, res.Reason, res.Latency, res.Err))
+	}
 }
 
 func (r *run) now() string {
--- a/node/transport/peer/server.go
+++ b/node/transport/peer/server.go
@@ -14,6 +14,7 @@
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/hint"
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/transport/mtls"
 	"pollenhill.example/node/coordination/arrival"
 	"pollenhill.example/node/protocol/message"
 	"pollenhill.example/node/transport/inbound"
@@ -46,12 +47,13 @@
 	Read   time.Duration // longest time for receiving a request
 	Idle   time.Duration // after which an unused connection is closed
 	Stall  time.Duration // longest time for one write
+	TLS    *mtls.Source  // nil: plain connections
 }
 
 // NewServer returns a Server.
 func NewServer(cfg ServerConfig) *Server {
 	s := &Server{cfg: cfg}
-	s.in = inbound.New(inbound.Config{Body: cfg.Body, Memory: cfg.Memory, Refuse: s.refuse, Serve: s.attempt})
+	s.in = inbound.New(inbound.Config{Body: cfg.Body, Memory: cfg.Memory, Refuse: s.reject, Serve: s.attempt})
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 func(rc *fasthttp.RequestCtx, _ error) { s.in.Reject(rc, refusal.Malformed) },
@@ -77,7 +79,7 @@
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(inbound.Listen(ln, s.cfg.Stall))
+	return s.http.Serve(s.cfg.TLS.Listen(inbound.Listen(ln, s.cfg.Stall), mtls.HTTP1))
 }
 
 // Shutdown stops accepting and waits for the requests in flight.
@@ -107,6 +109,10 @@
 	return message.Refuse(refusal.Refusal{Reason: reason, Outcome: attempt.NotRun, After: time.Second, Node: s.cfg.Node})
 }
 
+func (s *Server) reject(_ *fasthttp.RequestHeader, reason refusal.Reason) *message.Reply {
+	return s.refuse(reason)
+}
+
 // attempt serves one attempt. A request that was not received completely never gets here.
 func (s *Server) attempt(ctx context.Context, in inbound.Request) *message.Reply {
 	a, err := message.ReadAttempt(in.Header, time.Now())
--- a/pollenhill/protocol/advice/list.go
+++ b/pollenhill/protocol/advice/list.go
@@ -60,7 +60,7 @@
 		"Look for the reason of the first refusals; a higher share makes an overload worse.",
 	},
 	{
-		"no-quorum", "The request has an Idempotency-Key, and the control group cannot record it. Nothing ran.",
+		"no-quorum", "The request has an Idempotency-Key, and the control group cannot record it. This request did not run; an earlier one with the key may have.",
 		"Look at \"pollenhill status\": more than half of the voters must be reachable. Requests without a key are not affected.",
 	},
 	{
