--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -141,6 +141,7 @@
 		Local:    newDestination(i),
 		Revision: p.revision,
 		Offer:    p.control.Offer,
+		Clock:    p.events.Clock(),
 	}), nil
 }
 
@@ -156,6 +157,7 @@
 			return r.set.Revision, r.text
 		},
 		Seen:   p.seen,
+		Clock:  p.events.Clock(),
 		Header: p.cfg.Limits.Header + message.AttemptSize,
 		Body:   p.cfg.Limits.Body,
 		Memory: do.MustInvoke[*semaphore.Weighted](i),
--- a/node/transport/peer/client.go
+++ b/node/transport/peer/client.go
@@ -14,6 +14,7 @@
 	"pollenhill.example/core/coordination/choice"
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/transport/tcp"
 	"pollenhill.example/node/coordination/arrival"
 	"pollenhill.example/node/protocol/message"
@@ -44,6 +45,7 @@
 	Local    Local
 	Revision func() uint64                      // of the rules in force
 	Offer    func(revision uint64, text string) // receives newer rules
+	Clock    *event.Clock                       // nil: messages carry no stamp
 }
 
 // NewClient returns a Client without connections.
@@ -100,10 +102,12 @@
 	req.Header.CopyTo(&h)
 	h.SetNoDefaultContentType(true)
 	a.Write(&h, time.Now())
+	stamp(c.cfg.Clock, &h)
 	resp, err := c.pool(target.Peer).Exchange(ctx, &h, req.Body)
 	if err != nil {
 		return c.broken(ctx, a, err)
 	}
+	merge(c.cfg.Clock, &resp.Header)
 	c.compare(target.Peer, resp.Header.Peek(attempt.HeaderRevision))
 	if string(resp.Header.Peek(attempt.HeaderAttempt)) != a.ID.String() {
 		c.mismatch.Add(1)
--- a/node/transport/peer/server.go
+++ b/node/transport/peer/server.go
@@ -14,6 +14,7 @@
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/hint"
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/transport/mtls"
 	"pollenhill.example/node/coordination/arrival"
 	"pollenhill.example/node/protocol/message"
@@ -47,6 +48,7 @@
 	Read   time.Duration // longest time for receiving a request
 	Idle   time.Duration // after which an unused connection is closed
 	Stall  time.Duration // longest time for one write
+	Clock  *event.Clock  // nil: messages carry no stamp
 	TLS    *mtls.Source  // nil: plain connections
 }
 
@@ -119,6 +121,7 @@
 	if err != nil {
 		return s.refuse(refusal.Malformed)
 	}
+	merge(s.cfg.Clock, in.Header)
 	s.cfg.Seen(a.ID.Node, a.Revision)
 	req := &message.Request{Body: in.Body}
 	in.Header.CopyTo(&req.Header)
@@ -126,6 +129,7 @@
 	reply := s.cfg.Local.Serve(ctx, a, req)
 	reply.Header.Set(attempt.HeaderAttempt, a.ID.String())
 	reply.Header.Set(attempt.HeaderOutcome, reply.Outcome.String())
+	stamp(s.cfg.Clock, &reply.Header)
 	reply.Header.Set(attempt.HeaderHint, s.cfg.Hint().String())
 	revision, _ := s.cfg.Rules()
 	reply.Header.Set(attempt.HeaderRevision, strconv.FormatUint(revision, 10))
