--- a/core/coordination/admission/warmer.go
+++ b/core/coordination/admission/warmer.go
@@ -15,7 +15,8 @@
 	last   time.Time
 }
 
-func (w *warmer) opened(n int) { w.open = max(w.open, n) }
+// opened corrects the count after connections that were asked for could not be opened.
+func (w *warmer) opened(n int) { w.open = n }
 
 func (w *warmer) closed(n int) { w.open = max(0, w.open-n) }
 
--- a/core/coordination/choice/load.go
+++ b/core/coordination/choice/load.go
@@ -147,10 +147,18 @@
 	over := g.load + 1 - limit
 	// The count of requests is uncertain by about its square root once the report has aged.
 	width := 0.5 + g.doubt*math.Sqrt(limit)
-	wait := width * math.Log1p(math.Exp(over/width)) / limit
+	wait := width * softplus(over/width) / limit
 	return g.speed * (1 + wait + lean*g.load/limit)
 }
 
+// softplus is a smooth form of max(0, x).
+func softplus(x float64) float64 {
+	if x > 30 {
+		return x // the exponential would overflow, and the difference is below 1e-13
+	}
+	return math.Log1p(math.Exp(x))
+}
+
 // lean prefers the less loaded of two back ends that both have free slots.
 const lean = 0.2
 
--- a/lab/model/world.go
+++ b/lab/model/world.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"pollenhill.example/core/coordination/admission"
@@ -109,7 +110,7 @@
 	return w.dep.Slots
 }
 
-func serviceName(level int) string { return fmt.Sprintf("s%d", level) }
+func serviceName(level int) string { return "s" + strconv.Itoa(level) }
 
 // publish sends the announced states to the entry nodes.
 func (w *world) publish() {
