--- a/lab/demo/requests.go
+++ b/lab/demo/requests.go
@@ -23,7 +23,7 @@
 	phase, id := r.now(), fmt.Sprintf("r%d", n)
 	res := r.any(n).Reserve(id, "")
 	r.add(tally.Reservation, phase, res)
-	r.notes.note(id, res)
+	r.notes.Note(id, outcome(res))
 }
 
 // keyed sends the same reservation with the same key to two nodes at once.
@@ -34,38 +34,19 @@
 		wg.Go(func() {
 			res := r.any(n+i).Reserve(id, id)
 			r.add(tally.Keyed, phase, res)
-			r.notes.note(id, res)
+			r.notes.Note(id, outcome(res))
 		})
 	}
 	wg.Wait()
 }
 
-// ledger keeps what callers were told of each reservation.
-type ledger struct {
-	mu    sync.Mutex
-	notes map[string][]node.Result
-}
-
-func newLedger() *ledger {
-	return &ledger{notes: map[string][]node.Result{}}
-}
-
-func (l *ledger) note(id string, res node.Result) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.notes[id] = append(l.notes[id], res)
-}
-
-// reported summarises the results of one reservation: answered if any response was, not-run only if all were.
-func reported(results []node.Result) attempt.Outcome {
-	outcome := attempt.NotRun
-	for _, res := range results {
-		switch {
-		case res.Whole:
-			return attempt.Answered
-		case res.Outcome != attempt.NotRun:
-			outcome = attempt.Unknown
-		}
+// outcome returns what the caller knows: an incomplete answer leaves it open whether the reservation ran.
+func outcome(res node.Result) attempt.Outcome {
+	switch {
+	case res.Whole:
+		return attempt.Answered
+	case res.Outcome == attempt.NotRun:
+		return attempt.NotRun
 	}
-	return outcome
+	return attempt.Unknown
 }
--- /dev/null
+++ b/lab/state/ledger/ledger.go
@@ -0,0 +1,68 @@
+package ledger
+
+import (
+	"fmt"
+	"sync"
+
+	"pollenhill.example/core/protocol/attempt"
+)
+
+// Ledger keeps the outcomes that callers were told, by reservation; it is safe for concurrent use.
+type Ledger struct {
+	mu       sync.Mutex
+	outcomes map[string][]attempt.Outcome
+}
+
+// New returns an empty Ledger.
+func New() *Ledger {
+	return &Ledger{outcomes: map[string][]attempt.Outcome{}}
+}
+
+// Note keeps the outcome of one request for a reservation; requests with the same key are one reservation.
+func (l *Ledger) Note(reservation string, outcome attempt.Outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outcomes[reservation] = append(l.outcomes[reservation], outcome)
+}
+
+// Report is the result of a comparison.
+type Report struct {
+	Answered int
+	NotRun   int
+	Unknown  int
+	Broken   []string // reservations that ran twice or whose callers were told something that is not true
+}
+
+// Check compares the outcomes with the number of runs of each reservation at all back ends.
+func (l *Ledger) Check(runs map[string]int) Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var r Report
+	for id, outcomes := range l.outcomes {
+		told, n := r.count(outcomes), runs[id]
+		wrong := n > 1 || told == attempt.Answered && n != 1 || told == attempt.NotRun && n != 0
+		if wrong {
+			r.Broken = append(r.Broken, fmt.Sprintf("reservation %s: reported %s, ran %d times", id, told, n))
+		}
+	}
+	return r
+}
+
+// count adds one reservation: answered if any request was, not-run only if all were.
+func (r *Report) count(outcomes []attempt.Outcome) attempt.Outcome {
+	told := attempt.NotRun
+	for _, o := range outcomes {
+		if o == attempt.Answered || told == attempt.NotRun {
+			told = o
+		}
+	}
+	switch told {
+	case attempt.Answered:
+		r.Answered++
+	case attempt.NotRun:
+		r.NotRun++
+	case attempt.Unknown:
+		r.Unknown++
+	}
+	return told
+}
