Answer 503 instead of 404 while a node has no rules

Cause: a node that restarts without contact to control processes routed nothing and told callers 404, which they do not repeat. Change: without a revision the call is refused as not run with 503 and Retry-After (unknown for keyed requests, as before a claim).

--- a/node/program/fault_test.go
+++ b/node/program/fault_test.go
@@ -143,7 +143,7 @@
 // Guards against a refusal that says "not run" without a destination, and against one that lacks the standard headers.
 func TestRefusalWithoutBackend(t *testing.T) {
 	entry := start(t, newGroup(), config(t, "entry"))
-	eventually(t, "rules are in force", func() bool { return send(t, entry, "GET", "/seat", "", nil).StatusCode != 404 })
+	eventually(t, "rules are in force", func() bool { return entry.status().Rules.Revision == 1 })
 	resp := send(t, entry, "POST", "/seat", "", nil)
 	if resp.StatusCode != 503 || resp.Header.Get("Pollenhill-Outcome") != "not-run" || resp.Header.Get("Retry-After") == "" {
 		t.Errorf("status %d, header %v", resp.StatusCode, resp.Header)
@@ -153,3 +153,13 @@
 		t.Errorf("status %d", resp.StatusCode)
 	}
 }
+
+// Guards against 404, which callers do not repeat, from a node that has no rules yet.
+func TestNodeWithoutRules(t *testing.T) {
+	g := newGroup()
+	g.state.Revision, g.state.Text = 0, ""
+	resp := send(t, start(t, g, config(t, "node")), "GET", "/seat", "", nil)
+	if resp.StatusCode != 503 || resp.Header.Get("Pollenhill-Outcome") != "not-run" || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, header %v", resp.StatusCode, resp.Header)
+	}
+}
--- a/node/transport/caller/request.go
+++ b/node/transport/caller/request.go
@@ -32,6 +32,10 @@
 		return nil, refusal.Malformed
 	}
 	set := s.cfg.Rules()
+	if set.Revision == 0 {
+		// A node that has just started knows no service yet; 404 would tell callers not to come back.
+		return nil, refusal.NoQuorum
+	}
 	path := string(req.Header.RequestURI())
 	service, ok := set.Route(string(req.Header.Host()), path)
 	if !ok {
