Choose test ports that outgoing connections cannot take

Cause: in 1 of 5 repetitions TestBackendFaults failed with 'address already in use': a port was free when chosen and taken when the node opened it. Change: ports below the ephemeral range, each handed out once per process. Conclusion: 5 repetitions of node/program with -race pass; make lint is clean.

--- a/node/program/fleet_test.go
+++ b/node/program/fleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -128,15 +129,28 @@
 
 var lastIP atomic.Uint32
 
-// address returns a free loopback address that no other test in this run uses.
+// Ports of the nodes lie below the range from which outgoing connections take theirs: one of those once took a port
+// between its choice and its use.
+const (
+	firstPort = 10_000
+	portCount = 20_000
+)
+
+var lastPort atomic.Uint32
+
+// address returns a free loopback address that no other node of this process gets.
 func address(t testing.TB, ip netip.Addr) netip.AddrPort {
 	t.Helper()
-	ln, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		port := firstPort + (uint32(os.Getpid())*97+lastPort.Add(1))%portCount
+		a := netip.AddrPortFrom(ip, uint16(port))
+		if ln, err := net.Listen("tcp", a.String()); err == nil {
+			ln.Close()
+			return a
+		}
 	}
-	defer ln.Close()
-	return netip.MustParseAddrPort(ln.Addr().String())
+	t.Fatal("no free port")
+	return netip.AddrPort{}
 }
 
 func config(t testing.TB, name string, files ...issue) program.Settings {
