Search more often while a new leader is being elected

Cause: a node that found no current control process searched again only after 1 to 2 s, so that a change accepted by a late new leader was in force late. The benchmark also started the next fault before the group had healed, which made it a double fault.

Change: searches every 200 to 400 ms for the first 5 s, then every 1 to 2 s as before; the benchmark waits until every process is current.

--- a/control/daemon/cluster_test.go
+++ b/control/daemon/cluster_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 
 	"pollenhill.example/control/daemon"
 	"pollenhill.example/core/coordination/follow"
@@ -184,6 +185,21 @@
 	}
 }
 
+// healed waits until every process is current, so that the next fault is a single one.
+func (c *cluster) healed(t testing.TB) {
+	t.Helper()
+	limit := time.After(20 * time.Second)
+	poll := time.NewTicker(10 * time.Millisecond)
+	defer poll.Stop()
+	for !lo.EveryBy(c.daemons, func(d *daemon.Daemon) bool { return d.View().Current }) {
+		select {
+		case <-poll.C:
+		case <-limit:
+			t.Fatal("a process does not return to the group")
+		}
+	}
+}
+
 // submit proposes a change at process i until it is accepted, and returns its revision.
 func (c *cluster) submit(t testing.TB, i int, number uint64, text string) uint64 {
 	t.Helper()
--- a/control/daemon/force_bench_test.go
+++ b/control/daemon/force_bench_test.go
@@ -89,6 +89,7 @@
 				force, decision := newRecorder(), newRecorder()
 				number := uint64(0)
 				for b.Loop() {
+					c.healed(b)
 					leader := c.leader(b)
 					settled(b, clients)
 					number++
--- a/core/coordination/follow/model.go
+++ b/core/coordination/follow/model.go
@@ -16,7 +16,9 @@
 	giveUp   = 500 * time.Millisecond // a search ends without the missing answers after this; a far answer takes 300 ms
 	spread   = 100 * time.Millisecond // start of searches, so that nodes do not all dial at once
 	maxDelay = 2 * time.Second        // longest pause between failed searches
-	recheck  = time.Second            // pause between searches while no control process is current
+	election = 5 * time.Second        // a new leader is found within this time, unless a quorum is lost
+	urgent   = 200 * time.Millisecond // pause between searches until then while no control process is current
+	recheck  = time.Second            // the same after that
 	homeward = 30 * time.Second       // pause between searches for a current one in the own region
 )
 
@@ -29,7 +31,8 @@
 	good    time.Time // last beat that said current
 	current bool
 	search  search
-	failed  int // searches without an answer and streams without a message in a row
+	parked  time.Time // first search that found no current control process since one was followed
+	failed  int       // searches without an answer and streams without a message in a row
 }
 
 // Config lists the control processes in the order of the settings.
@@ -93,6 +96,7 @@
 	m.current = msg.Current
 	if msg.Current {
 		m.good = now
+		m.parked = time.Time{}
 	}
 }
 
@@ -216,7 +220,7 @@
 	}
 	best := m.best(answers)
 	if !answers[best] {
-		m.plan(now.Add(recheck), recheck)
+		m.park(now)
 	}
 	if best == m.server && !m.silent(now) {
 		return nil
@@ -224,6 +228,18 @@
 	return m.attach(now, best)
 }
 
+// park plans the next search while no control process is current.
+func (m *Model) park(now time.Time) {
+	if m.parked.IsZero() {
+		m.parked = now
+	}
+	pause := urgent
+	if now.Sub(m.parked) >= election {
+		pause = recheck
+	}
+	m.plan(now.Add(pause), pause)
+}
+
 // retry plans the next search after a failure; the pause doubles up to maxDelay.
 func (m *Model) retry(now time.Time) {
 	delay := min(spread<<min(m.failed, 8), maxDelay)
--- a/core/coordination/follow/model_test.go
+++ b/core/coordination/follow/model_test.go
@@ -196,6 +196,28 @@
 	}
 }
 
+// Guards against nodes that find a new leader late, and against many searches while a region is cut off for an hour.
+func TestSearchesWithoutCurrent(t *testing.T) {
+	n := newNode(6)
+	n.pass(5 * time.Second)
+	for _, s := range n.servers {
+		s.current = false
+	}
+	n.pass(3 * time.Second)
+	n.servers["f1"].current = true
+	n.pass(700 * time.Millisecond) // a search every 200 to 400 ms, its answers and a heartbeat
+	if v := n.view(); v.Server != "f1" || !v.Confirmed {
+		t.Fatalf("new leader after 3 s: %+v", v)
+	}
+	n.servers["f1"].current = false
+	n.pass(10 * time.Second)
+	before := n.probes
+	n.pass(time.Minute)
+	if searches := (n.probes - before) / len(n.servers); searches < 25 || searches > 60 {
+		t.Fatalf("%d searches in a minute", searches)
+	}
+}
+
 // Guards against a stream that ends right after it was opened and is opened again without pause.
 func TestBackoffOfBrokenStreams(t *testing.T) {
 	n := newNode(4)
