--- a/node/transport/control/session.go
+++ b/node/transport/control/session.go
@@ -160,7 +160,8 @@
 			return
 		}
 		s.send(ctx, follow.Probed{Server: cmd.Server, Round: cmd.Round, OK: true, Current: resp.Msg.GetCurrent()})
-		if resp.Msg.GetCurrent() && resp.Msg.GetRevision() > s.c.State().Revision {
+		// A node without rules gets them with its first stream.
+		if held := s.c.State().Revision; held > 0 && resp.Msg.GetCurrent() && resp.Msg.GetRevision() > held {
 			s.fetch(one, r)
 		}
 	})
