Test certificates that expire while in use

Cause: the tests of expired certificates used raw TLS peers, and the test of a silent server depended on a connection within 50 ms.

Change: two processes whose certificates expire in virtual time refuse each other and say why. The test of the silent server sets a deadline that has passed instead of a short one, and checks that the timeout of the dialer covers the handshake.

--- a/core/transport/mtls/silent_test.go
+++ b/core/transport/mtls/silent_test.go
@@ -27,7 +27,18 @@
 	}
 	defer ln.Close()
 	address := netip.MustParseAddrPort(ln.Addr().String())
-	_, err = client.Dialer(tcp.Dialer{Timeout: 50 * time.Millisecond}).Dial(t.Context(), address)
+	dialer := client.Dialer(tcp.Dialer{Timeout: time.Minute})
+	secure := dialer.Secure
+	dialer.Secure = func(ctx context.Context, c net.Conn, peer netip.AddrPort) (net.Conn, error) {
+		end, ok := ctx.Deadline()
+		if !ok {
+			t.Error("the timeout of the dialer does not cover the handshake")
+		}
+		ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), end.Add(-time.Hour)) // as if it had passed
+		defer cancel()
+		return secure(ctx, c, peer)
+	}
+	_, err = dialer.Dial(t.Context(), address)
 	var failed *tcp.Error
 	if !errors.As(err, &failed) || failed.Step != tcp.Greet || failed.Wrote || failed.Peer != address {
 		t.Fatalf("error %v", err)
@@ -119,3 +130,42 @@
 		})
 	}
 }
+
+// Guards against a certificate that goes on being accepted after its end because it was valid at the start.
+func TestCertificateExpiresWhileRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		authority, dir, end := mtlstest.New(t), t.TempDir(), time.Now().Add(time.Hour)
+		server, serverEvents := logged(t, authority.Issue(t, dir, "server", end), time.Now)
+		client, clientEvents := logged(t, authority.Issue(t, dir, "client", end), time.Now)
+		address := netip.MustParseAddrPort("127.0.0.1:1")
+		handshake := func() error {
+			near, far := net.Pipe()
+			c, err := server.Listen(piped{conn: far}).Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				_, _ = c.Read(make([]byte, 1))
+				_ = c.Close()
+			}()
+			secured, err := client.Dialer(tcp.Dialer{}).Secure(t.Context(), near, address)
+			if err == nil {
+				_ = secured.Close()
+			}
+			<-done
+			return err
+		}
+		if err := handshake(); err != nil || serverEvents.Len() != 0 {
+			t.Fatalf("before the end: %v, %v", err, serverEvents.All())
+		}
+		<-time.After(2 * time.Hour)
+		if err := handshake(); err == nil || !strings.Contains(err.Error(), "expired") {
+			t.Fatalf("after the end: %v", err)
+		}
+		check(t, clientEvents, event.HandshakeFailed, "TLS handshake to", address.String(), "expired")
+		// A pipe has no buffer, so the alert of the client is lost when it closes.
+		check(t, serverEvents, event.HandshakeFailed, "TLS handshake from", "", "")
+	})
+}
