Give cold back ends their share of the calls

Cause: with a zone that returned cold, its back ends got one request each and then none: their load was assumed to be that of their full peers, so they never had the work that warms them up.

--- a/core/coordination/choice/load.go
+++ b/core/coordination/choice/load.go
@@ -105,16 +105,17 @@
 	}
 	limit := slots(t, rules)
 	if l.at.IsZero() {
-		return guess{load: s.use*limit + float64(l.inflight), limit: limit, speed: speed, doubt: 1}
+		return guess{load: s.unknown(t, limit) + float64(l.inflight), limit: limit, speed: speed, doubt: 1}
 	}
 	if l.lies() {
-		return guess{load: s.use*limit + float64(l.inflight), limit: limit, speed: max(speed, l.own/sameSpeed), doubt: 1}
+		return guess{load: s.unknown(t, limit) + float64(l.inflight), limit: limit, speed: max(speed, l.own/sameSpeed), doubt: 1}
 	}
 	age := now.Sub(l.at)
 	fresh := math.Exp(-age.Seconds() / speed)
 	lasting := math.Exp(-age.Seconds() / limitMemory.Seconds())
 	limit += lasting * (float64(l.hint.Limit) - limit)
-	usual := s.use*limit + math.Exp(-age.Seconds()/usualMemory.Seconds())*(l.usual-s.use*limit)
+	unknown := s.unknown(t, limit)
+	usual := unknown + math.Exp(-age.Seconds()/usualMemory.Seconds())*(l.usual-unknown)
 	others := usual + fresh*(l.others-usual)
 	if slow := l.hint.Latency.Seconds() / sameSpeed; slow > speed {
 		speed += math.Exp(-age.Seconds()/speedMemory.Seconds()) * (slow - speed)
@@ -122,6 +123,15 @@
 	return guess{load: others + float64(l.inflight), limit: limit, speed: speed, doubt: 1 - fresh}
 }
 
+// unknown is the load assumed for a back end without a recent report. A cold one is not as loaded as its
+// peers: assuming so would keep every first request from it, and it would never warm up.
+func (s *service) unknown(t Target, limit float64) float64 {
+	if t.State == admission.Cold {
+		return min(s.use, 0.5) * limit
+	}
+	return s.use * limit
+}
+
 // lies says that the report cannot be true for the latency seen here.
 func (l *load) lies() bool {
 	return l.samples >= ownSamples && l.hint.Latency.Seconds() < ownTrust*l.own
