Evict a back end whose node refuses connections at once

Cause: after a node was killed, 74 of 1,597 lookups and 18 of 246 reservations were refused as not run until its lease ended: outlier detection compares after ten attempts, and the retries of refused connections used up the retry budget. Change: a refused connection evicts at once, does not count towards the share that may be evicted, and returns by trial. The hold between trials now really doubles: it had been reset at every failed trial before the first return, which the new test found.

--- a/core/coordination/choice/model.go
+++ b/core/coordination/choice/model.go
@@ -167,6 +167,8 @@
 	Refused: outlier.Full,
 	Failed:  outlier.Failed,
 	Lost:    outlier.Failed,
+
+	Unreached: outlier.Absent,
 }
 
 func (m *Model) report(now time.Time, msg Report) {
--- a/core/coordination/choice/result.go
+++ b/core/coordination/choice/result.go
@@ -12,4 +12,5 @@
 	Failed                  // failed
 	Lost                    // lost
 	Cancelled               // cancelled
+	Unreached               // unreached
 )
--- a/core/coordination/choice/result_string.go
+++ b/core/coordination/choice/result_string.go
@@ -13,11 +13,12 @@
 	_ = x[Failed-2]
 	_ = x[Lost-3]
 	_ = x[Cancelled-4]
+	_ = x[Unreached-5]
 }
 
-const _Result_name = "goodrefusedfailedlostcancelled"
+const _Result_name = "goodrefusedfailedlostcancelledunreached"
 
-var _Result_index = [...]uint8{0, 4, 11, 17, 21, 30}
+var _Result_index = [...]uint8{0, 4, 11, 17, 21, 30, 39}
 
 func (i Result) String() string {
 	idx := int(i) - 0
--- a/core/coordination/outlier/kind.go
+++ b/core/coordination/outlier/kind.go
@@ -10,4 +10,5 @@
 	Good   Kind = iota // good
 	Full               // full
 	Failed             // failed
+	Absent             // absent
 )
--- a/core/coordination/outlier/kind_string.go
+++ b/core/coordination/outlier/kind_string.go
@@ -11,11 +11,12 @@
 	_ = x[Good-0]
 	_ = x[Full-1]
 	_ = x[Failed-2]
+	_ = x[Absent-3]
 }
 
-const _Kind_name = "goodfullfailed"
+const _Kind_name = "goodfullfailedabsent"
 
-var _Kind_index = [...]uint8{0, 4, 8, 14}
+var _Kind_index = [...]uint8{0, 4, 8, 14, 20}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/core/coordination/outlier/model.go
+++ b/core/coordination/outlier/model.go
@@ -41,6 +41,7 @@
 	good    int
 	total   int
 	evicted bool
+	absent  bool      // evicted because nothing listens there; not part of the share that may be evicted
 	until   time.Time // start of the trials
 	hold    time.Duration
 	back    time.Time // last return
@@ -55,7 +56,7 @@
 type Members struct{ Backends []string }
 
 // Sample reports one attempt; Latency counts only for Good. A full server is not a failed one:
-// samples of the kind Full change nothing but end a trial.
+// samples of the kind Full change nothing but end a trial. One sample of the kind Absent evicts.
 type Sample struct {
 	Backend string
 	Kind    Kind
@@ -133,7 +134,9 @@
 		if m.count() <= m.allowed() {
 			return
 		}
-		m.peers[b].evicted = false
+		if !m.peers[b].absent {
+			m.peers[b].evicted = false
+		}
 	}
 }
 
@@ -146,6 +149,12 @@
 		m.judge(now, p, msg)
 		return
 	}
+	if msg.Kind == Absent {
+		// Nothing listens there; a comparison with peers would cost ten attempts and tell no more.
+		p.absent = true
+		m.evict(now, p)
+		return
+	}
 	p.add(msg)
 	if m.bad(p) && m.count() < m.allowed() {
 		m.evict(now, p)
@@ -196,7 +205,7 @@
 }
 
 func (m *Model) evict(now time.Time, p *peer) {
-	if p.hold == 0 || now.Sub(p.back) > calm {
+	if p.hold == 0 || !p.evicted && now.Sub(p.back) > calm {
 		p.hold = m.cfg.Hold
 	}
 	p.evicted = true
@@ -220,7 +229,7 @@
 	if p.passed < trials {
 		return
 	}
-	p.evicted = false
+	p.evicted, p.absent = false, false
 	p.back = now
 	p.good, p.total, p.failure = 0, 0, 0
 }
@@ -228,7 +237,7 @@
 func (m *Model) count() int {
 	n := 0
 	for _, p := range m.peers {
-		if p.evicted {
+		if p.evicted && !p.absent {
 			n++
 		}
 	}
--- a/core/coordination/outlier/model_test.go
+++ b/core/coordination/outlier/model_test.go
@@ -108,3 +108,30 @@
 		}
 	})
 }
+
+// Guards against a killed node that keeps getting attempts, which used up the retries of its service until its lease
+// ended, and against a lost zone that counts as the share that may be evicted.
+func TestAbsentIsEvictedAtOnce(t *testing.T) {
+	names := backends(6)
+	m := outlier.New(outlier.Config{})
+	m.Update(epoch, outlier.Members{Backends: names})
+	for _, name := range names[:4] {
+		m.Update(epoch, outlier.Sample{Backend: name, Kind: outlier.Absent})
+		if m.Open(epoch, name) {
+			t.Fatalf("%s is open", name)
+		}
+	}
+	now := epoch.Add(outlier.DefaultHold)
+	m.Update(now, outlier.Trial{Backend: names[0]})
+	m.Update(now, outlier.Sample{Backend: names[0], Kind: outlier.Absent})
+	if m.Open(now.Add(outlier.DefaultHold), names[0]) {
+		t.Fatal("open after a failed trial as soon as after the first failure")
+	}
+	for range 3 {
+		m.Update(now, outlier.Trial{Backend: names[1]})
+		m.Update(now, outlier.Sample{Backend: names[1], Latency: time.Millisecond})
+	}
+	if m.Evicted(names[1]) {
+		t.Fatal("still evicted after three good trials")
+	}
+}
--- a/node/transport/peer/client.go
+++ b/node/transport/peer/client.go
@@ -156,6 +156,9 @@
 	var step *tcp.Error
 	if errors.As(err, &step) && !step.Wrote {
 		f.Outcome = attempt.NotRun
+		if step.Step == tcp.Connect && result == choice.Lost {
+			result = choice.Unreached
+		}
 	}
 	return &message.Reply{Outcome: f.Outcome, Result: result, Refusal: f}
 }
