--- a/lab/model/model_test.go
+++ b/lab/model/model_test.go
@@ -61,6 +61,7 @@
 	names := []string{"straggler", "silent-restart", "zone-out-and-back", "zone-back-cold", "overload", "chain"}
 	for _, name := range names {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			check(t, name, func(c model.Check) bool { return name != "zone-back-cold" || c.Target != needless })
 		})
 	}
