Share the body that reports its end; drop dead code

Cause: entry and destination side had the same reader twice, the change reason was parsed in two ways, and NoClaims had no user.

--- a/control/daemon/file.go
+++ b/control/daemon/file.go
@@ -4,7 +4,6 @@
 	"context"
 	"os"
 	"path/filepath"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +15,7 @@
 	"pollenhill.example/control/transport/operator"
 	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/state/replica"
+	"pollenhill.example/core/state/rule"
 )
 
 // file connects the operators' rule file to the group.
@@ -71,14 +71,6 @@
 
 func submit(ctx context.Context, g *group.Group, origin string, number uint64, text string) (replica.Result, error) {
 	return g.Propose(ctx, replica.Command{
-		Kind: replica.Change, Time: time.Now(), Number: number, Text: text, Origin: origin, Reason: reason(text),
+		Kind: replica.Change, Time: time.Now(), Number: number, Text: text, Origin: origin, Reason: rule.Reason(text),
 	})
 }
-
-// reason returns the comment of the change line, which is the second line of a rule file.
-func reason(text string) string {
-	_, rest, _ := strings.Cut(text, "\n")
-	line, _, _ := strings.Cut(rest, "\n")
-	_, comment, _ := strings.Cut(line, "#")
-	return strings.TrimSpace(comment)
-}
--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -81,7 +81,9 @@
 		done(result)
 		return reply
 	}
-	reply.Body = &tracked{ReadCloser: reply.Body, good: result, done: done}
+	reply.Body = &message.Tracked[admission.Result]{
+		ReadCloser: reply.Body, Whole: result, Cut: admission.Reset, Closed: admission.Aborted, Done: done,
+	}
 	return reply
 }
 
@@ -166,30 +168,3 @@
 	}
 	return message.Refuse(f), admission.Shed
 }
-
-// tracked reports the end of a body.
-type tracked struct {
-	io.ReadCloser
-	good admission.Result // reported when the whole body was read
-	done func(admission.Result)
-	once sync.Once
-}
-
-// Read reads the body.
-func (t *tracked) Read(p []byte) (int, error) {
-	n, err := t.ReadCloser.Read(p)
-	switch {
-	case errors.Is(err, io.EOF):
-		t.once.Do(func() { t.done(t.good) })
-	case err != nil:
-		t.once.Do(func() { t.done(admission.Reset) })
-	}
-	return n, err
-}
-
-// Close abandons what has not been read.
-func (t *tracked) Close() error {
-	err := t.ReadCloser.Close()
-	t.once.Do(func() { t.done(admission.Aborted) })
-	return err
-}
--- a/node/transport/caller/claim.go
+++ b/node/transport/caller/claim.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/control"
@@ -160,20 +159,3 @@
 	}
 	return reply
 }
-
-// ErrNoControl is returned by NoClaims.
-var ErrNoControl = errors.New("no control process is configured")
-
-// NoClaims refuses every claim: a node without control processes cannot run keyed requests safely.
-type NoClaims struct{}
-
-// Claim returns ErrNoControl.
-func (NoClaims) Claim(context.Context, *control.ClaimRequest) (*control.ClaimResponse, error) {
-	return nil, ErrNoControl
-}
-
-// Finish returns ErrNoControl.
-func (NoClaims) Finish(context.Context, *control.FinishRequest) error { return ErrNoControl }
-
-// Release returns ErrNoControl.
-func (NoClaims) Release(context.Context, *control.ReleaseRequest) error { return ErrNoControl }
--- a/node/transport/caller/run.go
+++ b/node/transport/caller/run.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"pollenhill.example/core/coordination/choice"
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/control"
@@ -157,10 +154,12 @@
 	t.reply = h.reply
 	id := h.id
 	if h.reply.Body != nil {
-		h.reply.Body = &tracked{
+		h.reply.Body = &message.Tracked[choice.Result]{
 			ReadCloser: h.reply.Body,
-			good:       h.reply.Result,
-			done: func(result choice.Result) {
+			Whole:      h.reply.Result,
+			Cut:        choice.Lost,
+			Closed:     choice.Cancelled,
+			Done: func(result choice.Result) {
 				r.s.cfg.Engine.Tell(call.Ended{Attempt: id, Result: result})
 				t.cancel()
 			},
@@ -231,33 +230,6 @@
 	t.cancel()
 }
 
-// tracked reports the end of a body.
-type tracked struct {
-	io.ReadCloser
-	good choice.Result // reported when the whole body was read
-	done func(choice.Result)
-	once sync.Once
-}
-
-// Read reads the body.
-func (t *tracked) Read(p []byte) (int, error) {
-	n, err := t.ReadCloser.Read(p)
-	switch {
-	case errors.Is(err, io.EOF):
-		t.once.Do(func() { t.done(t.good) })
-	case err != nil:
-		t.once.Do(func() { t.done(choice.Lost) })
-	}
-	return n, err
-}
-
-// Close abandons what has not been read.
-func (t *tracked) Close() error {
-	err := t.ReadCloser.Close()
-	t.once.Do(func() { t.done(choice.Cancelled) })
-	return err
-}
-
 // broken is the reply to a call whose answer was cut before it could be recorded.
 func (r *run) broken() *message.Reply {
 	return message.Refuse(refusal.Refusal{
