Log refusals; show the leader in pollenhill status

Change: status compares names; destination nodes log refusals, at most 10 a second. Result: tests of node/program and pollenhill pass; the fixture of the status test has an ID as the group gives it.

--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"pollenhill.example/core/coordination/admission"
 	"pollenhill.example/core/state/event"
@@ -32,8 +33,16 @@
 	pool   *tcp.Pool
 	expiry *time.Timer
 	load   atomic.Pointer[Load]
+
+	logged *rate.Limiter // of refusals, which overload makes too many of to log each
 }
 
+// Refusals logged a second, and at once after a quiet time.
+const (
+	refusalRate  = 10
+	refusalBurst = 50
+)
+
 // Config connects a Backend with the rest of the node.
 type Config struct {
 	Node    string
@@ -48,7 +57,7 @@
 
 // New returns a Backend that is absent.
 func New(cfg Config) *Backend {
-	return &Backend{cfg: cfg}
+	return &Backend{cfg: cfg, logged: rate.NewLimiter(refusalRate, refusalBurst)}
 }
 
 // Announcement is the body of POST /announce.
--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -9,10 +9,12 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
 
 	"pollenhill.example/core/coordination/admission"
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/transport/tcp"
 	"pollenhill.example/node/coordination/arrival"
 	"pollenhill.example/node/protocol/message"
@@ -37,11 +39,21 @@
 		cmd = <-effects
 	}
 	if r, ok := cmd.(arrival.Refuse); ok {
+		b.log(a, r)
 		return b.refuse(a, refusal.Refusal{Reason: r.Reason, Outcome: r.Outcome, After: r.After})
 	}
 	return b.run(ctx, a, req, effects)
 }
 
+// log records a refusal, with the entry node as peer.
+func (b *Backend) log(a message.Attempt, r arrival.Refuse) {
+	if !b.logged.Allow() {
+		return
+	}
+	b.cfg.Events.Emit(event.AttemptRefused, zap.String("attempt", a.ID.String()), zap.String("peer", a.ID.Node),
+		zap.String("service", a.Service), zap.Stringer("reason", r.Reason), zap.Stringer("outcome", r.Outcome))
+}
+
 func (b *Backend) refuse(a message.Attempt, f refusal.Refusal) *message.Reply {
 	f.Node = b.cfg.Node
 	f.Level = a.Depth
--- a/pollenhill/command/run_test.go
+++ b/pollenhill/command/run_test.go
@@ -75,7 +75,7 @@
 	return &process{
 		rules: inForce(7, rules),
 		status: &control.StatusResponse{
-			Id: "control-1", Leader: "control-1", Term: 3, Applied: 42, Current: true, Revision: 107, Number: 7,
+			Id: "control-1/5f0a", Leader: "control-1", Term: 3, Applied: 42, Current: true, Revision: 107, Number: 7,
 			Voters: []string{"control-1", "control-2"}, Learners: []string{"control-3"},
 			Members: []*control.Member{
 				{Node: "node-2", Zone: "oslo-b", Region: "oslo", Address: "127.0.0.2:81", Backends: []*control.Backend{backend("booking-2", control.State_STATE_COLD)}},
--- a/pollenhill/command/status.go
+++ b/pollenhill/command/status.go
@@ -294,10 +294,12 @@
 
 func (p process) role() string {
 	role := "follower"
+	// The ID of a member is its name and the random ID of its data folder; leader and learners are listed by name.
+	name, _, _ := strings.Cut(p.Name, "/")
 	switch {
-	case p.Leader == p.Name:
+	case p.Leader == name:
 		role = "leader"
-	case slices.Contains(p.Learners, p.Name):
+	case slices.Contains(p.Learners, name):
 		role = "learner"
 	}
 	if !p.Current {
