--- /dev/null
+++ b/node/program/metrics_doc_test.go
@@ -0,0 +1,43 @@
+package program_test
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// Guards against metrics that the operators' table does not explain, or lists with another type.
+func TestMetricsAreDocumented(t *testing.T) {
+	table, err := os.ReadFile("../../docs/metrics.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry, _ := pair(t, newGroup(), newFake(t, nil))
+	send(t, entry, "GET", "/free", "", nil)
+	send(t, entry, "GET", "/free", "", map[string]string{"Pollenhill-Depth": "26"})
+	resp, err := http.Get("http://" + entry.settings.Local.String() + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := regexp.MustCompile(`(?m)^# TYPE (\S+) (\S+)$`).FindAllStringSubmatch(string(raw), -1)
+	refused := false
+	for _, m := range served {
+		name, kind := m[1], m[2]
+		refused = refused || name == "refusals_total"
+		foreign := name == "target_info" || strings.HasPrefix(name, "go_") || strings.HasPrefix(name, "process_")
+		if row := "| `" + name + "` | " + kind + " |"; !foreign && !strings.Contains(string(table), row) {
+			t.Errorf("docs/metrics.md has no row %q", row)
+		}
+	}
+	if !refused {
+		t.Error("a refused call is not counted as refusals_total")
+	}
+}
