--- a/core/coordination/admission/model.go
+++ b/core/coordination/admission/model.go
@@ -223,7 +223,7 @@
 func (m *Model) closed(now time.Time, msg Closed) {
 	m.warmer.closed(msg.Count)
 	if msg.All {
-		m.window.chill(now)
+		m.window.restrict(now)
 	}
 }
 
--- a/core/coordination/admission/window.go
+++ b/core/coordination/admission/window.go
@@ -47,20 +47,20 @@
 // window is the adaptive cap of a ready back end. It starts at the cold cap, gains one for each
 // window of completed requests, and returns to the cold cap on signs of a cold start.
 type window struct {
-	limits   Limits
-	size     float64
-	latency  []time.Duration // last good latencies, oldest first
-	fails    float64         // cumulative sum of failures
-	failing  float64         // usual share of failures
-	base     time.Duration   // usual service time, zero while unknown
-	bad      int             // failed checks in a row
-	chilled  bool            // held at the cold cap
-	since    time.Time       // start of the hold
-	until    time.Time       // earliest end of the hold
-	hold     time.Duration
-	last     time.Time // last cold sign
-	progress int       // good completions since the last change of the window
-	step     float64   // cumulative sum
+	limits     Limits
+	size       float64
+	latency    []time.Duration // last good latencies, oldest first
+	fails      float64         // cumulative sum of failures
+	failing    float64         // usual share of failures
+	base       time.Duration   // usual service time, zero while unknown
+	bad        int             // failed checks in a row
+	restricted bool            // held at the cold cap
+	since      time.Time       // start of the hold
+	until      time.Time       // earliest end of the hold
+	hold       time.Duration
+	last       time.Time // last cold sign
+	progress   int       // good completions since the last change of the window
+	step       float64   // cumulative sum
 }
 
 func newWindow(limits Limits) window {
@@ -68,7 +68,7 @@
 }
 
 func (w *window) cap() int {
-	if w.chilled {
+	if w.restricted {
 		return min(w.limits.Cold, w.limits.Slots)
 	}
 	return max(1, min(int(w.size), w.limits.Slots))
@@ -81,19 +81,19 @@
 	w.progress = 0
 	w.bad = 0
 	w.step = 0
-	w.chilled = false
+	w.restricted = false
 }
 
-// chill holds the back end at the cold cap; repeated signs hold it longer.
-func (w *window) chill(now time.Time) {
-	if !w.chilled && now.Sub(w.last) < calm && !w.last.IsZero() {
+// restrict holds the back end at the cold cap; repeated signs hold it longer.
+func (w *window) restrict(now time.Time) {
+	if !w.restricted && now.Sub(w.last) < calm && !w.last.IsZero() {
 		w.hold = min(2*w.hold, maxHold)
 	}
 	if now.Sub(w.last) >= calm {
 		w.hold = firstHold
 	}
 	w.restart()
-	w.chilled = true
+	w.restricted = true
 	w.last = now
 	w.since = now
 	w.until = now.Add(w.hold)
@@ -106,7 +106,7 @@
 	}
 	w.bad++
 	if w.bad >= badChecks {
-		w.chill(now)
+		w.restrict(now)
 	}
 }
 
@@ -116,7 +116,7 @@
 	case Aborted:
 		return
 	case Reset:
-		w.chill(now)
+		w.restrict(now)
 		return
 	case Shed:
 		w.size = max(float64(w.limits.Cold), w.size*shedFactor)
@@ -124,7 +124,7 @@
 		w.sample(msg.Latency)
 	}
 	if w.burst(msg.Result != Good) {
-		w.chill(now)
+		w.restrict(now)
 		return
 	}
 	if msg.Result == Good {
@@ -134,12 +134,12 @@
 
 func (w *window) good(now time.Time, busy int) {
 	w.progress++
-	if w.chilled {
+	if w.restricted {
 		w.thaw(now)
 		return
 	}
 	if w.stepped() {
-		w.chill(now)
+		w.restrict(now)
 		return
 	}
 	w.learn(baseWeight)
@@ -176,7 +176,7 @@
 	if now.Before(w.until) || w.progress < settled || w.fails > 0 || w.over(warmFactor, settled) {
 		return
 	}
-	w.chilled = false
+	w.restricted = false
 	w.progress = 0
 }
 
--- a/lab/demo/command.go
+++ b/lab/demo/command.go
@@ -10,7 +10,7 @@
 // Command returns the commands "demo prepare" and "demo run".
 func Command() *cli.Command {
 	dir := &cli.StringFlag{Name: "dir", Usage: "folder of the demonstration", Value: "out/demo"}
-	faults := &cli.BoolFlag{Name: "faults", Usage: "strike with faults instead of moving a zone; 3 control processes"}
+	faults := &cli.BoolFlag{Name: "faults", Usage: "inject faults instead of moving a zone; 3 control processes"}
 	flags := []cli.Flag{dir, faults}
 	config := func(c *cli.Command) Config {
 		return Config{Dir: c.String("dir"), Faults: c.Bool("faults"), Out: os.Stdout}
--- a/lab/demo/faults.go
+++ b/lab/demo/faults.go
@@ -22,9 +22,9 @@
 	callTime   = time.Second
 )
 
-// VMs that faults strike, by their place in the layout.
+// VMs with faults, by their place in the layout.
 const (
-	chilledVM   = 0 // booking, first zone
+	coldVM      = 0 // booking, first zone
 	straggler   = 2 // booking, second zone
 	truncatedVM = 1 // records, first zone
 	killedVM    = 4 // booking, third zone
@@ -38,8 +38,8 @@
 	heal  func(ctx context.Context) error
 }
 
-// strike lets one fault follow the other while the load runs.
-func (r *run) strike(ctx context.Context) error {
+// injectFaults injects one fault after the other while the load runs.
+func (r *run) injectFaults(ctx context.Context) error {
 	pids, err := r.fleet.PIDs()
 	if err != nil {
 		return err
@@ -48,11 +48,11 @@
 	healthy := func(n int) func(context.Context) error { return r.set(vms[n], map[string]any{}) }
 	leader := ""
 	steps := []step{
-		{"silent cold", r.post(vms[chilledVM], "/chill", nil), nil},
+		{"silent cold", r.post(vms[coldVM], "/cold", nil), nil},
 		{"straggler", r.set(vms[straggler], map[string]any{"straggle": 20}), healthy(straggler)},
 		{"fail fast", r.set(vms[straggler], map[string]any{"fail": 1}), healthy(straggler)},
 		{"lost responses", r.set(vms[straggler], map[string]any{"reset": 0.3}), healthy(straggler)},
-		{"false load reports", r.set(vms[chilledVM], map[string]any{"lie": true, "straggle": 10}), healthy(chilledVM)},
+		{"false load reports", r.set(vms[coldVM], map[string]any{"lie": true, "straggle": 10}), healthy(coldVM)},
 		{"cut downloads", r.set(vms[truncatedVM], map[string]any{"truncate": 1}), healthy(truncatedVM)},
 		{"drain", r.post(vms[straggler], "/drain", nil), r.post(vms[straggler], "/undrain", nil)},
 		{"node frozen", signal(pids, vms[frozenVM].Node(), syscall.SIGSTOP), signal(pids, vms[frozenVM].Node(), syscall.SIGCONT)},
@@ -68,9 +68,9 @@
 			return signal(pids, leader, syscall.SIGSTOP)(ctx)
 		}, func(ctx context.Context) error { return signal(pids, leader, syscall.SIGCONT)(ctx) }},
 	}
-	r.chilled = vms[chilledVM].Name
+	r.turnedCold = vms[coldVM].Name
 	for _, s := range steps {
-		if err := r.play(ctx, s); err != nil {
+		if err := r.runStep(ctx, s); err != nil {
 			return errors.Wrap(err, s.name)
 		}
 	}
@@ -79,7 +79,7 @@
 	return ctx.Err()
 }
 
-func (r *run) play(ctx context.Context, s step) error {
+func (r *run) runStep(ctx context.Context, s step) error {
 	r.enter(s.name)
 	if err := s.start(ctx); err != nil {
 		return err
--- a/lab/demo/layout.go
+++ b/lab/demo/layout.go
@@ -41,8 +41,8 @@
 limit records slots=12 connections=240 queue=24 # ola: size of a VM
 deadline booking 2s # kari: rowers wait outside
 deadline records 20s # kari: large files
-cold booking 2 # ola: what a new server bears
-cold records 2 # ola: what a new server bears
+cold booking 2 # ola: what a new server can handle
+cold records 2 # ola: what a new server can handle
 probe booking 1% # ola: agreed budget
 probe records 1% # ola: agreed budget
 `
--- a/lab/demo/run.go
+++ b/lab/demo/run.go
@@ -47,9 +47,9 @@
 	began   time.Time
 	dead    int // index of the caller whose node was killed, negative for none
 
-	failures []string // requests without a whole answer
-	clean    []string // incomplete or wrong answers that ended like a complete one
-	chilled  string   // back end that turned cold without warning, which its node can only notice from its answers
+	failures   []string // requests without a whole answer
+	clean      []string // incomplete or wrong answers that ended like a complete one
+	turnedCold string   // back end that turned cold without warning, which its node can only notice from its answers
 }
 
 // Config says where the demonstration runs, what it does and where it prints.
@@ -59,7 +59,7 @@
 	Out    io.Writer
 }
 
-// Run sends load through the prepared processes while a zone leaves and returns, or while faults strike, and returns
+// Run sends load through the prepared processes while a zone leaves and returns, or while faults are injected, and returns
 // an error if an invariant broke.
 func Run(ctx context.Context, cfg Config) error {
 	r := &run{cfg: cfg, fleet: cfg.fleet(), table: tally.New(), notes: ledger.New(), dead: -1}
@@ -111,7 +111,7 @@
 	pause(ctx, startTime)
 	script := r.moveZone
 	if r.cfg.Faults {
-		script = r.strike
+		script = r.injectFaults
 	}
 	err := script(ctx)
 	stop()
--- a/lab/demo/verify.go
+++ b/lab/demo/verify.go
@@ -24,7 +24,7 @@
 		Started  int       `json:"Started"`
 		Last     time.Time `json:"Last"`
 		Over     int       `json:"Over"`
-		Overcold int       `json:"Overcold"`
+		OverCold int       `json:"OverCold"`
 	} `json:"work"`
 	Runs    map[string]int `json:"runs"`
 	Probing time.Duration  `json:"probing"`
@@ -68,9 +68,9 @@
 		}
 		share := s.Probing.Seconds() / (elapsed.Seconds() * slots)
 		fmt.Fprintf(r.cfg.Out, "%s: %d started, %d above the slots, %d above the cold limit, probes %.3f%% of slot time\n",
-			v.Name, s.Work.Started, s.Work.Over, s.Work.Overcold, share*100)
-		if (s.Work.Overcold > 0 || s.Work.Over > 0) && v.Name != r.chilled {
-			broken = append(broken, fmt.Sprintf("%s got more than it can bear", v.Name))
+			v.Name, s.Work.Started, s.Work.Over, s.Work.OverCold, share*100)
+		if (s.Work.OverCold > 0 || s.Work.Over > 0) && v.Name != r.turnedCold {
+			broken = append(broken, fmt.Sprintf("%s got more than it can handle", v.Name))
 		}
 		if share > 0.01 {
 			broken = append(broken, fmt.Sprintf("probes of %s took more than 1%% of slot time", v.Name))
@@ -80,7 +80,7 @@
 	fmt.Fprintf(r.cfg.Out, "reservations: %d run once, %d not run, %d unknown\n", report.Answered, report.NotRun, report.Unknown)
 	broken = append(broken, report.Broken...)
 	if n := r.table.Total(tally.Lookup, starting); !r.cfg.Faults && n.Whole < n.Sent {
-		broken = append(broken, fmt.Sprintf("%d of %d lookups failed at a load that two zones can bear", n.Sent-n.Whole, n.Sent))
+		broken = append(broken, fmt.Sprintf("%d of %d lookups failed at a load that two zones can handle", n.Sent-n.Whole, n.Sent))
 	}
 	if n := r.table.Total(tally.Download, starting); !r.cfg.Faults && n.Whole < n.Sent {
 		broken = append(broken, fmt.Sprintf("%d of %d downloads were not whole", n.Sent-n.Whole, n.Sent))
--- a/lab/fleet/run.go
+++ b/lab/fleet/run.go
@@ -104,7 +104,7 @@
 	return all
 }
 
-// change edits the rule file of a control process that keeps running; a fault strikes the leader halfway.
+// change edits the rule file of a control process that keeps running; the leader fails halfway.
 func (r *run) change(ctx context.Context) error {
 	leader, err := r.leader(ctx)
 	if err != nil {
@@ -113,7 +113,7 @@
 	editor := r.editor(leader)
 	for i := range r.cfg.Changes {
 		if i == r.cfg.Changes/2 {
-			if err := r.strike(leader); err != nil {
+			if err := r.failLeader(leader); err != nil {
 				return err
 			}
 		}
@@ -141,7 +141,7 @@
 	return list[0].Name
 }
 
-func (r *run) strike(leader string) error {
+func (r *run) failLeader(leader string) error {
 	signal := map[string]syscall.Signal{"kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP}[r.cfg.Fault]
 	if signal == 0 {
 		return nil
--- a/lab/model/backend.go
+++ b/lab/model/backend.go
@@ -43,25 +43,25 @@
 
 // backend is a queue model: slots in parallel, each at the speed of the moment a request starts.
 type backend struct {
-	w        *world
-	id       int
-	name     string
-	service  int
-	place    place
-	slots    int
-	state    admission.State // announced
-	cold     bool            // true state
-	warmed   int
-	slow     float64
-	noise    float64
-	failfast bool
-	refusing bool // takes no new requests: drained or switched off
-	inflight int
-	queue    []*job
-	running  map[*job]bool
-	open     int // connections from the destination node
-	evident  bool
-	chilled  time.Time
+	w         *world
+	id        int
+	name      string
+	service   int
+	place     place
+	slots     int
+	state     admission.State // announced
+	cold      bool            // true state
+	warmed    int
+	slow      float64
+	noise     float64
+	failfast  bool
+	refusing  bool // takes no new requests: drained or switched off
+	inflight  int
+	queue     []*job
+	running   map[*job]bool
+	open      int // connections from the destination node
+	evident   bool
+	coldSince time.Time
 
 	over  int // requests above the cold cap
 	known int // of these, after the first sign that the node could see
@@ -150,7 +150,7 @@
 	b.inflight--
 	delete(b.running, j)
 	if b.cold {
-		b.evident = b.evident || !j.began.Before(b.chilled)
+		b.evident = b.evident || !j.began.Before(b.coldSince)
 		b.warm(result)
 	}
 	j.end(result, b.w.now.Sub(j.began))
@@ -180,17 +180,17 @@
 	b.w.announced(b)
 }
 
-// chill turns the back end cold; it says nothing.
-func (b *backend) chill() {
+// turnCold turns the back end cold; it says nothing.
+func (b *backend) turnCold() {
 	b.cold = true
 	b.warmed = 0
 	b.evident = false
-	b.chilled = b.w.now
+	b.coldSince = b.w.now
 }
 
 // restart resets every connection and comes back cold, without an announcement.
 func (b *backend) restart() {
-	b.chill()
+	b.turnCold()
 	b.evident = true
 	b.open = 0
 	b.w.closed(b)
--- a/lab/model/fault.go
+++ b/lab/model/fault.go
@@ -34,7 +34,7 @@
 		{Name: "none"},
 		{Name: "straggler", apply: straggler},
 		{Name: "silent restart", apply: func(w *world) { w.at(faultAt, w.backends[0].restart) }},
-		{Name: "silent cold", apply: func(w *world) { w.at(faultAt, w.backends[0].chill) }},
+		{Name: "silent cold", apply: func(w *world) { w.at(faultAt, w.backends[0].turnCold) }},
 		{Name: "announced cold", apply: announcedCold},
 		{Name: "fail fast", apply: failFast},
 		{Name: "lying reports", apply: straggler, liar: true},
@@ -108,7 +108,7 @@
 		w.zoneOut = ""
 		for _, b := range w.backends {
 			if cold && b.place.zone == zone {
-				b.chill()
+				b.turnCold()
 				b.announce(admission.Cold)
 			}
 		}
--- a/lab/state/ledger/doc.go
+++ b/lab/state/ledger/doc.go
@@ -1,2 +1,2 @@
-// Package ledger compares what callers were told of reservations with what back ends ran.
+// Package ledger compares the outcomes that callers received with what back ends ran.
 package ledger
--- a/lab/state/ledger/ledger.go
+++ b/lab/state/ledger/ledger.go
@@ -7,7 +7,7 @@
 	"pollenhill.example/core/protocol/attempt"
 )
 
-// Ledger keeps the outcomes that callers were told, by reservation; it is safe for concurrent use.
+// Ledger keeps the outcomes that callers received, by reservation; it is safe for concurrent use.
 type Ledger struct {
 	mu       sync.Mutex
 	outcomes map[string][]attempt.Outcome
@@ -30,7 +30,7 @@
 	Answered int
 	NotRun   int
 	Unknown  int
-	Broken   []string // reservations that ran twice or whose callers were told something that is not true
+	Broken   []string // reservations that ran twice or whose callers received an outcome that is not true
 }
 
 // Check compares the outcomes with the number of runs of each reservation at all back ends.
@@ -39,10 +39,10 @@
 	defer l.mu.Unlock()
 	var r Report
 	for id, outcomes := range l.outcomes {
-		told, n := r.count(outcomes), runs[id]
-		wrong := n > 1 || told == attempt.Answered && n != 1 || told == attempt.NotRun && n != 0
+		outcome, n := r.count(outcomes), runs[id]
+		wrong := n > 1 || outcome == attempt.Answered && n != 1 || outcome == attempt.NotRun && n != 0
 		if wrong {
-			r.Broken = append(r.Broken, fmt.Sprintf("reservation %s: reported %s, ran %d times", id, told, n))
+			r.Broken = append(r.Broken, fmt.Sprintf("reservation %s: reported %s, ran %d times", id, outcome, n))
 		}
 	}
 	return r
@@ -50,13 +50,13 @@
 
 // count adds one reservation: answered if any request was, not-run only if all were.
 func (r *Report) count(outcomes []attempt.Outcome) attempt.Outcome {
-	told := attempt.NotRun
+	outcome := attempt.NotRun
 	for _, o := range outcomes {
-		if o == attempt.Answered || told == attempt.NotRun {
-			told = o
+		if o == attempt.Answered || outcome == attempt.NotRun {
+			outcome = o
 		}
 	}
-	switch told {
+	switch outcome {
 	case attempt.Answered:
 		r.Answered++
 	case attempt.NotRun:
@@ -64,5 +64,5 @@
 	case attempt.Unknown:
 		r.Unknown++
 	}
-	return told
+	return outcome
 }
--- a/standin/coordination/capacity/doc.go
+++ b/standin/coordination/capacity/doc.go
@@ -1,2 +1,2 @@
-// Package capacity models what a stand-in back end can bear: slots, cold start and overload.
+// Package capacity models what a stand-in back end can handle: slots, cold start and overload.
 package capacity
--- a/standin/coordination/capacity/model.go
+++ b/standin/coordination/capacity/model.go
@@ -10,7 +10,7 @@
 	stats    Stats
 }
 
-// Config sets what the back end can bear.
+// Config sets what the back end can handle.
 type Config struct {
 	Slots int // requests at once when warm
 	Cold  int // requests at once in cold start
@@ -23,7 +23,7 @@
 	Last     time.Time // start of the newest request
 	Peak     int       // most requests at once
 	Over     int       // requests started above the slots
-	Overcold int       // requests started in cold start above the cold limit
+	OverCold int       // requests started in cold start above the cold limit
 }
 
 // New returns the Model of a back end in cold start.
@@ -41,7 +41,7 @@
 		m.stats.Over++
 	}
 	if m.Cold() && m.inflight > m.cfg.Cold {
-		m.stats.Overcold++
+		m.stats.OverCold++
 	}
 	return max(1, float64(m.inflight)/float64(m.limit()))
 }
@@ -52,8 +52,8 @@
 	m.done++
 }
 
-// Chill puts the back end back into cold start, as a restart without warning does.
-func (m *Model) Chill() {
+// TurnCold puts the back end back into cold start, as a restart without warning does.
+func (m *Model) TurnCold() {
 	m.done = 0
 }
 
--- a/standin/transport/caller/admin.go
+++ b/standin/transport/caller/admin.go
@@ -23,7 +23,7 @@
 	app := fiber.New()
 	app.Get("/stats", func(c fiber.Ctx) error { return c.JSON(s.Stats()) })
 	app.Post("/fault", s.setFaults)
-	app.Post("/chill", func(c fiber.Ctx) error { return s.chill(c) })
+	app.Post("/cold", func(c fiber.Ctx) error { return s.turnCold(c) })
 	app.Post("/drain", func(c fiber.Ctx) error { return s.setDrain(c, true) })
 	app.Post("/undrain", func(c fiber.Ctx) error { return s.setDrain(c, false) })
 	return app
@@ -47,10 +47,10 @@
 	return c.SendStatus(fiber.StatusNoContent)
 }
 
-// chill makes the back end cold without announcing it.
-func (s *Server) chill(c fiber.Ctx) error {
+// turnCold makes the back end cold without announcing it.
+func (s *Server) turnCold(c fiber.Ctx) error {
 	s.mu.Lock()
-	s.work.Chill()
+	s.work.TurnCold()
 	s.mu.Unlock()
 	return c.SendStatus(fiber.StatusNoContent)
 }
