Share the context-aware pause and the lab's status call

Cause: a read-through found the same wait five times, in control, node and lab, and the lab's question for a control process's status twice. Change: core/coordination/pause serves all five; lab/transport/control serves demo and fleet.

--- a/control/transport/node/claim.go
+++ b/control/transport/node/claim.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"pollenhill.example/core/coordination/pause"
 	"pollenhill.example/core/protocol/control"
 	"pollenhill.example/core/state/replica"
 )
@@ -95,7 +96,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		pause(ctx, tryPause)
+		pause.For(ctx, tryPause)
 	}
 	return replica.Result{}, connect.NewError(connect.CodeUnavailable, last)
 }
--- a/control/transport/node/handler.go
+++ b/control/transport/node/handler.go
@@ -10,6 +10,7 @@
 
 	"pollenhill.example/control/coordination/group"
 	"pollenhill.example/control/coordination/watch"
+	"pollenhill.example/core/coordination/pause"
 	"pollenhill.example/core/protocol/control"
 	"pollenhill.example/core/state/replica"
 	"pollenhill.example/core/state/rule"
@@ -93,7 +94,7 @@
 			return err
 		}
 	}
-	pause(ctx, gather)
+	pause.For(ctx, gather)
 	return nil
 }
 
@@ -145,12 +146,3 @@
 		Revision: c.Revision, Number: c.Number, Hash: c.Hash, Time: c.Time.UnixMilli(), Origin: c.Origin, Reason: c.Reason,
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/core/coordination/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits for a time that the end of a context cuts short.
+package pause
--- /dev/null
+++ b/core/coordination/pause/pause.go
@@ -0,0 +1,21 @@
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits until d has passed or ctx ends, and returns whether d has passed.
+func For(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/lab/coordination/arrival/process.go
+++ b/lab/coordination/arrival/process.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"pollenhill.example/core/coordination/pause"
 )
 
 // Process is an open-loop Poisson arrival process.
@@ -32,7 +34,7 @@
 	next := time.Now()
 	for n := 0; ; n++ {
 		next = next.Add(time.Duration(p.cfg.Rand.ExpFloat64() / p.cfg.Rate * float64(time.Second)))
-		if !sleep(ctx, time.Until(next)) {
+		if !pause.For(ctx, time.Until(next)) {
 			break
 		}
 		select {
@@ -48,17 +50,3 @@
 	wg.Wait()
 	return dropped
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/lab/demo/faults.go
+++ b/lab/demo/faults.go
@@ -8,18 +8,17 @@
 	"syscall"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
-	"pollenhill.example/core/protocol/control"
-	"pollenhill.example/core/protocol/control/controlconnect"
+	"pollenhill.example/core/coordination/pause"
 	"pollenhill.example/lab/state/layout"
+	"pollenhill.example/lab/transport/control"
 )
 
 const (
 	faultTime  = 4 * time.Second
 	freezeTime = 2 * time.Second
-	callTime   = time.Second
+	pollTime   = 100 * time.Millisecond
 )
 
 // VMs with faults, by their place in the layout.
@@ -75,7 +74,7 @@
 		}
 	}
 	r.enter("healed")
-	pause(ctx, faultTime)
+	pause.For(ctx, faultTime)
 	return ctx.Err()
 }
 
@@ -85,12 +84,12 @@
 		return err
 	}
 	if s.heal == nil {
-		pause(ctx, faultTime)
+		pause.For(ctx, faultTime)
 		return nil
 	}
-	pause(ctx, freezeTime)
+	pause.For(ctx, freezeTime)
 	err := s.heal(ctx)
-	pause(ctx, faultTime-freezeTime)
+	pause.For(ctx, faultTime-freezeTime)
 	return err
 }
 
@@ -134,14 +133,11 @@
 
 // leader returns the leader that the first answering control process knows, except the one named.
 func (r *run) leader(ctx context.Context, except string) string {
-	for end := time.Now().Add(faultTime); time.Now().Before(end); pause(ctx, callTime/10) {
+	for end := time.Now().Add(faultTime); time.Now().Before(end); pause.For(ctx, pollTime) {
 		for _, c := range r.fleet.ControlList() {
-			call, cancel := context.WithTimeout(ctx, callTime)
-			client := controlconnect.NewControlClient(http.DefaultClient, "http://"+c.Address.String())
-			resp, err := client.Status(call, connect.NewRequest(&control.StatusRequest{}))
-			cancel()
-			if err == nil && resp.Msg.GetCurrent() && resp.Msg.GetLeader() != except {
-				return resp.Msg.GetLeader()
+			status, err := control.Status(ctx, c.Address)
+			if err == nil && status.GetCurrent() && status.GetLeader() != except {
+				return status.GetLeader()
 			}
 		}
 	}
--- a/lab/demo/run.go
+++ b/lab/demo/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"pollenhill.example/core/coordination/pause"
 	"pollenhill.example/lab/coordination/arrival"
 	"pollenhill.example/lab/state/layout"
 	"pollenhill.example/lab/state/ledger"
@@ -108,7 +109,7 @@
 	r.enter(starting)
 	var wg sync.WaitGroup
 	r.start(ctx, &wg)
-	pause(ctx, startTime)
+	pause.For(ctx, startTime)
 	script := r.moveZone
 	if r.cfg.Faults {
 		script = r.injectFaults
@@ -122,14 +123,14 @@
 // moveZone takes a zone out and back while the load runs.
 func (r *run) moveZone(ctx context.Context) error {
 	r.enter("steady")
-	pause(ctx, phaseTime)
+	pause.For(ctx, phaseTime)
 	r.enter("zone out")
 	if err := r.fleet.Edit(editor, 2, "kari: rewiring tonight", serviceRules+zoneOut); err != nil {
 		return err
 	}
-	pause(ctx, outLimit)
+	pause.For(ctx, outLimit)
 	before := r.startedIn(movedZone)
-	pause(ctx, phaseTime-outLimit)
+	pause.For(ctx, phaseTime-outLimit)
 	if now := r.startedIn(movedZone); len(now) == 0 || !maps.Equal(before, now) {
 		return errors.Newf("zone %s got new work %s after it was taken out: %v, then %v", movedZone, outLimit, before, now)
 	}
@@ -137,7 +138,7 @@
 	if err := r.fleet.Edit(editor, 3, "kari: rewired", serviceRules); err != nil {
 		return err
 	}
-	pause(ctx, phaseTime)
+	pause.For(ctx, phaseTime)
 	return ctx.Err()
 }
 
@@ -194,10 +195,3 @@
 	}
 	return r.callers[n%len(r.callers)]
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/lab/fleet/run.go
+++ b/lab/fleet/run.go
@@ -3,24 +3,21 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"syscall"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 
-	"pollenhill.example/core/protocol/control"
-	"pollenhill.example/core/protocol/control/controlconnect"
+	"pollenhill.example/core/coordination/pause"
 	"pollenhill.example/lab/state/layout"
+	"pollenhill.example/lab/transport/control"
 )
 
 const (
 	readyTime  = 30 * time.Second
 	settleTime = 6 * time.Second // a change must be in force everywhere within this time
 	poll       = 50 * time.Millisecond
-	callTime   = time.Second
 )
 
 // run is the state of one measurement.
@@ -42,13 +39,13 @@
 	if err := r.ready(ctx); err != nil {
 		return err
 	}
-	if err := r.measure(ctx, "idle", func() error { pause(ctx, cfg.Idle); return nil }); err != nil {
+	if err := r.measure(ctx, "idle", func() error { pause.For(ctx, cfg.Idle); return nil }); err != nil {
 		return err
 	}
 	if err := r.measure(ctx, "changes", func() error { return r.change(ctx) }); err != nil {
 		return err
 	}
-	pause(ctx, settleTime)
+	pause.For(ctx, settleTime)
 	return r.report()
 }
 
@@ -64,7 +61,7 @@
 			if time.Now().After(end) || ctx.Err() != nil {
 				return errors.Newf("%s has no rules after %s: %v", v.Node(), readyTime, err)
 			}
-			pause(ctx, poll)
+			pause.For(ctx, poll)
 		}
 	}
 	return nil
@@ -122,7 +119,7 @@
 		if err := r.fleet.Edit(editor, int(number), "ola: measurement", r.cfg.body(int(number))); err != nil {
 			return err
 		}
-		pause(ctx, r.cfg.Interval)
+		pause.For(ctx, r.cfg.Interval)
 		if err := r.accepted(ctx, editor, number); err != nil {
 			return err
 		}
@@ -153,7 +150,7 @@
 
 func (r *run) leader(ctx context.Context) (string, error) {
 	for _, c := range r.fleet.ControlList() {
-		status, err := r.status(ctx, c)
+		status, err := control.Status(ctx, c.Address)
 		if err == nil && status.GetLeader() != "" {
 			return status.GetLeader(), nil
 		}
@@ -163,12 +160,12 @@
 
 // accepted waits until the editor's control process has accepted a change, since the next number depends on it.
 func (r *run) accepted(ctx context.Context, name string, number uint64) error {
-	for end := time.Now().Add(settleTime); ; pause(ctx, poll) {
+	for end := time.Now().Add(settleTime); ; pause.For(ctx, poll) {
 		for _, c := range r.fleet.ControlList() {
 			if c.Name != name {
 				continue
 			}
-			if status, err := r.status(ctx, c); err == nil && status.GetNumber() >= number {
+			if status, err := control.Status(ctx, c.Address); err == nil && status.GetNumber() >= number {
 				return nil
 			}
 		}
@@ -177,21 +174,3 @@
 		}
 	}
 }
-
-func (r *run) status(ctx context.Context, c layout.Control) (*control.StatusResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	client := controlconnect.NewControlClient(http.DefaultClient, "http://"+c.Address.String())
-	resp, err := client.Status(ctx, connect.NewRequest(&control.StatusRequest{}))
-	if err != nil {
-		return nil, errors.Wrapf(err, "read status of %s", c.Name)
-	}
-	return resp.Msg, nil
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- /dev/null
+++ b/lab/transport/control/doc.go
@@ -0,0 +1,2 @@
+// Package control asks control processes for their state.
+package control
--- a/node/transport/control/claim.go
+++ b/node/transport/control/claim.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"pollenhill.example/core/coordination/pause"
 	"pollenhill.example/core/protocol/control"
 )
 
@@ -66,7 +66,7 @@
 			if permanent(err) {
 				return nil, last
 			}
-			pause(ctx, backoff)
+			pause.For(ctx, backoff)
 		}
 	}
 	return nil, errors.Mark(last, ErrUnavailable)
@@ -86,12 +86,3 @@
 	}
 	return false
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
