--- a/core/state/rule/check.go
+++ b/core/state/rule/check.go
@@ -15,6 +15,7 @@
 // check reports rules that contradict each other.
 func (p *parser) check() {
 	p.checkLast()
+	p.checkTargets()
 	for _, s := range p.services {
 		p.checkSizes(s)
 	}
@@ -97,4 +98,5 @@
 		p.set.Services[name] = full
 	}
 	p.set.routes = routes(p.set.Services)
+	p.set.index()
 }
--- /dev/null
+++ b/core/state/rule/merge.go
@@ -0,0 +1,196 @@
+package rule
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Merge returns the text that puts traffic in force in place of the routes, pools and bounds of text, as the change
+// with a number. Lines whose meaning stays are kept byte for byte; credit is the comment of the lines that change.
+// The traffic lines take the places of the old ones in the order of traffic.
+func Merge(text string, number uint64, credit string, traffic Traffic) string {
+	rules := render(traffic)
+	old := map[string]string{}
+	for _, raw := range splitLines(text) {
+		if key, ok := keyOf(newLine(0, raw)); ok {
+			old[key] = raw
+		}
+	}
+	next := func() (string, bool) {
+		if len(rules) == 0 {
+			return "", false
+		}
+		first := rules[0]
+		rules = rules[1:]
+		if raw, ok := old[first.key]; ok && newLine(0, raw).same(first.rule) {
+			return terminated(raw), true
+		}
+		return first.rule + " # " + credit + "\n", true
+	}
+	return rewrite(text, number, credit, func(l line, raw string) string {
+		if _, ok := keyOf(l); !ok {
+			return raw
+		}
+		line, _ := next()
+		return line
+	}, next)
+}
+
+// Evacuate returns the text that takes a zone out, or back into service, as the change with a number.
+func Evacuate(text string, number uint64, credit, zone string, out bool) string {
+	rule := "evacuate " + escape(zone)
+	missing := out
+	return rewrite(text, number, credit, func(l line, raw string) string {
+		if l.text[:l.end()] != rule {
+			return raw
+		}
+		missing = false
+		if out {
+			return raw
+		}
+		return ""
+	}, func() (string, bool) {
+		add := missing
+		missing = false
+		return rule + " # " + credit + "\n", add
+	})
+}
+
+// rewrite writes a new header, what replace returns for every further line, and then all that next returns.
+func rewrite(text string, number uint64, credit string, replace func(l line, raw string) string, next func() (string, bool)) string {
+	var b strings.Builder
+	lines := splitLines(text)
+	if len(lines) == 0 {
+		lines = []string{exampleFormat + "\n"}
+	}
+	b.WriteString(terminated(lines[0]))
+	fmt.Fprintf(&b, "change %d # %s\n", number, credit)
+	for i, raw := range lines[min(2, len(lines)):] {
+		b.WriteString(replace(newLine(i+1, raw), terminated(raw)))
+	}
+	for line, ok := next(); ok; line, ok = next() {
+		b.WriteString(line)
+	}
+	return b.String()
+}
+
+func terminated(raw string) string {
+	if strings.HasSuffix(raw, "\n") {
+		return raw
+	}
+	return raw + "\n"
+}
+
+// rendered is the rule of one item of a Traffic.
+type rendered struct{ key, rule string }
+
+func render(t Traffic) []rendered {
+	var rules []rendered
+	if t.Bound != nil {
+		rules = append(rules, rendered{"bound", t.Bound.rule()})
+	}
+	for _, p := range t.Pools {
+		rules = append(rules, rendered{"pool " + p.Name, p.rule()})
+	}
+	for _, r := range t.Routes {
+		rules = append(rules, rendered{"route " + r.Name, r.rule()})
+	}
+	return rules
+}
+
+// keyOf returns which item a traffic line describes.
+func keyOf(l line) (string, bool) {
+	if len(l.words) < 2 {
+		return "", false
+	}
+	switch verb := l.words[0].text; verb {
+	case "bound":
+		return verb, true
+	case "route", "pool":
+		return verb + " " + unescape(l.words[1].text), true
+	}
+	return "", false
+}
+
+// same says whether a line means the same as a rendered rule; the order of options does not count.
+func (l line) same(rule string) bool {
+	words := func(l line) []string {
+		list := make([]string, len(l.words))
+		for i, w := range l.words {
+			list[i] = w.text
+		}
+		slices.Sort(list)
+		return list
+	}
+	return slices.Equal(words(l), words(newLine(0, rule)))
+}
+
+// option writes " key=value" unless the value is empty.
+func option(b *strings.Builder, key, value string) {
+	if value != "" {
+		b.WriteString(" " + key + "=" + value)
+	}
+}
+
+func whole(n int) string {
+	if n == 0 {
+		return ""
+	}
+	return strconv.Itoa(n)
+}
+
+func span(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.String()
+}
+
+func (r Route) rule() string {
+	var b strings.Builder
+	b.WriteString("route " + escape(r.Name))
+	option(&b, "host", escape(r.Host))
+	option(&b, "path", escape(r.Path))
+	option(&b, "kind", r.Kind.String())
+	option(&b, "within", span(r.Within))
+	option(&b, "aim", span(r.Aim))
+	option(&b, "rank", strconv.Itoa(r.Rank))
+	option(&b, "tries", whole(r.Tries))
+	parts := make([]string, len(r.Parts))
+	for i, p := range r.Parts {
+		parts[i] = strings.ReplaceAll(escape(p.Service), ":", "%3A")
+		if r.Split {
+			parts[i] += ":" + strconv.FormatFloat(p.Weight, 'g', -1, 64)
+		}
+	}
+	option(&b, "to", strings.Join(parts, ","))
+	option(&b, "more", escape(r.More))
+	return b.String()
+}
+
+func (p Pool) rule() string {
+	var b strings.Builder
+	b.WriteString("pool " + escape(p.Name))
+	option(&b, "health", escape(p.Health))
+	option(&b, "connections", whole(p.Connections))
+	option(&b, "cold", span(p.Cold))
+	if p.Rate != 0 {
+		option(&b, "rate", strconv.FormatFloat(p.Rate, 'g', -1, 64))
+	}
+	option(&b, "more", escape(p.More))
+	return b.String()
+}
+
+func (o Bound) rule() string {
+	var b strings.Builder
+	b.WriteString("bound")
+	option(&b, "header", whole(o.Header))
+	option(&b, "body", whole(o.Body))
+	option(&b, "read", span(o.Read))
+	option(&b, "idle", span(o.Idle))
+	option(&b, "more", escape(o.More))
+	return b.String()
+}
--- a/core/state/rule/parse.go
+++ b/core/state/rule/parse.go
@@ -32,6 +32,7 @@
 	seen     map[string]line // first line of every rule that must not repeat
 	outs     []out
 	named    map[string]bool // what each service sets itself, by "verb service key"
+	targets  []target
 }
 
 // Parse compiles text, or returns Problems that list everything that is wrong with it.
--- a/core/state/rule/route.go
+++ b/core/state/rule/route.go
@@ -82,7 +82,7 @@
 
 // ZoneOut reports whether the rules take a zone out of service; zones that they do not list are in service.
 func (s *Set) ZoneOut(zone string) bool {
-	return s.Zones[zone].Out
+	return s.Zones[zone].Out || slices.Contains(s.Evacuated, zone)
 }
 
 // BackendOut reports whether the rules take a back end out of service.
--- a/core/state/rule/set.go
+++ b/core/state/rule/set.go
@@ -12,7 +12,14 @@
 	Services map[string]Service
 	Backends map[string]bool // back ends taken out, by name
 
+	Routes    []Route  `json:",omitempty"`
+	Pools     []Pool   `json:",omitempty"`
+	Bound     *Bound   `json:",omitempty"`
+	Evacuated []string `json:",omitempty"` // zones taken out by evacuate
+
 	routes []route
+	lookup map[hostPath]*Route
+	pools  map[string]Pool
 }
 
 // Zone is one availability zone.
--- a/core/state/rule/verb.go
+++ b/core/state/rule/verb.go
@@ -32,6 +32,10 @@
 		"spill":      {example: "spill booking 80% # ola: zone load that spills over", read: readSpill},
 		"priority":   {example: "priority booking high /reserve # kari: reservations first", read: readPriority},
 		"out":        {example: "out zone oslo-b # kari: rewiring", read: readOut},
+		"pool":       {example: "pool records health=/health connections=240 cold=3s rate=35 # kari: behind routes", read: readPool},
+		"route":      {example: "route lookup host=booking.example path=/free/ kind=idempotent within=500ms aim=200ms rank=2 tries=2 to=booking # kari: lookups", read: readRoute},
+		"bound":      {example: "bound header=16384 body=67108864 read=3s idle=15s # ola: what callers may send", read: readBound},
+		"evacuate":   {example: "evacuate oslo-c # kari: rewiring", read: readEvacuate},
 	}
 }
 
