--- a/control/coordination/directory/directory.go
+++ b/control/coordination/directory/directory.go
@@ -72,6 +72,11 @@
 	})
 }
 
+// Peers replaces the other control processes.
+func (d *Directory) Peers(ctx context.Context, names []string) error {
+	return d.post(ctx, func(model *member.Model) { d.update(model, member.Peers{Names: names}) })
+}
+
 // Members returns the live members by node name.
 func (d *Directory) Members(ctx context.Context) ([]*control.Member, error) {
 	return ask(ctx, d, (*member.Model).Members)
--- a/control/coordination/group/config.go
+++ b/control/coordination/group/config.go
@@ -20,6 +20,7 @@
 	Data    string // folder of the log and the snapshots
 	Peers   []Peer // founding voters, this process included; with Join the members to ask
 	Join    bool   // start as a learner of an existing group
+	Voters  int    // most voters, chosen without an operator; 0: operators name the members
 	Replica replica.Config
 
 	Election  time.Duration // shortest election timeout, 0: 400 ms; timeouts are drawn up to twice as long
@@ -53,6 +54,8 @@
 	Current  bool     // leader with a quorum, or follower that heard such a leader, within the election timeout
 	Voters   []string // names
 	Learners []string // names
+
+	Assembled bool // the group chooses its members, whose names are their addresses
 }
 
 func (c Config) withDefaults() Config {
@@ -77,7 +80,7 @@
 func (g *Group) engineConfig() engine.Config {
 	c := g.cfg
 	return engine.Config{
-		Name: c.Name, FS: c.FS, Dir: c.Data, Join: c.Join, Replica: c.Replica,
+		Name: c.Name, FS: c.FS, Dir: c.Data, Join: c.Join, Voters: c.Voters, Replica: c.Replica,
 		Election: c.Election, Heartbeat: c.Heartbeat, Send: c.Send, Guard: &g.mu,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Peers: lo.Map(c.Peers, func(p Peer, _ int) engine.Peer {
--- a/control/coordination/group/run.go
+++ b/control/coordination/group/run.go
@@ -133,6 +133,7 @@
 	old := g.view.Swap(&published{at: now, view: View{
 		ID: g.engine.ID(), Leader: engine.NameOf(v.Leader), Term: v.Term, Commit: v.Commit, Applied: v.Applied,
 		Current: v.Current, Voters: lo.Map(v.Members.Voters, name), Learners: lo.Map(v.Members.Learners, name),
+		Assembled: g.cfg.Voters > 0,
 	}})
 	if old != nil && old.view.Leader != engine.NameOf(v.Leader) {
 		close(*g.moved.Swap(lo.ToPtr(make(chan struct{}))))
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -116,6 +117,7 @@
 func (d *Daemon) publish(ctx context.Context) error {
 	leader := ""
 	revision := uint64(0)
+	var peers []string
 	for {
 		changed := d.group.Changed()
 		if err := d.group.Failed(); err != nil {
@@ -123,6 +125,9 @@
 		}
 		revision = d.rules(revision)
 		leader = d.leader(leader)
+		if peers = d.peers(ctx, peers); ctx.Err() != nil {
+			return ctx.Err()
+		}
 		select {
 		case <-changed:
 		case <-d.group.Done():
@@ -158,6 +163,20 @@
 	return r.Revision
 }
 
+// peers tells the directory the members of a group that assembles itself.
+func (d *Daemon) peers(ctx context.Context, last []string) []string {
+	v := d.group.View()
+	names := lo.Without(append(slices.Clone(v.Voters), v.Learners...), d.settings.Name)
+	if d.settings.Voters == 0 || len(names) == 0 || slices.Equal(names, last) {
+		return last
+	}
+	d.log.Emit(event.GroupChanged, zap.Strings("voters", v.Voters), zap.Strings("learners", v.Learners))
+	if d.directory.Peers(ctx, names) != nil {
+		return last // the directory stops only with this process
+	}
+	return names
+}
+
 // leader logs a change of the leader.
 func (d *Daemon) leader(last string) string {
 	v := d.group.View()
--- a/control/daemon/main.go
+++ b/control/daemon/main.go
@@ -15,6 +15,8 @@
 func Main(args []string, errs io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// A changed settings file needs no signal, and the default action would end the process.
+	signal.Ignore(syscall.SIGHUP)
 	cmd := &cli.Command{
 		Name:      "control",
 		Usage:     "hold rules, claims and the directory of back ends",
--- a/control/daemon/settings.go
+++ b/control/daemon/settings.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 
 	"pollenhill.example/core/state/settings"
 	"pollenhill.example/core/transport/mtls"
@@ -12,7 +13,7 @@
 
 // Settings is the JSON settings file of a control process.
 type Settings struct {
-	Name   string         `json:"name"   validate:"required"`
+	Name   string         `json:"name"   validate:"required_without=Seeds"`
 	Zone   string         `json:"zone"   validate:"required"`
 	Region string         `json:"region" validate:"required"`
 	Listen netip.AddrPort `json:"listen"`
@@ -21,8 +22,11 @@
 	Rules  string         `json:"rules"`                      // operators' rule file; empty: this process watches none
 	Peers  []Peer         `json:"peers"  validate:"dive"`     // founding voters, this process included; empty: a group of one
 	Join   bool           `json:"join"`                       // start as a learner of an existing group
+	Seeds  []string       `json:"seeds"`                      // addresses of some control processes, in place of peers
+	First  bool           `json:"first"`                      // with seeds: the whole system starts for the first time
 	Log    string         `json:"log"`                        // file; empty: standard error
 	Events string         `json:"events"`                     // file; empty: same as log
+	Voters int            `json:"-"`                          // of a group that assembles itself
 	TLS    *mtls.Config   `json:"tls,omitempty"`              // of all connections to other processes; nil: plain
 }
 
@@ -39,12 +43,39 @@
 	if err != nil {
 		return s, err
 	}
+	if len(s.Seeds) > 0 {
+		return s.assembled()
+	}
 	if len(s.Peers) == 0 {
 		s.Peers = []Peer{{Name: s.Name, Address: s.Listen, Region: s.Region}}
 	}
 	return s, errors.Wrapf(s.check(), "settings %s", path)
 }
 
+// voters is how many members of a group that assembles itself vote: enough for the loss of one, and few enough that
+// a change waits for one other disk only.
+const voters = 3
+
+// assembled fills in what follows from seeds: in such a group the name of a process is its address. The seeds of the
+// first start found the group; every other process joins it.
+func (s Settings) assembled() (Settings, error) {
+	s.Name = s.Listen.String()
+	s.Join = !s.First || !slices.Contains(s.Seeds, s.Name)
+	s.Voters = voters
+	s.Peers = nil
+	for _, seed := range lo.Uniq(append(slices.Clone(s.Seeds), s.Name)) {
+		address, err := netip.ParseAddrPort(seed)
+		if err != nil {
+			return s, errors.Wrap(err, "seeds")
+		}
+		s.Peers = append(s.Peers, Peer{Name: seed, Address: address, Region: s.Region})
+	}
+	if !s.Join {
+		s.Peers = lo.Filter(s.Peers, func(p Peer, _ int) bool { return slices.Contains(s.Seeds, p.Name) })
+	}
+	return s, s.check()
+}
+
 func (s Settings) check() error {
 	switch {
 	case !s.Listen.IsValid():
--- a/control/daemon/wire.go
+++ b/control/daemon/wire.go
@@ -14,6 +14,7 @@
 	"pollenhill.example/control/coordination/directory"
 	"pollenhill.example/control/coordination/group"
 	"pollenhill.example/control/coordination/watch"
+	"pollenhill.example/control/transport/automation"
 	"pollenhill.example/control/transport/node"
 	"pollenhill.example/control/transport/peer"
 	"pollenhill.example/core/protocol/control/controlconnect"
@@ -84,7 +85,7 @@
 		return group.Peer{Name: p.Name, Address: p.Address, Region: p.Region}
 	})
 	return group.Open(group.Config{
-		Name: s.Name, Data: s.Data, Peers: peers, Join: s.Join,
+		Name: s.Name, Data: s.Data, Peers: peers, Join: s.Join, Voters: s.Voters,
 		Replica: replica.Config{Check: check},
 		Send:    clients.Send,
 		Forward: clients.Forward,
@@ -100,6 +101,7 @@
 func newHub(do.Injector) (*watch.Hub, error) { return watch.New(), nil }
 
 func newDirectory(i do.Injector) (*directory.Directory, error) {
+	s := do.MustInvoke[Settings](i)
 	clients, err := do.Invoke[*peer.Clients](i)
 	if err != nil {
 		return nil, err
@@ -109,7 +111,7 @@
 		return nil, err
 	}
 	return directory.New(directory.Config{
-		Name: do.MustInvoke[Settings](i).Name, Peers: clients.Names(),
+		Name: s.Name, Peers: lo.Without(lo.Map(s.Peers, func(p Peer, _ int) string { return p.Name }), s.Name),
 		Send: clients.Exchange, Change: hub.Members, Ready: hub.Ready,
 	}), nil
 }
@@ -132,6 +134,7 @@
 	plain := connect.WithCompression("gzip", nil, nil)
 	mux := http.NewServeMux()
 	mux.Handle(controlconnect.NewControlHandler(&node.Handler{Group: g, Directory: d, Hub: hub}, plain))
+	(&automation.Handler{Group: g, Origin: do.MustInvoke[Settings](i).Name}).Register(mux)
 	mux.Handle(controlconnect.NewPeerHandler(&peer.Handler{Group: g, Directory: d}, plain))
 	p := new(http.Protocols)
 	p.SetHTTP1(true)
--- a/control/transport/node/handler.go
+++ b/control/transport/node/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -52,7 +53,12 @@
 			return nil, connect.NewError(connect.CodeUnavailable, err)
 		}
 	}
-	return connect.NewResponse(&control.AnnounceResponse{Revision: h.rules().Revision, Current: h.Group.View().Current}), nil
+	v := h.Group.View()
+	resp := &control.AnnounceResponse{Revision: h.rules().Revision, Current: v.Current}
+	if v.Assembled {
+		resp.Group = append(slices.Clone(v.Voters), v.Learners...)
+	}
+	return connect.NewResponse(resp), nil
 }
 
 func check(m *control.Member) error {
--- a/control/transport/peer/client.go
+++ b/control/transport/peer/client.go
@@ -4,11 +4,11 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 
 	"pollenhill.example/control/coordination/group"
 	"pollenhill.example/core/protocol/control"
@@ -26,15 +26,19 @@
 
 // Clients holds the connections to the other control processes; it is safe for concurrent use.
 type Clients struct {
-	name  string
-	peers map[string]*client
+	cfg    Config
+	ctx    context.Context // of the goroutines that send
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	mu     sync.Mutex
+	peers  map[string]*client
 }
 
 // Config names the control processes.
 type Config struct {
 	Name  string // of this process
 	Bind  netip.Addr
-	Peers []Peer       // this process may be among them
+	Peers []Peer       // this process may be among them; others are found by names that are addresses
 	TLS   *mtls.Source // nil: plain connections
 }
 
@@ -55,15 +59,37 @@
 
 // NewClients returns Clients; connections open on first use.
 func NewClients(cfg Config) *Clients {
-	c := &Clients{name: cfg.Name, peers: map[string]*client{}}
+	c := &Clients{cfg: cfg, peers: map[string]*client{}}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for _, p := range cfg.Peers {
 		if p.Name != cfg.Name {
-			c.peers[p.Name] = newClient(cfg, p)
+			c.add(p)
 		}
 	}
 	return c
 }
 
+func (c *Clients) add(p Peer) *client {
+	one := newClient(c.cfg, p)
+	c.peers[p.Name] = one
+	c.wg.Go(func() { one.run(c.ctx, c.cfg.Name) })
+	return one
+}
+
+// client returns the connections to a process; the name of one that the settings do not list is its address.
+func (c *Clients) client(name string) (*client, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.peers[name]; ok {
+		return p, true
+	}
+	address, err := netip.ParseAddrPort(name)
+	if err != nil || name == c.cfg.Name || c.ctx.Err() != nil {
+		return nil, false
+	}
+	return c.add(Peer{Name: name, Address: address}), true
+}
+
 func newClient(cfg Config, p Peer) *client {
 	url := "http://" + p.Address.String()
 	raft, rest := transport(cfg), transport(cfg)
@@ -89,35 +115,31 @@
 	}
 }
 
-// Names returns the names of the other control processes.
-func (c *Clients) Names() []string {
-	names := make([]string, 0, len(c.peers))
-	for name := range c.peers {
-		names = append(names, name)
-	}
-	return names
-}
-
 // Run sends queued consensus messages until ctx ends.
 func (c *Clients) Run(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	for _, p := range c.peers {
-		g.Go(func() error { return p.run(ctx, c.name) })
-	}
-	err := g.Wait()
+	<-ctx.Done()
+	c.Close()
+	return ctx.Err()
+}
+
+// Close ends all connections.
+func (c *Clients) Close() {
+	c.mu.Lock()
+	c.cancel()
+	c.mu.Unlock()
+	c.wg.Wait()
 	for _, p := range c.peers {
 		for _, t := range p.http {
 			t.CloseIdleConnections()
 		}
 	}
-	return err
 }
 
-func (p *client) run(ctx context.Context, from string) error {
+func (p *client) run(ctx context.Context, from string) {
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return
 		case batch := <-p.out:
 			// A lost batch needs no report: consensus sends again.
 			_ = p.deliver(ctx, &control.RaftRequest{From: from, Messages: p.gather(batch)})
@@ -146,7 +168,7 @@
 
 // Send queues consensus messages; it does not block and drops them if the queue is full.
 func (c *Clients) Send(to string, messages [][]byte) {
-	p, ok := c.peers[to]
+	p, ok := c.client(to)
 	if !ok {
 		return
 	}
@@ -158,7 +180,7 @@
 
 // Exchange sends directory deltas.
 func (c *Clients) Exchange(ctx context.Context, to string, req *control.ExchangeRequest) (*control.ExchangeResponse, error) {
-	p, ok := c.peers[to]
+	p, ok := c.client(to)
 	if !ok {
 		return nil, errors.Newf("exchange with %s: not among the peers", to)
 	}
@@ -173,7 +195,7 @@
 //
 // The error is a NotLeader only if the command was certainly not proposed.
 func (c *Clients) Forward(ctx context.Context, to string, command []byte) ([]byte, error) {
-	p, ok := c.peers[to]
+	p, ok := c.client(to)
 	if !ok {
 		return nil, &group.NotLeader{}
 	}
--- a/core/coordination/admission/model.go
+++ b/core/coordination/admission/model.go
@@ -23,6 +23,7 @@
 	memory  memory
 	window  window
 	warmer  warmer
+	pace    pace
 }
 
 // New returns a Model with no back end.
@@ -77,7 +78,7 @@
 	if !m.finishes(now, msg) {
 		return []Cmd{Refuse{ID: msg.ID, Reason: refusal.Late, After: busyWait}}
 	}
-	if len(m.started) < m.cap() && len(m.queue) == 0 {
+	if len(m.queue) == 0 && m.free(now) {
 		return []Cmd{m.start(now, msg)}
 	}
 	return m.enqueue(msg)
@@ -117,6 +118,7 @@
 
 func (m *Model) start(now time.Time, msg Arrive) Cmd {
 	m.started[msg.ID] = now
+	m.pace.note(now)
 	m.memory.set(now, msg.ID, ran)
 	return Start{ID: msg.ID}
 }
@@ -124,7 +126,7 @@
 // pump starts queued attempts while the cap allows it.
 func (m *Model) pump(now time.Time) []Cmd {
 	var cmds []Cmd
-	for len(m.queue) > 0 && len(m.started) < m.cap() {
+	for len(m.queue) > 0 && m.free(now) {
 		next := m.queue.pop()
 		if m.tooLate(now, next) {
 			cmds = append(cmds, Refuse{ID: next.ID, Reason: refusal.Late, After: busyWait})
@@ -231,6 +233,7 @@
 	back := m.limits.Reason != refusal.None && msg.Reason == refusal.None
 	m.limits = msg.defaults()
 	m.window.limits = m.limits
+	m.pace.rate = m.limits.Rate
 	if back {
 		m.window.restart()
 	}
@@ -255,11 +258,19 @@
 	return refusal.None
 }
 
+// free reports whether one more request may start now.
+func (m *Model) free(now time.Time) bool {
+	return len(m.started) < m.cap() && (m.state != Cold || m.pace.free(now))
+}
+
 func (m *Model) cap() int {
 	if m.closedFor() != refusal.None {
 		return 0
 	}
-	if m.state == Cold {
+	switch {
+	case m.limits.Fixed:
+		return m.limits.Slots
+	case m.state == Cold:
 		return min(m.limits.Cold, m.limits.Slots)
 	}
 	return m.window.cap()
--- a/core/coordination/admission/msg.go
+++ b/core/coordination/admission/msg.go
@@ -40,6 +40,9 @@
 	Reason refusal.Reason // ZoneOut or BackendOut while the rules take it out, else None
 
 	Connections int // connections that the back end takes; limits the warming
+
+	Fixed bool    // the back end says itself how many requests it takes at once and when it is cold
+	Rate  float64 // with Fixed: requests a second that it takes while it is cold; 0: no limit
 }
 
 // defaults fills limits that are not set; a negative queue means none.
--- a/core/coordination/engine/engine.go
+++ b/core/coordination/engine/engine.go
@@ -30,6 +30,7 @@
 	Dir     string
 	Peers   []Peer // first voters, this one included unless Join
 	Join    bool   // start as a learner of an existing group
+	Voters  int    // most voters; 0: every member becomes one
 	Replica replica.Config
 
 	Election  time.Duration // 0: raft.DefaultElection
@@ -104,6 +105,7 @@
 	joinAt   time.Time
 	size     int // of the last snapshot in bytes
 	err      error
+	known    []string // names of members before this one left, asked besides the peers
 }
 
 // waiter is a proposal that waits for its index or a read that waits for an index.
@@ -149,6 +151,9 @@
 func (e *Engine) open(now time.Time, empty bool) error {
 	if empty {
 		e.identity = identity{id: newID(e.cfg.Name, e.cfg.Rand), joined: e.cfg.Join}
+		if !e.cfg.Join {
+			e.identity.peers = namesOf(e.cfg.Peers)
+		}
 		e.content.Meta = e.identity.encode()
 		if err := e.log.Reset(e.content); err != nil {
 			return err
@@ -162,10 +167,14 @@
 	if e.identity.founded() {
 		return e.startModel(now)
 	}
-	if e.cfg.Join {
+	if e.identity.joined || e.cfg.Join && len(e.identity.peers) == 0 {
 		e.identity.joined = true // the folder has never voted
 		return e.start(now)
 	}
+	if len(e.identity.peers) > 0 {
+		// The process ended while it founded the group; the other first voters still wait for this folder.
+		e.cfg.Peers = peersOf(e.identity.peers)
+	}
 	e.founding = newFounding(e.cfg.Name, e.identity.id)
 	return e.tryFound(now)
 }
@@ -179,6 +188,7 @@
 	model, err := raft.New(raft.Config{
 		ID: e.identity.id, Founders: e.identity.membership(),
 		Election: e.cfg.Election, Heartbeat: e.cfg.Heartbeat, Trailing: e.cfg.Trailing, Rand: e.cfg.Rand,
+		Voters: e.cfg.Voters,
 	}, now, e.content)
 	e.model = model
 	e.content = wal.Content{Meta: e.content.Meta}
--- a/core/coordination/engine/envelope.go
+++ b/core/coordination/engine/envelope.go
@@ -11,12 +11,13 @@
 	"pollenhill.example/core/state/replica"
 )
 
-// envelope is what travels between members: exactly one of raft, hello and join is set.
+// envelope is what travels between members: exactly one of raft, hello, join and left is set.
 type envelope struct {
 	raft    *raft.Message
 	hello   *hello
 	join    *replica.Member
-	relayed bool // join: by a follower
+	relayed bool   // join: by a follower
+	left    string // ID of the receiver, which the group has removed
 }
 
 // hello is exchanged by founding members until each knows the ID of every other.
@@ -34,6 +35,8 @@
 		w.Bytes(1, e.raft.Encode())
 	case e.hello != nil:
 		w.Nested(2, e.hello.write)
+	case e.left != "":
+		w.String(5, e.left)
 	case e.join != nil:
 		w.Bytes(3, replica.Command{Kind: replica.Join, Member: *e.join}.Encode())
 	}
@@ -60,6 +63,8 @@
 			return err
 		case 4:
 			e.relayed = f.Uint == 1
+		case 5:
+			e.left = f.Text()
 		}
 		return nil
 	})
--- a/core/coordination/engine/identity.go
+++ b/core/coordination/engine/identity.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 
 	"pollenhill.example/core/coordination/raft"
 	"pollenhill.example/core/state/field"
@@ -16,6 +17,15 @@
 	id       string
 	founders []string // IDs of the first voters; empty while they are not known and for a member that joined
 	joined   bool
+	peers    []string // names of the first voters, for a start that was interrupted; empty for a member that joined
+}
+
+func namesOf(peers []Peer) []string {
+	return lo.Map(peers, func(p Peer, _ int) string { return p.Name })
+}
+
+func peersOf(names []string) []Peer {
+	return lo.Map(names, func(name string, _ int) Peer { return Peer{Name: name, Address: name} })
 }
 
 // newID returns the ID of a new data folder: the number tells it from every earlier folder of the same name.
@@ -38,6 +48,9 @@
 	if i.joined {
 		w.Uint(3, 1)
 	}
+	for _, name := range i.peers {
+		w.String(4, name)
+	}
 	return w.Done()
 }
 
@@ -50,6 +63,8 @@
 			i.founders = append(i.founders, f.Text())
 		case 3:
 			i.joined = f.Uint == 1
+		case 4:
+			i.peers = append(i.peers, f.Text())
 		}
 		return nil
 	})
--- a/core/coordination/engine/join.go
+++ b/core/coordination/engine/join.go
@@ -4,8 +4,11 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"pollenhill.example/core/coordination/raft"
 	"pollenhill.example/core/state/replica"
+	"pollenhill.example/core/state/wal"
 )
 
 // tickJoin asks to become a learner until the own log says so.
@@ -25,11 +28,63 @@
 			me.Region = p.Region
 		}
 	}
-	for _, p := range e.cfg.Peers {
-		if p.Name != e.cfg.Name {
-			e.post(p.Name, envelope{join: &me})
+	names := lo.Uniq(append(namesOf(e.cfg.Peers), e.known...))
+	for _, name := range lo.Without(names, e.cfg.Name) {
+		e.post(name, envelope{join: &me})
+	}
+}
+
+// retire gives the place of a voter that has been silent for long to a learner: the raft model makes the learner a
+// voter once the silent one has left.
+func (e *Engine) retire(now time.Time) []raft.Cmd {
+	id, ok := e.model.Spent(now)
+	if !ok {
+		return nil
+	}
+	return e.alter(now, 0, replica.Command{Kind: replica.Leave, Member: replica.Member{ID: id}})
+}
+
+// tell answers a member that left while it was silent and does not know it. Where operators name the members, one
+// that left stays out.
+func (e *Engine) tell(from string) bool {
+	if e.cfg.Voters == 0 || !e.replica.HasLeft(from) {
+		return false
+	}
+	e.post(NameOf(from), envelope{left: from})
+	return true
+}
+
+// onLeft starts over under a new ID: the group has replaced this member, and the old ID never counts again.
+func (e *Engine) onLeft(now time.Time, id string) error {
+	if id != e.identity.id {
+		return nil
+	}
+	if e.model != nil {
+		set := e.model.View(now).Members
+		e.known = lo.Map(append(set.Voters, set.Learners...), func(id string, _ int) string { return NameOf(id) })
+	}
+	e.abandon()
+	e.identity = identity{id: newID(e.cfg.Name, e.cfg.Rand), joined: true}
+	e.founding = nil
+	e.content = wal.Content{}
+	e.cfg.Guard.Lock()
+	e.replica = replica.New(e.cfg.Replica)
+	e.cfg.Guard.Unlock()
+	return e.start(now)
+}
+
+// abandon answers everything that waits for the old log.
+func (e *Engine) abandon() {
+	for _, list := range e.waiting {
+		for _, w := range list {
+			e.done(w.token-e.salt, replica.Result{}, ErrUnknown)
 		}
 	}
+	for _, w := range e.reads {
+		e.done(w.token-e.salt, replica.Result{}, &NotLeader{})
+	}
+	e.waiting = map[uint64][]waiter{}
+	e.reads = nil
 }
 
 // onJoin adds a member as a learner at the leader; a follower passes the request on once, because the leader may
--- a/core/coordination/engine/step.go
+++ b/core/coordination/engine/step.go
@@ -112,7 +112,7 @@
 		return nil
 	}
 	e.tickJoin(now)
-	return e.model.Update(now, raft.Tick{})
+	return append(e.model.Update(now, raft.Tick{}), e.retire(now)...)
 }
 
 func (e *Engine) receive(now time.Time, raw []byte) ([]raft.Cmd, error) {
@@ -125,6 +125,9 @@
 		return nil, nil
 	case msg.join != nil:
 		return e.onJoin(now, *msg.join, msg.relayed), nil
+	case msg.left != "":
+		return nil, e.onLeft(now, msg.left)
+	case msg.raft != nil && e.tell(msg.raft.From):
 	case msg.raft != nil:
 		return e.model.Update(now, raft.Receive{Message: *msg.raft}), nil
 	}
--- a/core/coordination/follow/model.go
+++ b/core/coordination/follow/model.go
@@ -72,6 +72,8 @@
 		m.lose(now, msg)
 	case Probed:
 		m.collect(now, msg)
+	case Servers:
+		m.cfg.Servers = msg.List
 	}
 	return m.step(now)
 }
--- a/core/coordination/follow/msg.go
+++ b/core/coordination/follow/msg.go
@@ -21,13 +21,17 @@
 	Current bool
 }
 
+// Servers replaces the control processes that the node may follow.
+type Servers struct{ List []Server }
+
 // Tick lets time pass.
 type Tick struct{}
 
-func (Heard) msg()  {}
-func (Lost) msg()   {}
-func (Probed) msg() {}
-func (Tick) msg()   {}
+func (Heard) msg()   {}
+func (Lost) msg()    {}
+func (Probed) msg()  {}
+func (Servers) msg() {}
+func (Tick) msg()    {}
 
 // Cmd is an effect that Model.Update asks for.
 type Cmd interface{ cmd() }
--- a/core/coordination/member/model.go
+++ b/core/coordination/member/model.go
@@ -68,12 +68,31 @@
 		cmds = m.exchange(now, msg.Request)
 	case Reply:
 		m.reply(now, msg)
+	case Peers:
+		m.replace(now, msg.Names)
 	case Tick:
 		cmds = m.tick(now)
 	}
 	return append(m.changes(), cmds...)
 }
 
+// replace keeps what is known of peers that stay; a new one gets everything.
+func (m *Model) replace(now time.Time, names []string) {
+	peers := map[string]*peer{}
+	for _, name := range names {
+		p, ok := m.peers[name]
+		if !ok {
+			p = newPeer()
+			p.full = m.ready
+			for node := range m.entries {
+				p.mark(node, now)
+			}
+		}
+		peers[name] = p
+	}
+	m.peers = peers
+}
+
 // Members returns the live members by node name, with their current sequences.
 func (m *Model) Members() []*control.Member {
 	nodes := slices.Sorted(maps.Keys(m.entries))
--- a/core/coordination/member/msg.go
+++ b/core/coordination/member/msg.go
@@ -17,12 +17,16 @@
 	Response *control.ExchangeResponse
 }
 
+// Peers replaces the other control processes.
+type Peers struct{ Names []string }
+
 // Tick lets time pass; it is due every Interval.
 type Tick struct{}
 
 func (Announce) msg() {}
 func (Exchange) msg() {}
 func (Reply) msg()    {}
+func (Peers) msg()    {}
 func (Tick) msg()     {}
 
 // Cmd is an effect that Model.Update asks for.
--- a/core/coordination/raft/member.go
+++ b/core/coordination/raft/member.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"slices"
 	"time"
 
 	"pollenhill.example/core/state/wal"
@@ -57,12 +58,11 @@
 
 // promote makes a voter of one learner that has synced everything committed and is in contact.
 func (m *Model) promote() {
-	if !m.alterable() {
+	if !m.alterable() || m.cfg.Voters > 0 && len(m.members().Voters) >= m.cfg.Voters {
 		return
 	}
 	for _, id := range m.members().Learners {
-		p := m.lead.peers[id]
-		if p == nil || p.match < m.commit || !m.now.Before(p.contact.Add(m.cfg.Election)) {
+		if !m.whole(id) {
 			continue
 		}
 		m.setMembers(m.members().promote(id), nil)
@@ -70,6 +70,47 @@
 	}
 }
 
+// whole returns whether another member has synced everything committed and is in contact.
+func (m *Model) whole(id string) bool {
+	p := m.lead.peers[id]
+	return p != nil && p.match >= m.commit && m.now.Before(p.contact.Add(m.cfg.Election))
+}
+
+// Retire is how long a voter may be silent before a learner that is whole takes its place: losses of a moment must
+// not change the members, and a replaced member must stop counting before the next one is lost.
+const Retire = 3 * time.Second
+
+// Spent returns a voter that has been silent for Retire while a learner could take its place and all other voters
+// are in contact; only a leader whose membership may be altered knows one.
+func (m *Model) Spent(now time.Time) (id string, ok bool) {
+	if m.role != Leader || m.cfg.Voters == 0 || !m.alterable() {
+		return "", false
+	}
+	set := m.members()
+	if !slices.ContainsFunc(set.Learners, m.whole) {
+		return "", false
+	}
+	for _, voter := range set.Voters {
+		switch {
+		case voter == m.cfg.ID || m.whole(voter):
+		case id != "" || !m.silent(now, voter):
+			return "", false
+		default:
+			id = voter
+		}
+	}
+	return id, id != ""
+}
+
+// silent returns whether nothing was heard of a member for Retire.
+func (m *Model) silent(now time.Time, id string) bool {
+	heard := m.lead.since
+	if p := m.lead.peers[id]; p != nil && p.contact.After(heard) {
+		heard = p.contact
+	}
+	return !now.Before(heard.Add(Retire))
+}
+
 // View is a copy of the state for status and tests.
 type View struct {
 	Role    Role
--- a/core/coordination/raft/model.go
+++ b/core/coordination/raft/model.go
@@ -33,6 +33,7 @@
 	Batch     int
 	Chunk     int
 	Trailing  uint64
+	Voters    int // most voters; further members stay learners until a voter is lost. 0: every member becomes one
 	Rand      *rand.Rand
 }
 
--- a/core/protocol/attempt/header.go
+++ b/core/protocol/attempt/header.go
@@ -9,6 +9,7 @@
 	HeaderRevision    = "Pollenhill-Revision"
 	HeaderPriority    = "Pollenhill-Priority"
 	HeaderService     = "Pollenhill-Service"
+	HeaderRoute       = "Pollenhill-Route"
 	HeaderOutcome     = "Pollenhill-Outcome"
 	HeaderHint        = "Pollenhill-Hint"
 	HeaderClock       = "Pollenhill-Clock" // hybrid logical clock of the sender
--- a/core/protocol/refusal/refusal.go
+++ b/core/protocol/refusal/refusal.go
@@ -23,6 +23,8 @@
 	After   time.Duration // suggested wait, sent in whole seconds with status 503
 	Node    string        // node that refused
 	Level   int           // depth of the attempt at which it refused
+
+	Fraction bool // the caller takes a wait of less than a second
 }
 
 // Field is one header line.
@@ -34,9 +36,8 @@
 		{HeaderStatus, r.ProxyStatus()},
 		{attempt.HeaderOutcome, r.Outcome.String()},
 	}
-	if r.Reason.Status() == 503 {
-		seconds := max(1, int(math.Ceil(r.After.Seconds())))
-		fields = append(fields, Field{HeaderRetry, strconv.Itoa(seconds)})
+	if r.Status() == 503 {
+		fields = append(fields, Field{HeaderRetry, r.retry()})
 	}
 	return fields
 }
@@ -46,6 +47,27 @@
 	return fmt.Sprintf("%s; error=%s; details=%q; level=%d", r.Node, r.Reason.proxyError(), r.Reason, r.Level)
 }
 
+// Status returns the HTTP status code: what was not run for lack of a server or of time is answered 503, so that the
+// caller may come back, and no 503 hides a request that may have run.
+func (r Refusal) Status() int {
+	code := r.Reason.Status()
+	switch {
+	case r.Outcome == attempt.NotRun && (code == 502 || code == 504):
+		return 503
+	case r.Outcome == attempt.Unknown && code == 503 && r.Reason != NoQuorum:
+		return 502
+	}
+	return code
+}
+
+// retry returns After in seconds, with a fraction where callers take one.
+func (r Refusal) retry() string {
+	if r.Fraction {
+		return strconv.FormatFloat(max(r.After, time.Millisecond).Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(max(1, int(math.Ceil(r.After.Seconds()))))
+}
+
 // ParseStatus reads a value written by ProxyStatus; false if it has another form.
 func ParseStatus(value string) (Refusal, bool) {
 	parts := strings.Split(value, "; ")
--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -7,12 +7,16 @@
 
 // Kinds by program: 1000 node, 2000 control, 3000 standin, 4000 lab, 5000 any.
 const (
-	NodeStarted    Kind = iota + 1000 // node started
-	NodeStopping                      // node stopping
-	NodeStopped                       // node stopped
-	BackendState                      // back end state changed
-	AttemptRefused                    // attempt refused
-	RulesInForce                      // rules in force
+	NodeStarted      Kind = iota + 1000 // node started
+	NodeStopping                        // node stopping
+	NodeStopped                         // node stopped
+	BackendState                        // back end state changed
+	AttemptRefused                      // attempt refused
+	RulesInForce                        // rules in force
+	BackendFound                        // back end found by its health check
+	CallEnded                           // call ended
+	SettingsReloaded                    // settings read again
+	ControlFollowed                     // control process followed
 )
 
 // Kinds of control events.
@@ -22,6 +26,7 @@
 	LeaderChanged                     // leader changed
 	ChangeAccepted                    // change accepted
 	ChangeRejected                    // change rejected
+	GroupChanged                      // members of the control group changed
 )
 
 // Kinds of events of every program.
--- a/core/state/event/open.go
+++ b/core/state/event/open.go
@@ -16,11 +16,18 @@
 	maxBackups = 3  // older event files kept, so that events never fill the disk that also holds the control state
 )
 
+// Stdout is the path of events that go to standard output.
+const Stdout = "-"
+
 // Open returns a Log that appends JSON lines to the file at path, or to standard error if path is empty, and a function that closes it.
 func Open(process, path string) (*Log, func() error, error) {
 	var w io.Writer = os.Stderr
 	closing := func() error { return nil }
-	if path != "" {
+	switch path {
+	case "":
+	case Stdout:
+		w = os.Stdout
+	default:
 		if err := writable(path); err != nil {
 			return nil, nil, err
 		}
--- a/core/state/replica/change.go
+++ b/core/state/replica/change.go
@@ -56,16 +56,22 @@
 	if err := r.cfg.Check(c.Text); err != nil {
 		return r.refuse(c, hash, Result{Verdict: Invalid, Problem: err.Error()})
 	}
+	return Result{Verdict: Accepted, Change: r.accept(index, c)}
+}
+
+// accept puts the text of c in force.
+func (r *Replica) accept(index uint64, c Command) Record {
 	rec := Record{
-		Revision: index, Number: c.Number, Hash: hash, Size: len(c.Text),
+		Revision: index, Number: c.Number, Hash: xxhash.Sum64String(c.Text), Size: len(c.Text),
 		Time: c.Time, Origin: c.Origin, Reason: c.Reason,
 	}
 	r.rules = Rules{Revision: index, Number: c.Number, Text: c.Text}
+	r.set.Store(nil)
 	r.changes = append(r.changes, rec)
 	if len(r.changes) > Changes {
 		r.changes = r.changes[1:]
 	}
-	return Result{Verdict: Accepted, Change: rec}
+	return rec
 }
 
 // resend returns the first verdict on the same number and bytes.
--- a/core/state/replica/command.go
+++ b/core/state/replica/command.go
@@ -22,6 +22,8 @@
 	Release             // release
 	Join                // join
 	Leave               // leave
+	Edit                // edit
+	Zone                // zone
 )
 
 // Command is one input of the state machine; each kind uses only its own fields.
@@ -41,6 +43,11 @@
 	Answer  Answer // Finish
 
 	Member Member // Join; Leave uses only the ID
+
+	Base  uint64 // Edit: version that the change builds on; its text is a table, or a patch if Patch is set
+	Patch bool   // Edit
+	Out   bool   // Zone: take the zone of that Name out
+	Name  string // Zone
 }
 
 // Answer is the first answer of a claimed request.
@@ -73,9 +80,20 @@
 	w.Uint(10, c.Print)
 	w.Nested(11, c.Answer.write)
 	w.Nested(12, c.Member.write)
+	w.Uint(13, c.Base)
+	w.Uint(14, flag(c.Patch))
+	w.Uint(15, flag(c.Out))
+	w.String(16, c.Name)
 	return w.Done()
 }
 
+func flag(set bool) uint64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
 // DecodeCommand reads bytes written by Encode.
 func DecodeCommand(b []byte) (Command, error) {
 	var c Command
@@ -105,6 +123,14 @@
 			return c.Answer.read(f.Bytes)
 		case 12:
 			return c.Member.read(f.Bytes)
+		case 13:
+			c.Base = f.Uint
+		case 14:
+			c.Patch = f.Uint == 1
+		case 15:
+			c.Out = f.Uint == 1
+		case 16:
+			c.Name = f.Text()
 		}
 		return nil
 	})
--- a/core/state/replica/kind_string.go
+++ b/core/state/replica/kind_string.go
@@ -15,11 +15,13 @@
 	_ = x[Release-4]
 	_ = x[Join-5]
 	_ = x[Leave-6]
+	_ = x[Edit-7]
+	_ = x[Zone-8]
 }
 
-const _Kind_name = "nonechangeclaimfinishreleasejoinleave"
+const _Kind_name = "nonechangeclaimfinishreleasejoinleaveeditzone"
 
-var _Kind_index = [...]uint8{0, 4, 10, 15, 21, 28, 32, 37}
+var _Kind_index = [...]uint8{0, 4, 10, 15, 21, 28, 32, 37, 41, 45}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
@@ -43,11 +45,12 @@
 	_ = x[Mismatch-8]
 	_ = x[Full-9]
 	_ = x[Stored-10]
+	_ = x[Stale-11]
 }
 
-const _Verdict_name = "ignoredacceptedrejectedout of orderinvalidgrantedhelddonemismatchfullstored"
+const _Verdict_name = "ignoredacceptedrejectedout of orderinvalidgrantedhelddonemismatchfullstoredstale"
 
-var _Verdict_index = [...]uint8{0, 7, 15, 23, 35, 42, 49, 53, 57, 65, 69, 75}
+var _Verdict_index = [...]uint8{0, 7, 15, 23, 35, 42, 49, 53, 57, 65, 69, 75, 80}
 
 func (i Verdict) String() string {
 	idx := int(i) - 0
--- a/core/state/replica/replica.go
+++ b/core/state/replica/replica.go
@@ -3,7 +3,10 @@
 import (
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
+
+	"pollenhill.example/core/state/rule"
 )
 
 // Replica is the state after a prefix of the log; it is not safe for concurrent use.
@@ -15,11 +18,14 @@
 	changes  []Record // consecutive numbers, oldest first
 	refusals []refusal
 	claims   map[claimKey]*claim
-	order    []*claim // by time of the grant, may hold released claims
-	released int      // released claims still in order
-	bytes    int      // size of all claims
-	members  []Member // by ID
-	left     []string // IDs that left, oldest first
+	order    []*claim                 // by time of the grant, may hold released claims
+	released int                      // released claims still in order
+	bytes    int                      // size of all claims
+	members  []Member                 // by ID
+	left     []string                 // IDs that left, oldest first
+	version  uint64                   // of the table, 0 before the first
+	edits    []edit                   // accepted changes of the table, by version
+	set      atomic.Pointer[rule.Set] // compiled on demand, also by concurrent readers
 }
 
 // Left is how many members that left are remembered.
@@ -81,6 +87,10 @@
 		return r.join(c.Member)
 	case Leave:
 		return r.leave(c.Member)
+	case Edit:
+		return r.edit(index, c)
+	case Zone:
+		return r.zone(index, c)
 	}
 	return Result{}
 }
--- a/core/state/replica/result.go
+++ b/core/state/replica/result.go
@@ -22,6 +22,7 @@
 	Mismatch                  // mismatch
 	Full                      // full
 	Stored                    // stored
+	Stale                     // stale
 )
 
 // Result is what Apply returns for one command.
@@ -29,7 +30,7 @@
 	Verdict Verdict
 	Index   uint64 // log index of the command
 	Change  Record // Accepted: this change; Rejected: the accepted change of that number
-	Next    uint64 // OutOfOrder: number that would have been accepted
+	Next    uint64 // OutOfOrder: number that would have been accepted; Stale: version of the table
 	Problem string // Invalid: what Check found
 	Answer  Answer // Done
 }
--- a/core/state/replica/snapshot.go
+++ b/core/state/replica/snapshot.go
@@ -41,6 +41,10 @@
 	for _, id := range r.left {
 		w.String(11, id)
 	}
+	w.Uint(12, r.version)
+	for _, e := range r.edits {
+		w.Nested(13, e.write)
+	}
 	return w.Done()
 }
 
@@ -90,6 +94,10 @@
 		return readInto(&r.members, f, (*Member).read)
 	case 11:
 		r.left = append(r.left, f.Text())
+	case 12:
+		r.version = f.Uint
+	case 13:
+		return readInto(&r.edits, f, (*edit).read)
 	}
 	return nil
 }
--- /dev/null
+++ b/core/state/table/table.go
@@ -0,0 +1,216 @@
+package table
+
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"pollenhill.example/core/state/rule"
+)
+
+// Table is a version of all routes, pools and bounds.
+type Table struct {
+	Version  uint64  `json:"version"`
+	Routes   []route `json:"routes"`
+	Services []pool  `json:"services"`
+	Limits   *bound  `json:"limits,omitempty"`
+}
+
+// Patch is a change of named items of a Table.
+type Patch struct {
+	Version uint64 `json:"version"`
+	Set     struct {
+		Routes   []route `json:"routes"`
+		Services []pool  `json:"services"`
+		Limits   *bound  `json:"limits"`
+	} `json:"set"`
+	Drop struct {
+		Routes   []string `json:"routes"`
+		Services []string `json:"services"`
+	} `json:"drop"`
+}
+
+// route is a rule.Route with times in milliseconds.
+type route struct {
+	Name    string  `json:"name"`
+	Host    string  `json:"host"`
+	Path    string  `json:"path"`
+	Kind    string  `json:"kind"`
+	Timeout float64 `json:"timeout"`
+	Aim     float64 `json:"aim"`
+	Rank    int     `json:"rank"`
+	Service string  `json:"service,omitempty"`
+	Split   []part  `json:"split,omitempty"`
+	Tries   int     `json:"tries"`
+	more
+}
+
+type part struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
+// pool is a rule.Pool with times in seconds.
+type pool struct {
+	Name        string  `json:"name"`
+	Health      string  `json:"health"`
+	Connections int     `json:"connections"`
+	Cold        float64 `json:"cold"`
+	Rate        float64 `json:"rate"`
+	more
+}
+
+// bound is a rule.Bound with times in milliseconds.
+type bound struct {
+	Header int     `json:"header"`
+	Body   int     `json:"body"`
+	Read   float64 `json:"read"`
+	Idle   float64 `json:"idle"`
+	more
+}
+
+// Decode reads a whole table.
+func Decode(body []byte) (Table, error) {
+	return decode[Table](body)
+}
+
+// DecodePatch reads a change of named items.
+func DecodePatch(body []byte) (Patch, error) {
+	return decode[Patch](body)
+}
+
+func decode[T any](body []byte) (T, error) {
+	var v T
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if err := dec.Decode(&v); err != nil {
+		return v, errors.Wrap(err, "read table")
+	}
+	if dec.More() {
+		return v, errors.New("read table: data after the table")
+	}
+	return v, nil
+}
+
+// Of returns the table that a set of rules puts in force.
+func Of(version uint64, set *rule.Set) Table {
+	t := Table{Version: version, Routes: []route{}, Services: []pool{}}
+	for _, r := range set.Routes {
+		t.Routes = append(t.Routes, routeOf(r))
+	}
+	for _, p := range set.Pools {
+		t.Services = append(t.Services, pool{
+			Name: p.Name, Health: p.Health, Connections: p.Connections,
+			Cold: p.Cold.Seconds(), Rate: p.Rate, more: moreOf(p.More),
+		})
+	}
+	if b := set.Bound; b != nil {
+		t.Limits = &bound{Header: b.Header, Body: b.Body, Read: millis(b.Read), Idle: millis(b.Idle), more: moreOf(b.More)}
+	}
+	return t
+}
+
+func routeOf(r rule.Route) route {
+	out := route{
+		Name: r.Name, Host: r.Host, Path: r.Path, Kind: r.Kind.String(),
+		Timeout: millis(r.Within), Aim: millis(r.Aim), Rank: r.Rank, Tries: r.Tries, more: moreOf(r.More),
+	}
+	if !r.Split {
+		out.Service = r.Parts[0].Service
+		return out
+	}
+	out.Split = lo.Map(r.Parts, func(p rule.Part, _ int) part { return part(p) })
+	return out
+}
+
+// Apply returns the table with the changes of p.
+func (t Table) Apply(p Patch) Table {
+	next := Table{Version: p.Version, Limits: t.Limits}
+	next.Routes = patched(t.Routes, p.Set.Routes, p.Drop.Routes, func(r route) string { return r.Name })
+	next.Services = patched(t.Services, p.Set.Services, p.Drop.Services, func(s pool) string { return s.Name })
+	if p.Set.Limits != nil {
+		next.Limits = p.Set.Limits
+	}
+	return next
+}
+
+// patched replaces items by name in their places, appends new ones and leaves out dropped ones.
+func patched[T any](old, set []T, drop []string, name func(T) string) []T {
+	replaced := lo.KeyBy(set, name)
+	gone := lo.Keyify(drop)
+	var out []T
+	for _, one := range old {
+		n := name(one)
+		if next, ok := replaced[n]; ok {
+			out = append(out, next)
+			delete(replaced, n)
+			continue
+		}
+		if _, dropped := gone[n]; !dropped {
+			out = append(out, one)
+		}
+	}
+	for _, one := range set {
+		if _, open := replaced[name(one)]; open {
+			out = append(out, one)
+			delete(replaced, name(one))
+		}
+	}
+	return out
+}
+
+// Traffic returns the rules for the table, or an error that names the first wrong item.
+func (t Table) Traffic() (rule.Traffic, error) {
+	var out rule.Traffic
+	for _, s := range t.Services {
+		if s.Name == "" {
+			return out, errors.New("a service has no name")
+		}
+		out.Pools = append(out.Pools, rule.Pool{
+			Name: s.Name, Health: s.Health, Connections: s.Connections,
+			Cold: seconds(s.Cold), Rate: s.Rate, More: s.text(),
+		})
+	}
+	for _, r := range t.Routes {
+		one, err := r.rule()
+		if err != nil {
+			return out, errors.Wrapf(err, "route %q", r.Name)
+		}
+		out.Routes = append(out.Routes, one)
+	}
+	if b := t.Limits; b != nil {
+		out.Bound = &rule.Bound{Header: b.Header, Body: b.Body, Read: fromMillis(b.Read), Idle: fromMillis(b.Idle), More: b.text()}
+	}
+	return out, nil
+}
+
+func (r route) rule() (rule.Route, error) {
+	kind, ok := rule.ParseKind(r.Kind)
+	one := rule.Route{
+		Name: r.Name, Host: r.Host, Path: r.Path, Kind: kind, Within: fromMillis(r.Timeout), Aim: fromMillis(r.Aim),
+		Rank: r.Rank, Tries: r.Tries, Split: len(r.Split) > 0, More: r.text(),
+	}
+	switch {
+	case r.Name == "":
+		return one, errors.New("no name")
+	case !ok:
+		return one, errors.Newf("kind %q is unknown", r.Kind)
+	case r.Timeout <= 0:
+		return one, errors.New("no timeout")
+	case one.Split == (r.Service != ""):
+		return one, errors.New("want either a service or a split")
+	}
+	one.Parts = lo.Map(r.Split, func(p part, _ int) rule.Part { return rule.Part(p) })
+	if !one.Split {
+		one.Parts = []rule.Part{{Service: r.Service, Weight: 1}}
+	}
+	return one, nil
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func fromMillis(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
--- a/core/transport/tcp/exchange.go
+++ b/core/transport/tcp/exchange.go
@@ -20,8 +20,11 @@
 	Body io.ReadCloser
 }
 
-// Chunked is the Length of a response with a chunked body.
-const Chunked = -1
+// Lengths of a response whose header states none.
+const (
+	Chunked = -1
+	Open    = -2 // the body ends with the connection
+)
 
 // Exchange sends req with body on a connection of p and reads the response header.
 // When ctx ends before the body was read, the connection is given up; the error says when the other side has ended.
@@ -57,10 +60,7 @@
 		return nil, err
 	}
 	resp := &Response{}
-	if err := c.head(&resp.Header); err != nil {
-		return nil, err
-	}
-	b, err := c.body(resp, req.IsHead())
+	b, err := c.own(resp, req)
 	if err != nil {
 		return nil, err
 	}
@@ -72,6 +72,44 @@
 	return resp, nil
 }
 
+// maxStray bounds the responses to earlier requests that are dropped before the own one.
+const maxStray = 4
+
+// own reads the header of the response to req; responses that belong to earlier requests are read and dropped.
+func (c *Conn) own(resp *Response, req *fasthttp.RequestHeader) (*body, error) {
+	for range maxStray {
+		if err := c.head(&resp.Header); err != nil {
+			return nil, err
+		}
+		b, err := c.body(resp, req.IsHead())
+		if err != nil || !c.stray(&resp.Header, req) {
+			return b, err
+		}
+		if resp.Length == Open || !b.keep {
+			return nil, errStray
+		}
+		if b.r != nil {
+			if _, err := io.Copy(io.Discard, b.r); err != nil {
+				return nil, err
+			}
+		}
+		resp.Length = 0
+	}
+	return nil, errStray
+}
+
+// errStray reports a response that belongs to another request.
+var errStray = errors.New("response belongs to another request")
+
+func (c *Conn) stray(h *fasthttp.ResponseHeader, req *fasthttp.RequestHeader) bool {
+	name := c.pool.cfg.Echo
+	if name == "" {
+		return false
+	}
+	got, want := h.Peek(name), req.Peek(name)
+	return len(got) > 0 && !bytes.Equal(got, want)
+}
+
 func (c *Conn) send(req *fasthttp.RequestHeader, body []byte) error {
 	if _, err := c.w.Write(req.Header()); err != nil {
 		return err
@@ -119,6 +157,9 @@
 	case n > 0:
 		resp.Length = n
 		return &body{c: c, keep: keep, r: &exact{r: c.r, left: n}}, nil
+	case n < Chunked && c.pool.cfg.Open:
+		resp.Length = Open
+		return &body{c: c, r: c.r}, nil
 	case n == Chunked:
 		resp.Length = Chunked
 		return &body{c: c, keep: keep, r: &chunks{r: httputil.NewChunkedReader(c.r), c: c}}, nil
--- a/core/transport/tcp/pool.go
+++ b/core/transport/tcp/pool.go
@@ -29,6 +29,8 @@
 	Idle    time.Duration          // an idle connection that is older is not used again
 	Stall   time.Duration          // longest wait for the next byte of a response body, 0 for none
 	Reap    time.Duration          // longest wait for the other side to end an exchange given up before its response, 0 for none
+	Echo    string                 // request header that responses repeat: one with another value answers an earlier request and is dropped; empty: none
+	Open    bool                   // responses without a length end with their connection; else they count as broken
 	Changed func(open, closed int) // connections open after a new one, or after the other side closed some; may be nil
 	Now     func() time.Time
 }
--- a/node/coordination/arrival/check.go
+++ b/node/coordination/arrival/check.go
@@ -65,7 +65,9 @@
 		}
 	}
 	cmds := m.probes(now, cfg)
-	if m.backend.State == admission.Absent || m.leaving {
+	// A back end of a pool reports its load with every response, and its beats tell the rest.
+	_, pool := m.rules.Pool(m.backend.Service)
+	if pool || m.backend.State == admission.Absent || m.leaving {
 		return append(cmds, m.probes(now, probe.Members{})...)
 	}
 	return append(cmds, m.probes(now, probe.Members{Targets: []string{PathHealth, PathLoad}})...)
--- a/node/coordination/arrival/model.go
+++ b/node/coordination/arrival/model.go
@@ -173,6 +173,12 @@
 	if n := m.backend.Slots; n > 0 && (l.Slots == 0 || n < l.Slots) {
 		l.Slots = n
 	}
+	if p, ok := m.rules.Pool(m.backend.Service); ok {
+		l.Fixed = true
+		l.Rate = p.Rate
+		l.Slots = max(1, int(busyShare*float64(m.backend.Slots)))
+		l.Queue = queueFactor * l.Slots
+	}
 	if n := m.backend.Connections; n > 0 && (l.Connections == 0 || n < l.Connections) {
 		l.Connections = n
 	}
@@ -185,6 +191,14 @@
 	return l
 }
 
+const (
+	// Back ends slow down when they are nearly full, so that the last slots cost more than they bring.
+	busyShare = 0.8
+	// queueFactor is how many requests may wait at the node per request at the back end: a waiting one that would
+	// come too late is refused by its deadline long before.
+	queueFactor = 3
+)
+
 func refuse(id attempt.ID, reason refusal.Reason, outcome attempt.Outcome) []Cmd {
 	return []Cmd{Refuse{ID: id, Reason: reason, Outcome: outcome, After: time.Second}}
 }
--- a/node/coordination/arrival/msg.go
+++ b/node/coordination/arrival/msg.go
@@ -53,6 +53,9 @@
 // Pool reports the connections to the back end: Open are left after it closed Closed of them.
 type Pool struct{ Open, Closed int }
 
+// Pace reports how long work takes at the back end now, over its usual time.
+type Pace struct{ Factor float64 }
+
 // Leave makes the node refuse every new attempt: it is shutting down.
 type Leave struct{}
 
@@ -66,6 +69,7 @@
 func (Backend) msg() {}
 func (Rules) msg()   {}
 func (Pool) msg()    {}
+func (Pace) msg()    {}
 func (Leave) msg()   {}
 func (Tick) msg()    {}
 
--- a/node/coordination/call/attempt.go
+++ b/node/coordination/call/attempt.go
@@ -18,6 +18,7 @@
 	}
 	t.open = false
 	t.outcome = msg.Outcome
+	t.spared = msg.Outcome == attempt.NotRun && msg.Refusal.Reason != refusal.Shed
 	m.learn(now, s, t, msg)
 	var cmds []Cmd
 	if msg.Outcome != attempt.Answered || !msg.Reply {
@@ -31,6 +32,11 @@
 	}
 	switch msg.Outcome {
 	case attempt.Answered:
+		if msg.Fault {
+			if more := m.better(now, s); len(more) > 0 {
+				return append(more, Abort{Call: s.Call, Attempt: t.id})
+			}
+		}
 		return m.deliver(s, t)
 	case attempt.NotRun:
 		return m.refused(now, s, msg)
@@ -39,6 +45,17 @@
 	return m.failed(now, s, t, msg)
 }
 
+// better starts an attempt in place of a failure that the back end answered.
+func (m *Model) better(now time.Time, s *state) []Cmd {
+	if !s.Idempotent || s.Keyed || s.phase != active || !now.Before(s.Deadline) {
+		return nil
+	}
+	if !m.budget(s.Service).Take(now) {
+		return nil
+	}
+	return m.send(now, s)
+}
+
 // deliver gives the caller the first answer and abandons the other attempts.
 func (m *Model) deliver(s *state, t *try) []Cmd {
 	s.phase = delivered
@@ -92,7 +109,11 @@
 		Depth:      s.Depth,
 		Idempotent: s.Idempotent,
 	}
-	if !retry.Again(failure) || !m.budget(s.Service).Take(now) {
+	if !retry.Again(failure) {
+		return nil
+	}
+	// The first attempt that reaches a back end is no repeat.
+	if free := s.Free && s.reached() == 0; !free && !m.budget(s.Service).Take(now) {
 		return nil
 	}
 	return m.send(now, s)
--- a/node/coordination/call/model.go
+++ b/node/coordination/call/model.go
@@ -64,6 +64,7 @@
 	open    bool // no response header yet
 	ended   bool
 	asked   bool
+	spared  bool // refused before it reached the back end
 }
 
 // New returns a Model without calls.
@@ -193,7 +194,7 @@
 
 // send starts an attempt at a back end that this call has not tried; no effects if there is none.
 func (m *Model) send(now time.Time, s *state) []Cmd {
-	if len(s.attempts) >= MaxAttempts {
+	if len(s.attempts) >= MaxAttempts || s.Tries > 0 && s.reached() >= s.Tries {
 		return nil
 	}
 	target, ok := m.cfg.Choice.Pick(now, choice.Query{Service: s.Service, Avoid: s.tried})
@@ -209,6 +210,11 @@
 	return []Cmd{Send{Call: s.Call, Attempt: id, Target: target}}
 }
 
+// reached counts the attempts that reached a back end or may have.
+func (s *state) reached() int {
+	return lo.CountBy(s.attempts, func(t *try) bool { return !t.spared })
+}
+
 func (s *state) wake() Cmd {
 	at := s.Deadline
 	if s.phase != active {
--- a/node/coordination/call/msg.go
+++ b/node/coordination/call/msg.go
@@ -23,6 +23,8 @@
 	Keyed      bool
 	Deadline   time.Time
 	Depth      int
+	Tries      int  // back ends that the request may reach, 0 for no limit
+	Free       bool // a refusal by a node costs no retry budget: only what reaches a back end is work
 }
 
 // Claimed reports the verdict on the claim of a keyed call.
@@ -52,6 +54,7 @@
 	Result  choice.Result
 	Refusal refusal.Refusal // if Outcome is not Answered
 	Reply   bool            // there is a response to deliver
+	Fault   bool            // the response is a failure of the back end, which another one may not have
 	Hint    *hint.Hint
 }
 
--- a/node/main.go
+++ b/node/main.go
@@ -26,6 +26,8 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	// A changed settings file needs no signal, and the default action would end the process.
+	signal.Ignore(syscall.SIGHUP)
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "node:", err)
 		os.Exit(1)
--- a/node/program/control.go
+++ b/node/program/control.go
@@ -29,17 +29,28 @@
 
 func newControl(cfg Settings, source *mtls.Source) ControlClient {
 	return client.New(client.Config{
-		Dial:   source.Dialer(tcp.Dialer{Bind: cfg.Bind, Timeout: client.Timeout}).DialContext,
-		Node:   cfg.Name,
-		Zone:   cfg.Zone,
-		Region: cfg.Region,
-		Bind:   cfg.Bind,
-		Servers: lo.Map(cfg.Control, func(c Control, _ int) client.Server {
-			return client.Server{Name: c.Name, Address: c.Address, Region: c.Region}
-		}),
+		Dial:    source.Dialer(tcp.Dialer{Bind: cfg.Bind, Timeout: client.Timeout}).DialContext,
+		Node:    cfg.Name,
+		Zone:    cfg.Zone,
+		Region:  cfg.Region,
+		Bind:    cfg.Bind,
+		Servers: servers(cfg),
 	})
 }
 
+// servers returns the control processes of the settings; the name of a seed is its address.
+func servers(cfg Settings) []client.Server {
+	list := lo.Map(cfg.Control, func(c Control, _ int) client.Server {
+		return client.Server{Name: c.Name, Address: c.Address, Region: c.Region}
+	})
+	for _, seed := range cfg.Seeds {
+		if address, err := netip.ParseAddrPort(seed); err == nil { // checked by Load
+			list = append(list, client.Server{Name: seed, Address: address, Region: cfg.Region})
+		}
+	}
+	return list
+}
+
 // member describes this node and its back end to the control processes.
 func (p *Program) member(gone bool) *control.Member {
 	m := &control.Member{
--- a/node/program/follow.go
+++ b/node/program/follow.go
@@ -33,7 +33,15 @@
 	defer p.applying.Unlock()
 	state := p.control.State()
 	targets := p.targets(state.Members)
-	p.engine.Apply(engine.Targets{Targets: targets, Set: p.parse(state.Revision, state.Text)})
+	set := p.parse(state.Revision, state.Text)
+	p.engine.Apply(engine.Targets{Targets: targets, Set: set})
+	if len(state.Members) > 0 {
+		p.targeted.Store(true)
+	}
+	if set != nil {
+		// The rules may say more about the back end; its announcement applies again.
+		go p.backend.Refresh()
+	}
 	p.keep(targets)
 }
 
--- a/node/program/program.go
+++ b/node/program/program.go
@@ -41,6 +41,7 @@
 	metrics     *metrics
 	rules       atomic.Pointer[inForce]
 	leaving     atomic.Bool
+	targeted    atomic.Bool // some back end has been known
 	applying    sync.Mutex
 }
 
@@ -71,6 +72,7 @@
 	controlCtx, stopControl := context.WithCancel(context.Background())
 	controlDone.Go(func() { _ = p.control.Run(controlCtx) })
 	controlDone.Go(func() { p.follow(controlCtx) })
+	controlDone.Go(func() { p.backend.Search(controlCtx) })
 	p.announce()
 	failed := p.serve(listeners)
 	p.events.Emit(event.NodeStarted, zap.String("zone", p.cfg.Zone), zap.Uint64("incarnation", p.incarnation))
@@ -90,7 +92,11 @@
 // listen opens all listeners or none.
 func (p *Program) listen(ctx context.Context) ([]net.Listener, error) {
 	var open []net.Listener
-	for _, address := range []netip.AddrPort{p.cfg.Caller, p.cfg.Peer, p.cfg.Local} {
+	addresses := []netip.AddrPort{p.cfg.Caller, p.cfg.Peer, p.cfg.Local}
+	if p.cfg.Ready.IsValid() {
+		addresses = append(addresses, p.cfg.Ready)
+	}
+	for _, address := range addresses {
 		ln, err := tcp.Listen(ctx, address)
 		if err != nil {
 			for _, ln := range open {
@@ -106,7 +112,8 @@
 // serve starts the three servers in the order of listen.
 func (p *Program) serve(listeners []net.Listener) <-chan error {
 	failed := make(chan error, len(listeners))
-	for i, serve := range []func(net.Listener) error{p.caller.Serve, p.peer.Serve, p.local.Serve} {
+	servers := []func(net.Listener) error{p.caller.Serve, p.peer.Serve, p.local.Serve, p.local.ServeReady}
+	for i, serve := range servers[:len(listeners)] {
 		go func() {
 			if err := serve(listeners[i]); err != nil {
 				failed <- errors.Wrapf(err, "serve %s", listeners[i].Addr())
@@ -125,15 +132,32 @@
 	p.announce()
 	p.apply()
 	// Listeners stay open for a moment, so that attempts already on their way are refused as not run.
+	ctx, cancel := p.grace()
+	defer cancel()
 	<-time.After(time.Duration(p.cfg.Limits.Linger))
 	var wg sync.WaitGroup
-	wg.Go(func() { _ = p.caller.Shutdown(context.Background()) })
-	wg.Go(func() { _ = p.peer.Shutdown(context.Background()) })
+	wg.Go(func() { p.ended("callers", p.caller.Shutdown(ctx)) })
+	wg.Go(func() { p.ended("nodes", p.peer.Shutdown(ctx)) })
 	wg.Wait()
-	_ = p.local.Shutdown(context.Background())
+	p.ended("back end", p.local.Shutdown(ctx))
 	p.control.Announce(p.member(true))
 }
 
+// grace returns the context of a shutdown.
+func (p *Program) grace() (context.Context, context.CancelFunc) {
+	if p.cfg.Limits.Grace == 0 {
+		return context.WithCancel(context.Background())
+	}
+	return context.WithTimeout(context.Background(), time.Duration(p.cfg.Limits.Grace))
+}
+
+// ended logs a listener that still had requests in flight at the end of the grace.
+func (p *Program) ended(listener string, err error) {
+	if err != nil {
+		p.events.Emit(event.NodeStopping, zap.String("listener", listener), zap.Error(err))
+	}
+}
+
 func (p *Program) close() error {
 	p.client.Close()
 	p.backend.Close()
--- a/node/program/settings.go
+++ b/node/program/settings.go
@@ -5,8 +5,12 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"pollenhill.example/core/protocol/header"
 	"pollenhill.example/core/state/settings"
 	"pollenhill.example/core/transport/mtls"
+	"pollenhill.example/node/protocol/message"
 )
 
 // Settings is the JSON settings file of a node.
@@ -19,12 +23,23 @@
 	Local   netip.AddrPort `json:"local" validate:"required"`
 	Bind    netip.Addr     `json:"bind"`
 	Control []Control      `json:"control" validate:"dive"`
+	Seeds   []string       `json:"seeds"` // addresses of some control processes of a group that assembles itself
+	Ready   netip.AddrPort `json:"ready"` // listener that tells whether the node takes callers; invalid: none
+	Backend Backside       `json:"backend"`
+	Headers header.Names   `json:"headers"` // that callers and the back end use
 	Limits  Limits         `json:"limits"`
 	Log     string         `json:"log"`
 	Events  string         `json:"events"`
 	TLS     *mtls.Config   `json:"tls,omitempty"` // of connections to other nodes and control processes; nil: plain
 }
 
+// Backside is what is known of the back end before it shows itself.
+type Backside struct {
+	Service string         `json:"service"`
+	Address netip.AddrPort `json:"address"`
+	Hangup  bool           `json:"hangup"` // it drops a request when the whole connection closes, not at the end of its input
+}
+
 // Control is one control process.
 type Control struct {
 	Name    string         `json:"name" validate:"required"`
@@ -43,6 +58,10 @@
 	Read     settings.Duration `json:"read" validate:"gte=0"`     // for receiving a request
 	Stall    settings.Duration `json:"stall" validate:"gte=0"`    // without progress of a response
 	Linger   settings.Duration `json:"linger" validate:"gte=0"`   // after SIGTERM until listeners close
+	Grace    settings.Duration `json:"grace" validate:"gte=0"`    // after SIGTERM until the process ends with requests in flight; 0: it waits for all
+	Keep     settings.Duration `json:"keep" validate:"gte=0"`     // until a connection to the back end or another node is not used again
+	Whole    int               `json:"whole" validate:"gte=0"`    // bytes up to which a response is received before it is passed on
+	Fraction bool              `json:"fraction"`                  // callers take a Retry-After of less than a second
 }
 
 // Defaults of Limits.
@@ -70,10 +89,23 @@
 		Read:     cmp.Or(l.Read, settings.Duration(defaultRead)),
 		Stall:    cmp.Or(l.Stall, settings.Duration(defaultStall)),
 		Linger:   cmp.Or(l.Linger, settings.Duration(defaultLinger)),
+		Keep:     cmp.Or(l.Keep, l.Idle, settings.Duration(defaultIdle)),
+		Whole:    cmp.Or(l.Whole, message.SmallBody),
+		Grace:    l.Grace,
+		Fraction: l.Fraction,
 	}
 }
 
 // Load reads the settings file at path; errors name the field's path.
 func Load(path string) (Settings, error) {
-	return settings.Load[Settings](path)
+	s, err := settings.Load[Settings](path)
+	if err != nil {
+		return s, err
+	}
+	for i, seed := range s.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			return s, errors.Wrapf(err, "settings %s: field seeds[%d]", path, i)
+		}
+	}
+	return s, nil
 }
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -104,10 +104,17 @@
 		Node:   p.cfg.Name,
 		Zone:   p.cfg.Zone,
 		Dialer: p.dialer(),
-		Idle:   time.Duration(p.cfg.Limits.Idle),
+		Idle:   time.Duration(p.cfg.Limits.Keep),
 		Stall:  time.Duration(p.cfg.Limits.Stall),
 		Engine: do.MustInvoke[*engine.Engine](i),
 		Events: p.events,
+
+		Headers: p.cfg.Headers,
+		Whole:   p.cfg.Limits.Whole,
+		Service: p.cfg.Backend.Service,
+		Address: p.cfg.Backend.Address,
+		Hangup:  p.cfg.Backend.Hangup,
+		Health:  p.health,
 		Changed: func() {
 			p.announce()
 			p.apply()
@@ -136,7 +143,8 @@
 		Node:     p.cfg.Name,
 		Dialer:   p.tls.Dialer(p.dialer()),
 		Cap:      p.cfg.Limits.Peers,
-		Idle:     time.Duration(p.cfg.Limits.Idle) / 2, // before the other node closes it
+		Idle:     time.Duration(p.cfg.Limits.Keep) / 2, // before the other node closes it
+		Whole:    p.cfg.Limits.Whole,
 		Stall:    time.Duration(p.cfg.Limits.Stall),
 		Local:    newDestination(i),
 		Revision: p.revision,
@@ -185,14 +193,31 @@
 		Read:     time.Duration(p.cfg.Limits.Read),
 		Idle:     time.Duration(p.cfg.Limits.Idle),
 		Stall:    time.Duration(p.cfg.Limits.Stall),
+		Headers:  p.cfg.Headers,
+		Service:  p.cfg.Backend.Service,
+		Fraction: p.cfg.Limits.Fraction,
 	}), nil
 }
 
+// health returns the path of the health check of a service and the connections that one back end takes.
+func (p *Program) health(service string) (path string, connections int) {
+	pool, _ := p.rules.Load().set.Pool(service)
+	return pool.Health, pool.Connections
+}
+
+// ready reports whether callers are served: the rules and some back end are known, and the node is not leaving.
+func (p *Program) ready() bool {
+	return !p.leaving.Load() && p.revision() > 0 && p.targeted.Load()
+}
+
 func newLocal(i do.Injector) (*local.Server, error) {
 	p := do.MustInvoke[*Program](i)
 	return local.New(local.Config{
 		Zone:     p.cfg.Zone,
 		Announce: p.backend.Announce,
+		Beat:     p.backend.Beat,
+		Leave:    p.backend.Leave,
+		Ready:    p.ready,
 		Status:   func() any { return p.status() },
 		Metrics:  do.MustInvoke[*metrics](i).registry,
 		Read:     time.Duration(p.cfg.Limits.Read),
--- a/node/protocol/message/attempt.go
+++ b/node/protocol/message/attempt.go
@@ -22,6 +22,7 @@
 	Revision    uint64
 	Level       rule.Level
 	Service     string
+	Route       string // empty for a request that a service line led here
 }
 
 // Write sets the headers of a on h; now turns the deadline into remaining milliseconds.
@@ -33,6 +34,9 @@
 	h.Set(attempt.HeaderRevision, strconv.FormatUint(a.Revision, 10))
 	h.Set(attempt.HeaderPriority, a.Level.String())
 	h.Set(attempt.HeaderService, a.Service)
+	if a.Route != "" {
+		h.Set(attempt.HeaderRoute, a.Route)
+	}
 }
 
 // ReadAttempt reads the headers that Write set.
@@ -60,6 +64,7 @@
 	a.Deadline = now.Add(time.Duration(min(remaining, maxDeadline)) * time.Millisecond)
 	a.Level = level(string(h.Peek(attempt.HeaderPriority)))
 	a.Service = string(h.Peek(attempt.HeaderService))
+	a.Route = string(h.Peek(attempt.HeaderRoute))
 	return a, nil
 }
 
@@ -102,8 +107,8 @@
 		r.Outcome = attempt.NotRun
 	}
 	r.Refusal.Outcome = r.Outcome
-	if seconds, err := strconv.Atoi(string(r.Header.Peek(refusal.HeaderRetry))); err == nil && seconds > 0 {
-		r.Refusal.After = min(time.Duration(seconds)*time.Second, longestRetry)
+	if seconds, err := strconv.ParseFloat(string(r.Header.Peek(refusal.HeaderRetry)), 64); err == nil && seconds > 0 {
+		r.Refusal.After = time.Duration(min(seconds, longestRetry.Seconds()) * float64(time.Second))
 	}
 }
 
--- a/node/protocol/message/message.go
+++ b/node/protocol/message/message.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"pollenhill.example/core/coordination/choice"
@@ -25,6 +24,8 @@
 	Level      rule.Level
 	Deadline   time.Time // for the response header
 	Depth      int       // of the attempts for this request
+	Route      string    // empty for a request that a service line led here
+	Tries      int       // back ends that the request may be sent to, 0 for no limit of its route
 	Key        string    // Idempotency-Key, empty if none
 }
 
@@ -51,31 +52,44 @@
 // a cut then becomes an error instead of a half response.
 const SmallBody = 4 << 10
 
-// Absorb receives the body if it is small; an error says that it was cut.
-func (r *Reply) Absorb() error {
-	if r.Body == nil || r.Length <= 0 || r.Length > SmallBody {
+// Absorb receives the body if it has at most limit bytes; an error says that it was cut. Above SmallBody it also
+// receives bodies of unknown length, so that one that is cut never reaches the caller. A larger one stays a stream.
+func (r *Reply) Absorb(limit int) error {
+	if r.Body == nil || r.Length == 0 || r.Length > limit || r.Length < 0 && limit <= SmallBody {
 		return nil
 	}
-	body := make([]byte, r.Length)
-	_, err := io.ReadFull(r.Body, body)
-	if err == nil {
-		// The end gives the connection back.
-		_, err = r.Body.Read(make([]byte, 1))
-		if errors.Is(err, io.EOF) {
-			err = nil
-		}
+	size := r.Length
+	if size < 0 {
+		size = SmallBody
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
+	// One byte more than the limit tells a longer body; the end of the stream gives the connection back.
+	n, err := buf.ReadFrom(io.LimitReader(r.Body, int64(limit)+1))
+	if err == nil && n > int64(limit) {
+		r.Body = joined{Reader: io.MultiReader(buf, r.Body), Closer: r.Body}
+		return nil
+	}
+	if err == nil && r.Length > 0 && n != int64(r.Length) {
+		err = io.ErrUnexpectedEOF
 	}
 	r.Close()
-	r.Body = io.NopCloser(bytes.NewReader(body))
+	r.Length = int(n)
+	r.Body = io.NopCloser(bytes.NewReader(buf.Bytes()))
 	r.Whole = true
 	return err
 }
 
+// joined is a body whose beginning was read already.
+type joined struct {
+	io.Reader
+	io.Closer
+}
+
 // Refuse returns the reply that carries f.
 func Refuse(f refusal.Refusal) *Reply {
 	r := &Reply{Outcome: f.Outcome, Result: choice.Refused, Refusal: f}
 	r.Header.SetNoDefaultContentType(true)
-	r.Header.SetStatusCode(f.Reason.Status())
+	r.Header.SetStatusCode(f.Status())
 	for _, field := range f.Fields() {
 		r.Header.Set(field.Name, field.Value)
 	}
@@ -87,7 +101,7 @@
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
 	"TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 	attempt.HeaderAttempt, attempt.HeaderIncarnation, attempt.HeaderDeadline, attempt.HeaderDepth,
-	attempt.HeaderRevision, attempt.HeaderPriority, attempt.HeaderService, attempt.HeaderHint, attempt.HeaderClock,
+	attempt.HeaderRevision, attempt.HeaderPriority, attempt.HeaderService, attempt.HeaderRoute, attempt.HeaderHint, attempt.HeaderClock,
 }
 
 // fields is what request and response headers of fasthttp have in common here.
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -1,21 +1,25 @@
 package backend
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
 	"pollenhill.example/core/coordination/admission"
+	"pollenhill.example/core/protocol/header"
 	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/state/rule"
 	"pollenhill.example/core/transport/tcp"
 	"pollenhill.example/node/coordination/arrival"
 	"pollenhill.example/node/coordination/engine"
+	"pollenhill.example/node/coordination/presence"
 )
 
 // Lease is how long an announcement holds.
@@ -32,6 +36,8 @@
 	last   Announcement
 	pool   *tcp.Pool
 	expiry *time.Timer
+	beats  *presence.Model
+	warm   *time.Timer // end of the cold time of the instance that beats describe
 	load   atomic.Pointer[Load]
 
 	logged *rate.Limiter // of refusals, which overload makes too many of to log each
@@ -53,11 +59,19 @@
 	Engine  *engine.Engine
 	Events  *event.Log
 	Changed func() // called after every change of the announcement
+
+	Headers header.Names
+	Whole   int            // bytes up to which a response is received whole
+	Service string         // that beats are expected to name
+	Address netip.AddrPort // of the back end, if it is known before it announces itself
+	Health  func(service string) (path string, connections int)
+	Hangup  bool // a request is cancelled by closing its connection, not only the write side
 }
 
 // New returns a Backend that is absent.
 func New(cfg Config) *Backend {
-	return &Backend{cfg: cfg, logged: rate.NewLimiter(refusalRate, refusalBurst)}
+	beats := presence.New(presence.Config{Service: cfg.Service, Address: cfg.Address})
+	return &Backend{cfg: cfg, beats: beats, logged: rate.NewLimiter(refusalRate, refusalBurst)}
 }
 
 // Announcement is the body of POST /announce.
@@ -118,7 +132,7 @@
 func (b *Backend) set(a Announcement) bool {
 	old := b.last
 	b.last = a
-	if old.Address != a.Address || old.Connections != a.Connections {
+	if old.Address != a.Address || old.Connections != a.Connections || b.cfg.Headers.Target != "" && old.Name != a.Name {
 		b.repool(a)
 	}
 	return old != a
@@ -129,20 +143,21 @@
 		b.pool.Close()
 		b.pool = nil
 	}
-	if !a.Address.IsValid() {
-		return
-	}
-	size := a.Connections
-	if size == 0 {
-		size = rule.DefaultConnections
+	if a.Address.IsValid() {
+		b.pool = b.newPool(a)
 	}
-	b.pool = tcp.NewPool(tcp.PoolConfig{
+}
+
+func (b *Backend) newPool(a Announcement) *tcp.Pool {
+	return tcp.NewPool(tcp.PoolConfig{
 		Address: a.Address,
 		Dialer:  b.cfg.Dialer,
-		Cap:     size,
+		Cap:     cmp.Or(a.Connections, rule.DefaultConnections),
 		Idle:    b.cfg.Idle,
 		Stall:   b.cfg.Stall,
-		Reap:    reap,
+		Reap:    lo.Ternary(b.cfg.Hangup, 0, reap),
+		Echo:    b.cfg.Headers.Request,
+		Open:    b.cfg.Headers.Seal != "",
 		Changed: func(open, closed int) { b.cfg.Engine.Report(arrival.Pool{Open: open, Closed: closed}) },
 	})
 }
@@ -171,9 +186,15 @@
 }
 
 func (b *Backend) current() *tcp.Pool {
+	pool, _ := b.instance()
+	return pool
+}
+
+// instance returns the connections to the back end and its name.
+func (b *Backend) instance() (*tcp.Pool, string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.pool
+	return b.pool, b.last.Name
 }
 
 // Close ends the lease and closes idle connections.
@@ -183,6 +204,9 @@
 	if b.expiry != nil {
 		b.expiry.Stop()
 	}
+	if b.warm != nil {
+		b.warm.Stop()
+	}
 	if b.pool != nil {
 		b.pool.Close()
 	}
--- /dev/null
+++ b/node/transport/backend/beat.go
@@ -0,0 +1,182 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"pollenhill.example/core/coordination/admission"
+	"pollenhill.example/core/state/event"
+	"pollenhill.example/node/coordination/arrival"
+	"pollenhill.example/node/coordination/presence"
+)
+
+// Times of the search for a back end that has not shown itself.
+const (
+	searchEvery = 200 * time.Millisecond // pause between health checks
+	searchLimit = 500 * time.Millisecond // of one check
+)
+
+// Beat takes what an instance of the back end says of itself; it returns once that binds every later attempt.
+func (b *Backend) Beat(beat presence.Beat) { b.observe(beat) }
+
+// Leave takes the deregistration of an instance; it returns once no later attempt reaches it.
+func (b *Backend) Leave(id string) { b.observe(presence.Leave{ID: id}) }
+
+// observe passes news to presence and announces what follows from it.
+func (b *Backend) observe(msg presence.Msg) {
+	b.mu.Lock()
+	if !b.spoken(msg) {
+		b.mu.Unlock()
+		return
+	}
+	b.beats.Update(time.Now(), msg)
+	a := b.announcement()
+	changed := b.set(a)
+	b.mu.Unlock()
+	if changed {
+		b.changed(a)
+	}
+}
+
+// spoken reports whether the back end uses beats; failures of one that announces itself say nothing about its lease.
+func (b *Backend) spoken(msg presence.Msg) bool {
+	switch msg.(type) {
+	case presence.Gone, presence.Broken:
+		return b.beats.View().ID != ""
+	}
+	return true
+}
+
+// announcement returns what beats say as an announcement; the caller holds mu.
+func (b *Backend) announcement() Announcement {
+	v := b.beats.View()
+	if v.ID == "" || !v.Address.IsValid() {
+		return Announcement{}
+	}
+	_, connections := b.cfg.Health(v.Service)
+	a := Announcement{Name: v.ID, Service: v.Service, Address: v.Address, Slots: v.Slots, Connections: connections, Zone: b.cfg.Zone}
+	left := time.Until(v.Cold)
+	switch {
+	case v.Draining:
+		a.State = admission.Draining.String()
+	case left > 0:
+		a.State = admission.Cold.String()
+		b.wake(left)
+	default:
+		a.State = admission.Ready.String()
+	}
+	return a
+}
+
+// wake looks at the instance again when its cold time ends; the caller holds mu.
+func (b *Backend) wake(after time.Duration) {
+	if b.warm != nil {
+		b.warm.Stop()
+	}
+	b.warm = time.AfterFunc(after, b.Refresh)
+}
+
+// Refresh announces the instance again after time has passed or the rules of its service have changed.
+func (b *Backend) Refresh() {
+	b.mu.Lock()
+	if b.beats.View().ID == "" {
+		b.mu.Unlock()
+		return
+	}
+	a := b.announcement()
+	changed := b.set(a)
+	b.mu.Unlock()
+	if changed {
+		b.changed(a)
+	}
+}
+
+// Search asks the back end who it is until an instance has shown itself, as after a start of the node: an instance
+// that runs already must not wait for its next beat. It ends with ctx.
+func (b *Backend) Search(ctx context.Context) {
+	if !b.cfg.Address.IsValid() {
+		return
+	}
+	ticker := time.NewTicker(searchEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		b.mu.Lock()
+		known := b.beats.Known()
+		b.mu.Unlock()
+		if path, _ := b.cfg.Health(b.cfg.Service); !known && path != "" {
+			b.find(ctx, path)
+		}
+	}
+}
+
+// find carries out one health check; only a good one that names its instance tells anything.
+func (b *Backend) find(ctx context.Context, path string) {
+	ctx, cancel := context.WithTimeout(ctx, searchLimit)
+	defer cancel()
+	pool := b.newPool(Announcement{Address: b.cfg.Address, Connections: 1})
+	defer pool.Close()
+	var h fasthttp.RequestHeader
+	h.SetMethod(fasthttp.MethodGet)
+	h.SetRequestURI(path)
+	h.SetHost(b.cfg.Address.String())
+	resp, err := pool.Exchange(ctx, &h, nil)
+	if err != nil {
+		return // nothing answers yet; the search goes on
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Header.StatusCode() != fasthttp.StatusOK {
+		return
+	}
+	id := string(resp.Header.Peek(b.cfg.Headers.Instance))
+	if id == "" {
+		return
+	}
+	cold, _ := strconv.ParseInt(string(resp.Header.Peek(b.cfg.Headers.Cold)), 10, 64) // absent: not cold
+	b.cfg.Events.Emit(event.BackendFound, zap.String("backend", id), zap.Int64("cold", cold))
+	b.observe(presence.Checked{ID: id, Slots: slotsOf(resp.Header.Peek(b.cfg.Headers.Load)), Cold: time.Duration(cold) * time.Millisecond})
+}
+
+// slotsOf reads the third figure of a load report, 0 if there is none.
+func slotsOf(load []byte) int {
+	parts := strings.Split(string(load), ",")
+	if len(parts) < 3 {
+		return 0
+	}
+	n, err := strconv.Atoi(strings.TrimSpace(parts[2]))
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// measure takes the load report of a response.
+func (b *Backend) measure(h *fasthttp.ResponseHeader) {
+	value := h.Peek(b.cfg.Headers.Load)
+	if b.cfg.Headers.Load == "" || len(value) == 0 {
+		return
+	}
+	b.report(string(value))
+	parts := strings.Split(string(value), ",")
+	if len(parts) < 4 {
+		return
+	}
+	pace, err := strconv.Atoi(strings.TrimSpace(parts[3]))
+	if err != nil || pace <= 0 {
+		return
+	}
+	b.cfg.Engine.Report(arrival.Pace{Factor: float64(pace) / usualPace})
+}
+
+// usualPace is the figure of a back end that works at its usual speed.
+const usualPace = 100
--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"strconv"
@@ -17,6 +18,7 @@
 	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/transport/tcp"
 	"pollenhill.example/node/coordination/arrival"
+	"pollenhill.example/node/coordination/presence"
 	"pollenhill.example/node/protocol/message"
 )
 
@@ -106,17 +108,14 @@
 
 // exchange returns the reply, or a refusal and a channel that is closed when the back end has ended the attempt.
 func (b *Backend) exchange(ctx context.Context, a message.Attempt, req *message.Request) (*message.Reply, admission.Result, <-chan struct{}) {
-	pool := b.current()
+	pool, id := b.instance()
 	if pool == nil {
 		return b.refuse(a, refusal.Refusal{Reason: refusal.Absent, Outcome: attempt.NotRun}), admission.Aborted, nil
 	}
-	var h fasthttp.RequestHeader
-	req.Header.CopyTo(&h)
-	h.SetNoDefaultContentType(true)
-	h.Set(attempt.HeaderDeadline, message.Remaining(a.Deadline, time.Now()))
-	h.Set(attempt.HeaderDepth, strconv.Itoa(a.Depth+1))
-	resp, err := pool.Exchange(ctx, &h, req.Body)
+	h := b.header(a, req, id)
+	resp, err := pool.Exchange(ctx, h, req.Body)
 	if err != nil {
+		b.missed(ctx, err)
 		return b.broken(ctx, a, err)
 	}
 	reply := &message.Reply{Length: resp.Length}
@@ -124,12 +123,19 @@
 	if resp.Length != 0 {
 		reply.Body = resp.Body
 	}
-	if err := reply.Absorb(); err != nil {
+	if err := reply.Absorb(b.cfg.Whole); err != nil {
+		return b.broken(ctx, a, err)
+	}
+	b.measure(&reply.Header)
+	if err := b.verify(reply, a); err != nil {
+		reply.Close()
 		return b.broken(ctx, a, err)
 	}
-	message.ReadOutcome(reply, a.Depth)
 	message.Strip(&reply.Header)
 	if reply.Outcome != attempt.Answered {
+		if reply.Refusal.Reason == refusal.Absent {
+			b.observe(presence.Gone{})
+		}
 		refused, result := b.passOn(reply)
 		return refused, result, nil
 	}
@@ -139,6 +145,68 @@
 	return reply, admission.Good, nil
 }
 
+// header returns the request header for the back end.
+func (b *Backend) header(a message.Attempt, req *message.Request, id string) *fasthttp.RequestHeader {
+	h := &fasthttp.RequestHeader{}
+	req.Header.CopyTo(h)
+	h.SetNoDefaultContentType(true)
+	h.Set(cmp.Or(b.cfg.Headers.Deadline, attempt.HeaderDeadline), message.Remaining(a.Deadline, time.Now()))
+	h.Set(attempt.HeaderDepth, strconv.Itoa(a.Depth+1))
+	if name := b.cfg.Headers.Target; name != "" && id != "" {
+		h.Set(name, id)
+	}
+	return h
+}
+
+// missed tells presence what a failed exchange says of the back end.
+func (b *Backend) missed(ctx context.Context, err error) {
+	var step *tcp.Error
+	if ctx.Err() != nil || !errors.As(err, &step) {
+		return
+	}
+	switch step.Step {
+	case tcp.Connect:
+		b.observe(presence.Gone{})
+	case tcp.Write, tcp.Read:
+		b.observe(presence.Broken{})
+	}
+}
+
+// Errors of responses that the back end did not make.
+var (
+	errSeal     = errors.New("response has no seal")
+	errEncoding = errors.New("response has a content encoding that was not asked for")
+	errPromise  = errors.New("response says that the request may come again, but not that it did not run")
+)
+
+// verify fills in the outcome of a response, or returns why it must not reach the caller.
+func (b *Backend) verify(reply *message.Reply, a message.Attempt) error {
+	names := b.cfg.Headers
+	if names.Seal == "" {
+		message.ReadOutcome(reply, a.Depth)
+		return nil
+	}
+	h := &reply.Header
+	code := h.StatusCode()
+	switch {
+	case code == fasthttp.StatusMisdirectedRequest:
+		reply.Refusal = refusal.Refusal{Reason: refusal.Absent, Outcome: attempt.NotRun, Level: a.Depth}
+	case len(h.Peek(names.Refused)) > 0:
+		reply.Refusal = refusal.Refusal{Reason: refusal.Shed, Outcome: attempt.NotRun, Level: a.Depth}
+	case len(h.Peek(names.Seal)) == 0:
+		return errSeal
+	case len(h.Peek(fasthttp.HeaderContentEncoding)) > 0:
+		return errEncoding
+	case code == fasthttp.StatusServiceUnavailable, code == fasthttp.StatusTooManyRequests, code == fasthttp.StatusRequestTimeout:
+		return errPromise
+	default:
+		reply.Outcome = attempt.Answered
+		return nil
+	}
+	reply.Outcome = attempt.NotRun
+	return nil
+}
+
 // broken says what a failed exchange proves: without a byte written the back end cannot have run it.
 func (b *Backend) broken(ctx context.Context, a message.Attempt, err error) (*message.Reply, admission.Result, <-chan struct{}) {
 	f := refusal.Refusal{Reason: refusal.Broken, Outcome: attempt.Unknown, After: time.Second}
--- a/node/transport/caller/request.go
+++ b/node/transport/caller/request.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"math"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/state/rule"
 	"pollenhill.example/node/protocol/message"
 	"pollenhill.example/node/transport/inbound"
 )
@@ -37,6 +39,9 @@
 		return nil, refusal.NoQuorum
 	}
 	path := string(req.Header.RequestURI())
+	if r, ok := set.Lookup(string(req.Header.Host()), path); ok {
+		return req, s.routed(req, r, now)
+	}
 	service, ok := set.Route(string(req.Header.Host()), path)
 	if !ok {
 		return nil, refusal.Route
@@ -44,15 +49,54 @@
 	req.Service = service.Name
 	req.Idempotent = set.Idempotent(service.Name, string(req.Header.Method()), path)
 	req.Level = set.Priority(service.Name, path)
-	if reason := read(req, service.Deadline, now); reason != refusal.None {
+	if reason := s.read(req, service.Deadline, now); reason != refusal.None {
 		return nil, reason
 	}
 	message.Strip(&req.Header)
 	req.Header.Add(headerVia, "1.1 "+s.cfg.Node)
+	s.measured(req)
+	return req, refusal.None
+}
+
+// measured states the length of a body that was received whole.
+func (s *Server) measured(req *message.Request) {
 	if len(req.Body) > 0 || !req.Header.IsGet() && !req.Header.IsHead() {
 		req.Header.SetContentLength(len(req.Body))
 	}
-	return req, refusal.None
+}
+
+// urgent and usual are the ranks of routes up to which requests have the level High and Normal.
+const (
+	urgent = 1
+	usual  = 2
+)
+
+func levelOf(rank int) rule.Level {
+	switch {
+	case rank <= urgent:
+		return rule.High
+	case rank <= usual:
+		return rule.Normal
+	}
+	return rule.Low
+}
+
+// routed fills in what a route says of a request.
+func (s *Server) routed(req *message.Request, r rule.Route, now time.Time) refusal.Reason {
+	req.Route = r.Name
+	req.Service = s.split.pick(r)
+	req.Idempotent = r.Kind.Repeatable()
+	req.Level = levelOf(r.Rank)
+	req.Tries = r.Tries
+	if reason := s.read(req, cmp.Or(r.Within, rule.DefaultDeadline), now); reason != refusal.None {
+		return reason
+	}
+	message.Strip(&req.Header)
+	if s.cfg.Headers.Caller != "" {
+		req.Header.Set(s.cfg.Headers.Caller, s.cfg.Service)
+	}
+	s.measured(req)
+	return refusal.None
 }
 
 // origin turns an absolute request target into the form that back ends expect.
@@ -75,14 +119,15 @@
 }
 
 // read reads the deadline, the depth and the key that the caller sent.
-func read(req *message.Request, limit time.Duration, now time.Time) refusal.Reason {
+func (s *Server) read(req *message.Request, limit time.Duration, now time.Time) refusal.Reason {
 	h := &req.Header
-	for _, name := range []string{attempt.HeaderDeadline, headerTimeout, attempt.HeaderDepth, headerKey} {
+	deadline := cmp.Or(s.cfg.Headers.Deadline, attempt.HeaderDeadline)
+	for _, name := range []string{deadline, headerTimeout, attempt.HeaderDepth, headerKey} {
 		if len(h.PeekAll(name)) > 1 {
 			return refusal.Malformed
 		}
 	}
-	if value := string(h.Peek(attempt.HeaderDeadline)); value != "" {
+	if value := string(h.Peek(deadline)); value != "" {
 		ms, err := strconv.ParseUint(value, 10, 31)
 		if err != nil {
 			return refusal.Malformed
--- a/node/transport/caller/run.go
+++ b/node/transport/caller/run.go
@@ -65,6 +65,8 @@
 		Keyed:      req.Key != "",
 		Deadline:   req.Deadline,
 		Depth:      req.Depth,
+		Tries:      req.Tries,
+		Free:       req.Route != "",
 	})
 	s.work.Go(func() { r.loop(ctx) })
 	return r
@@ -111,7 +113,7 @@
 	case call.Deliver:
 		r.deliver(cmd.Attempt)
 	case call.Refuse:
-		r.give(message.Refuse(cmd.Refusal))
+		r.give(message.Refuse(r.s.waited(cmd.Refusal, r.req)))
 	case call.Forget:
 		return true
 	}
@@ -140,6 +142,7 @@
 		Depth:       r.req.Depth,
 		Level:       r.req.Level,
 		Service:     r.req.Service,
+		Route:       r.req.Route,
 	}
 	go func() {
 		reply := r.s.cfg.Sender.Send(ctx, cmd.Target, a, r.req)
@@ -147,6 +150,9 @@
 	}()
 }
 
+// statusFault is the lowest status code of a failure of the back end.
+const statusFault = 500
+
 // head tells the model what became of an attempt.
 func (r *run) head(h head) {
 	r.open--
@@ -172,6 +178,7 @@
 		Refusal: h.reply.Refusal,
 		Reply:   h.reply.Outcome == attempt.Answered || len(h.reply.Header.Peek(attempt.HeaderOutcome)) > 0,
 		Hint:    h.reply.Hint,
+		Fault:   r.req.Route != "" && h.reply.Header.StatusCode() >= statusFault,
 	})
 	if t.aborted {
 		r.drop(id, t)
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"pollenhill.example/core/coordination/choice"
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/control"
+	"pollenhill.example/core/protocol/header"
 	"pollenhill.example/core/protocol/refusal"
 	"pollenhill.example/core/state/rule"
 	"pollenhill.example/node/coordination/arrival"
@@ -42,6 +44,7 @@
 	cfg      Config
 	in       *inbound.Handler
 	app      *fiber.App
+	split    splitter
 	inflight atomic.Int64
 	leaving  atomic.Bool
 	work     sync.WaitGroup // calls and claims that outlive their reply
@@ -63,6 +66,9 @@
 	Read     time.Duration // longest time for receiving a request
 	Idle     time.Duration // after which an unused connection is closed
 	Stall    time.Duration // longest time for one write
+	Headers  header.Names
+	Service  string // beside this node, told to back ends
+	Fraction bool   // callers take a Retry-After of less than a second
 }
 
 // Observation is what metrics need to know of one call.
@@ -152,7 +158,25 @@
 // refuse refuses a request before a key that it may carry was claimed.
 func (s *Server) refuse(h *fasthttp.RequestHeader, reason refusal.Reason) *message.Reply {
 	keyed := len(h.Peek(headerKey)) > 0
-	return message.Refuse(refusal.Refusal{Reason: reason, Outcome: call.Unclaimed(keyed), After: time.Second, Node: s.cfg.Node})
+	f := refusal.Refusal{Reason: reason, Outcome: call.Unclaimed(keyed), After: time.Second, Node: s.cfg.Node}
+	return message.Refuse(s.waited(f, nil))
+}
+
+// Waits told to callers that take a fraction of a second: short enough to come back within the time that most
+// requests have left, spread so that refused callers do not return together.
+const (
+	shortWait = 60 * time.Millisecond
+	waitRange = 120 * time.Millisecond
+)
+
+// waited fills in when the caller may come back.
+func (s *Server) waited(f refusal.Refusal, req *message.Request) refusal.Refusal {
+	if !s.cfg.Fraction || req != nil && req.Route == "" {
+		return f
+	}
+	f.Fraction = true
+	f.After = shortWait + rand.N(waitRange)
+	return f
 }
 
 // serve carries out one call.
--- a/node/transport/control/claim.go
+++ b/node/transport/control/claim.go
@@ -41,12 +41,14 @@
 
 // order returns the control processes, first the preferred one, then the others in random order.
 func (c *Client) order(first string) []*remote {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	list := make([]*remote, 0, len(c.remotes))
 	if r, ok := c.remotes[first]; ok {
 		list = append(list, r)
 	}
-	for _, i := range rand.Perm(len(c.cfg.Servers)) {
-		if name := c.cfg.Servers[i].Name; name != first {
+	for _, i := range rand.Perm(len(c.servers)) {
+		if name := c.servers[i].Name; name != first {
 			list = append(list, c.remotes[name])
 		}
 	}
@@ -56,7 +58,7 @@
 // call tries the control processes in turn until one carries out the call or ctx ends.
 func call[T any](ctx context.Context, c *Client, step string, f func(context.Context, *remote) (*connect.Response[T], error)) (*T, error) {
 	last := errors.New("none configured")
-	for ctx.Err() == nil && len(c.remotes) > 0 {
+	for ctx.Err() == nil && len(c.order("")) > 0 {
 		for _, r := range c.order(c.State().Server) {
 			resp, err := try(ctx, r, f)
 			if err == nil {
--- a/node/transport/control/client.go
+++ b/node/transport/control/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,6 +48,7 @@
 	cfg      Config
 	state    atomic.Pointer[follow.State]
 	sequence atomic.Uint64
+	servers  []Server // guarded by mu
 	remotes  map[string]*remote
 	dirty    chan struct{} // the member changed
 	mu       sync.Mutex
@@ -62,10 +64,43 @@
 		dirty:   make(chan struct{}, 1),
 	}
 	c.state.Store(&follow.State{})
-	c.remotes = dial(cfg)
+	c.servers = cfg.Servers
+	c.remotes = dial(cfg, cfg.Servers)
 	return c
 }
 
+// learn takes the members of a control group that assembles itself, whose names are their addresses; the configured
+// ones stay, in case all members are replaced. It returns all control processes if there are new ones.
+func (c *Client) learn(group []string) ([]Server, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := slices.Clone(c.cfg.Servers)
+	for _, name := range group {
+		address, err := netip.ParseAddrPort(name)
+		if err != nil || slices.ContainsFunc(list, func(s Server) bool { return s.Name == name }) {
+			continue
+		}
+		list = append(list, Server{Name: name, Address: address, Region: c.cfg.Region})
+	}
+	if slices.Equal(list, c.servers) {
+		return nil, false
+	}
+	c.servers = list
+	for name, r := range dial(c.cfg, list) {
+		if c.remotes[name] == nil {
+			c.remotes[name] = r
+		}
+	}
+	return list, true
+}
+
+// remote returns the connection to a control process.
+func (c *Client) remote(name string) *remote {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.remotes[name]
+}
+
 // State returns the last good state; it is never nil and must not be changed.
 func (c *Client) State() *follow.State {
 	return c.state.Load()
--- a/node/transport/control/remote.go
+++ b/node/transport/control/remote.go
@@ -16,9 +16,9 @@
 }
 
 // dial prepares one HTTP/2 connection per control process; the connections open on first use.
-func dial(cfg Config) map[string]*remote {
+func dial(cfg Config, servers []Server) map[string]*remote {
 	remotes := map[string]*remote{}
-	for _, s := range cfg.Servers {
+	for _, s := range servers {
 		t := transport(cfg)
 		rpc := controlconnect.NewControlClient(&http.Client{Transport: t}, "http://"+s.Address.String())
 		remotes[s.Name] = &remote{server: s, http: t, rpc: rpc}
--- a/node/transport/control/session.go
+++ b/node/transport/control/session.go
@@ -41,7 +41,7 @@
 		seed = rand.Uint64()
 	}
 	cfg := follow.Config{
-		Servers: lo.Map(c.cfg.Servers, func(s Server, _ int) follow.Server { return follow.Server{Name: s.Name, Region: s.Region} }),
+		Servers: followed(c.cfg.Servers),
 		Region:  c.cfg.Region,
 		Rand:    rand.New(rand.NewPCG(seed, 0)),
 	}
@@ -84,7 +84,7 @@
 func (s *session) close() {
 	s.cancel()
 	s.wg.Wait()
-	for _, r := range s.c.remotes {
+	for _, r := range s.c.order("") {
 		r.http.CloseIdleConnections()
 	}
 }
@@ -93,6 +93,8 @@
 	switch m := m.(type) {
 	case follow.Probed:
 		s.update(ctx, m)
+	case follow.Servers:
+		s.update(ctx, m)
 	case received:
 		s.receive(ctx, m)
 	}
@@ -153,13 +155,14 @@
 		one, cancel := context.WithTimeout(ctx, Timeout)
 		defer cancel()
 		// An announcement without a member only asks for the answer.
-		r := s.c.remotes[cmd.Server]
+		r := s.c.remote(cmd.Server)
 		resp, err := r.rpc.Announce(one, connect.NewRequest(&control.AnnounceRequest{}))
 		if err != nil {
 			s.send(ctx, follow.Probed{Server: cmd.Server, Round: cmd.Round})
 			return
 		}
 		s.send(ctx, follow.Probed{Server: cmd.Server, Round: cmd.Round, OK: true, Current: resp.Msg.GetCurrent()})
+		s.learn(ctx, resp.Msg.GetGroup())
 		// A node without rules gets them with its first stream.
 		if held := s.c.State().Revision; held > 0 && resp.Msg.GetCurrent() && resp.Msg.GetRevision() > held {
 			s.fetch(one, r)
@@ -189,7 +192,7 @@
 func (s *session) attach(ctx context.Context, cmd follow.Attach) {
 	s.cancel()
 	s.stream++
-	stream, r := s.stream, s.c.remotes[cmd.Server]
+	stream, r := s.stream, s.c.remote(cmd.Server)
 	watching, cancel := context.WithCancel(ctx)
 	s.cancel = cancel
 	req := s.request()
@@ -251,9 +254,26 @@
 	})
 }
 
+// learn passes the members of the control group to the failover model.
+func (s *session) learn(ctx context.Context, group []string) {
+	if len(group) == 0 {
+		return
+	}
+	if list, changed := s.c.learn(group); changed {
+		s.send(ctx, follow.Servers{List: followed(list)})
+	}
+}
+
+func followed(list []Server) []follow.Server {
+	return lo.Map(list, func(s Server, _ int) follow.Server { return follow.Server{Name: s.Name, Region: s.Region} })
+}
+
 func (s *session) tell(ctx context.Context, r *remote, m *control.Member) error {
 	ctx, cancel := context.WithTimeout(ctx, Timeout)
 	defer cancel()
-	_, err := r.rpc.Announce(ctx, connect.NewRequest(&control.AnnounceRequest{Member: m}))
+	resp, err := r.rpc.Announce(ctx, connect.NewRequest(&control.AnnounceRequest{Member: m}))
+	if err == nil {
+		s.learn(ctx, resp.Msg.GetGroup())
+	}
 	return errors.Wrapf(err, "announce to %s", r.server.Name)
 }
--- a/node/transport/inbound/write.go
+++ b/node/transport/inbound/write.go
@@ -20,8 +20,8 @@
 		return
 	}
 	length := reply.Length
-	if length == tcp.Chunked {
-		length = -1
+	if length < 0 {
+		length = tcp.Chunked
 	}
 	// A small body is complete already; the header of any other must not wait for it.
 	rc.Response.ImmediateHeaderFlush = length < 0 || length > message.SmallBody
--- a/node/transport/local/server.go
+++ b/node/transport/local/server.go
@@ -5,12 +5,14 @@
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
 	"github.com/gofiber/fiber/v3/middleware/adaptor"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"pollenhill.example/core/state/settings"
+	"pollenhill.example/node/coordination/presence"
 	"pollenhill.example/node/transport/backend"
 )
 
@@ -18,12 +20,17 @@
 type Server struct {
 	cfg Config
 	app *fiber.App
+
+	ready *fiber.App
 }
 
 // Config connects a Server with the rest of the node.
 type Config struct {
 	Zone     string
 	Announce func(backend.Announcement)
+	Beat     func(presence.Beat)
+	Leave    func(id string)
+	Ready    func() bool
 	Status   func() any // encoded as JSON
 	Metrics  prometheus.Gatherer
 	Read     time.Duration // longest time for receiving a request
@@ -40,7 +47,11 @@
 		IdleTimeout: cfg.Idle,
 		BodyLimit:   bodyLimit,
 	})}
+	s.ready = fiber.New(fiber.Config{ReadTimeout: cfg.Read, IdleTimeout: cfg.Idle, BodyLimit: bodyLimit})
+	s.ready.Get("/ready", s.isReady)
 	s.app.Post("/announce", s.announce)
+	s.app.Put("/backends/:id", s.beat)
+	s.app.Delete("/backends/:id", s.leave)
 	s.app.Get("/status", func(c fiber.Ctx) error { return c.JSON(cfg.Status()) })
 	s.app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(cfg.Metrics, promhttp.HandlerOpts{})))
 	return s
@@ -53,7 +64,20 @@
 
 // Shutdown stops accepting and waits for the requests in flight.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return s.app.ShutdownWithContext(ctx)
+	err := s.app.ShutdownWithContext(ctx)
+	return errors.CombineErrors(err, s.ready.ShutdownWithContext(ctx))
+}
+
+// ServeReady tells whether the node takes callers, until Shutdown.
+func (s *Server) ServeReady(ln net.Listener) error {
+	return s.ready.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
+}
+
+func (s *Server) isReady(c fiber.Ctx) error {
+	if !s.cfg.Ready() {
+		return c.SendStatus(fiber.StatusServiceUnavailable)
+	}
+	return c.SendStatus(fiber.StatusOK)
 }
 
 func (s *Server) announce(c fiber.Ctx) error {
--- a/node/transport/peer/client.go
+++ b/node/transport/peer/client.go
@@ -42,6 +42,7 @@
 	Cap      int           // connections per peer
 	Idle     time.Duration // after which an unused connection is not used again
 	Stall    time.Duration // longest wait for the next byte of a response body
+	Whole    int           // bytes up to which a response is received whole
 	Local    Local
 	Revision func() uint64                      // of the rules in force
 	Offer    func(revision uint64, text string) // receives newer rules
@@ -131,7 +132,7 @@
 	if resp.Length != 0 {
 		reply.Body = resp.Body
 	}
-	if reply.Absorb() != nil {
+	if reply.Absorb(c.cfg.Whole) != nil {
 		return c.lost(a)
 	}
 	message.ReadOutcome(reply, a.Depth)
