Push the speed of back ends to entry nodes, pick the quickest, queue by aim

Cause: back ends change their speed about every 150 ms; entry nodes picked by old reports, so that a quarter of the requests met a slow one. Entry nodes take the back end at which one more request should end first; large answers prefer the own zone. Destination nodes start what can still meet its aim first and defer or refuse the rest. Hedges start at half the aim, at fast back ends only.

--- a/core/coordination/admission/model.go
+++ b/core/coordination/admission/model.go
@@ -18,12 +18,22 @@
 type Model struct {
 	limits  Limits
 	state   State
-	started map[attempt.ID]time.Time
+	started map[attempt.ID]begun
 	queue   queue
+	late    queue // with Limits.Fixed: requests that can't meet their aim
+	works   works
 	memory  memory
 	window  window
 	warmer  warmer
 	pace    pace
+	speed   float64 // how long work takes now over its usual time, as the back end says; 0 if it does not
+}
+
+// begun is a request at the back end.
+type begun struct {
+	at    time.Time
+	route string
+	speed float64 // of the back end at the start
 }
 
 // New returns a Model with no back end.
@@ -31,7 +41,8 @@
 	limits = limits.defaults()
 	return &Model{
 		limits:  limits,
-		started: map[attempt.ID]time.Time{},
+		started: map[attempt.ID]begun{},
+		works:   works{},
 		window:  newWindow(limits),
 	}
 }
@@ -52,6 +63,8 @@
 		m.window.check(now, msg.OK)
 	case Closed:
 		m.closed(now, msg)
+	case Speed:
+		m.speed = msg.Factor
 	case Opened:
 		m.warmer.opened(msg.Count)
 	case Limits:
@@ -75,6 +88,9 @@
 	if reason := m.closedFor(); reason != refusal.None {
 		return []Cmd{Refuse{ID: msg.ID, Reason: reason, After: goneWait}}
 	}
+	if m.limits.Fixed {
+		return m.arrivePrompt(now, msg)
+	}
 	if !m.finishes(now, msg) {
 		return []Cmd{Refuse{ID: msg.ID, Reason: refusal.Late, After: busyWait}}
 	}
@@ -117,7 +133,7 @@
 }
 
 func (m *Model) start(now time.Time, msg Arrive) Cmd {
-	m.started[msg.ID] = now
+	m.started[msg.ID] = begun{at: now, route: msg.Route, speed: m.speed}
 	m.pace.note(now)
 	m.memory.set(now, msg.ID, ran)
 	return Start{ID: msg.ID}
@@ -125,6 +141,9 @@
 
 // pump starts queued attempts while the cap allows it.
 func (m *Model) pump(now time.Time) []Cmd {
+	if m.limits.Fixed {
+		return m.pumpPrompt(now)
+	}
 	var cmds []Cmd
 	for len(m.queue) > 0 && m.free(now) {
 		next := m.queue.pop()
@@ -139,6 +158,9 @@
 
 // expire refuses queued attempts that can no longer finish in time.
 func (m *Model) expire(now time.Time) []Cmd {
+	if m.limits.Fixed {
+		return m.sift(now)
+	}
 	var cmds []Cmd
 	for _, a := range m.queue.remove(func(a Arrive) bool { return m.tooLate(now, a) }) {
 		cmds = append(cmds, Refuse{ID: a.ID, Reason: refusal.Late, After: busyWait})
@@ -149,7 +171,8 @@
 // flush refuses every queued attempt.
 func (m *Model) flush(reason refusal.Reason) []Cmd {
 	var cmds []Cmd
-	for _, a := range m.queue.remove(func(Arrive) bool { return true }) {
+	all := func(Arrive) bool { return true }
+	for _, a := range append(m.queue.remove(all), m.late.remove(all)...) {
 		cmds = append(cmds, Refuse{ID: a.ID, Reason: reason, After: goneWait})
 	}
 	return cmds
@@ -186,16 +209,21 @@
 	}
 	m.memory.set(now, msg.ID, cancelled)
 	cmds := []Cmd{Cancelled(msg)}
-	for _, a := range m.queue.remove(func(a Arrive) bool { return a.ID == msg.ID }) {
+	same := func(a Arrive) bool { return a.ID == msg.ID }
+	for _, a := range append(m.queue.remove(same), m.late.remove(same)...) {
 		cmds = append(cmds, Refuse{ID: a.ID, Reason: refusal.Cancelled, After: busyWait})
 	}
 	return cmds
 }
 
 func (m *Model) done(now time.Time, msg Done) {
-	if _, ok := m.started[msg.ID]; !ok {
+	b, ok := m.started[msg.ID]
+	if !ok {
 		return
 	}
+	if msg.Result == Good {
+		m.works.learn(b.route, msg.Latency, (max(b.speed, 1)+max(m.speed, 1))/2)
+	}
 	busy := len(m.started)
 	delete(m.started, msg.ID)
 	// Counted from the end, so that a cancel after a long download is still answered truthfully.
@@ -281,9 +309,10 @@
 	return View{
 		Hint: hint.Hint{
 			Inflight: len(m.started),
-			Queued:   len(m.queue),
+			Queued:   len(m.queue) + len(m.late),
 			Limit:    m.cap(),
 			Latency:  m.window.mean(),
+			Pace:     m.speed,
 		},
 		State: m.state,
 		Cap:   m.cap(),
--- a/core/coordination/admission/msg.go
+++ b/core/coordination/admission/msg.go
@@ -17,6 +17,11 @@
 	ID       attempt.ID
 	Deadline time.Time
 	Priority rule.Level
+	Route    string        // whose requests take about the same time
+	Aim      time.Time     // until then an answer is of full use
+	AimIn    time.Duration // the whole time of the route until Aim
+
+	since time.Time // start of the wait
 }
 
 // Cancel asks that an attempt that has not started never start; the answer is Cancelled or Running.
@@ -74,12 +79,16 @@
 	All   bool
 }
 
+// Speed reports how long work takes at the back end now, over its usual time.
+type Speed struct{ Factor float64 }
+
 // Opened reports how many connections to the back end are open.
 type Opened struct{ Count int }
 
 func (Check) msg()   {}
 func (Closed) msg()  {}
 func (Opened) msg()  {}
+func (Speed) msg()   {}
 func (Arrive) msg()  {}
 func (Cancel) msg()  {}
 func (Done) msg()    {}
--- /dev/null
+++ b/core/coordination/admission/prompt.go
@@ -0,0 +1,145 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"pollenhill.example/core/protocol/refusal"
+)
+
+// Pattern: overload of back ends whose speed changes many times a second. An answer is of full use within its aim
+// only, so that work which can still meet its aim goes first, and a request that would wait beyond it takes only what
+// is left over, for a short time, or is refused while its caller can still come back.
+
+const (
+	// swing is how long a speed lasts on average; after it, work goes on at the usual speed.
+	swing = 150 * time.Millisecond
+	// usualSpeed is the average of the factor by which work is slower than at best.
+	usualSpeed = 1.6
+	// lateWait is the longest wait of a request that can't meet its aim any more.
+	lateWait = 150 * time.Millisecond
+	// lateShare is the length of the queue of such requests, per request at the back end.
+	lateShare = 0.5
+	// workWeight is the part of one completion in the usual time of its route.
+	workWeight = 0.05
+	// firstWork is the time assumed for a route before its first completion, as a part of its aim.
+	firstWork = 0.3
+	// slowest bounds the speed factor that a completion is divided by.
+	slowest = 10.0
+)
+
+// works holds the usual time of the requests of each route on a back end at its best speed.
+type works map[string]time.Duration
+
+func (w works) learn(route string, took time.Duration, speed float64) {
+	if route == "" {
+		return
+	}
+	at := time.Duration(float64(took) / min(max(speed, 1), slowest))
+	old, known := w[route]
+	if !known {
+		w[route] = at
+		return
+	}
+	w[route] = old + time.Duration(workWeight*float64(at-old))
+}
+
+// least is the shortest time that a request can be expected to take.
+func (w works) least(a Arrive) time.Duration {
+	if d, ok := w[a.Route]; ok {
+		return d
+	}
+	return time.Duration(firstWork * float64(a.AimIn))
+}
+
+// span is the expected time of a request that starts now, at a speed that lasts for a swing.
+func (m *Model) span(a Arrive) time.Duration {
+	least := m.works.least(a)
+	speed := max(m.speed, 1)
+	if slow := time.Duration(float64(least) * speed); slow <= swing {
+		return slow
+	}
+	done := time.Duration(float64(swing) / speed)
+	return swing + time.Duration(usualSpeed*float64(least-done))
+}
+
+// wait is the expected time until a slot is free behind a number of waiting requests.
+func (m *Model) wait(ahead int) time.Duration {
+	return time.Duration(float64(m.window.mean()) * float64(ahead+1) / float64(max(1, m.cap())))
+}
+
+// arrivePrompt starts a request, lets it wait while that makes sense for its caller, or refuses it.
+func (m *Model) arrivePrompt(now time.Time, msg Arrive) []Cmd {
+	if now.Add(m.works.least(msg)).After(msg.Deadline) {
+		return []Cmd{Refuse{ID: msg.ID, Reason: refusal.Late, After: busyWait}}
+	}
+	if len(m.queue) == 0 && m.free(now) {
+		return []Cmd{m.start(now, msg)}
+	}
+	msg.since = now
+	if now.Add(m.wait(m.queue.before(msg)) + m.span(msg)).Before(msg.Aim) {
+		m.queue.insert(msg)
+		return nil
+	}
+	return m.defers(now, msg)
+}
+
+// defers puts a request behind those that can meet their aim, or refuses it.
+func (m *Model) defers(now time.Time, msg Arrive) []Cmd {
+	if len(m.late) < max(1, int(lateShare*float64(m.cap()))) && now.Sub(msg.since) < lateWait {
+		m.late.insert(msg)
+		return nil
+	}
+	return []Cmd{Refuse{ID: msg.ID, Reason: m.fullReason(), After: busyWait}}
+}
+
+// sift moves waiting requests that can't meet their aim any more, and refuses those that waited for long enough.
+func (m *Model) sift(now time.Time) []Cmd {
+	var cmds []Cmd
+	missed := m.queue.remove(func(a Arrive) bool { return now.Add(m.works.least(a)).After(a.Aim) })
+	for _, a := range missed {
+		cmds = append(cmds, m.defers(now, a)...)
+	}
+	over := m.late.remove(func(a Arrive) bool {
+		return now.Sub(a.since) >= lateWait || now.Add(m.works.least(a)).After(a.Deadline)
+	})
+	for _, a := range over {
+		cmds = append(cmds, Refuse{ID: a.ID, Reason: refusal.Late, After: busyWait})
+	}
+	return cmds
+}
+
+// pumpPrompt starts waiting requests, those that can meet their aim first.
+func (m *Model) pumpPrompt(now time.Time) []Cmd {
+	var cmds []Cmd
+	for m.free(now) {
+		switch {
+		case len(m.queue) > 0:
+			cmds = append(cmds, m.start(now, m.queue.pop()))
+		case len(m.late) > 0:
+			cmds = append(cmds, m.start(now, m.late.pop()))
+		default:
+			return cmds
+		}
+	}
+	return cmds
+}
+
+// urgency orders waiting requests: by priority, then by the aim.
+func urgency(a, b Arrive) int {
+	return cmp.Or(cmp.Compare(b.Priority, a.Priority), a.Aim.Compare(b.Aim))
+}
+
+// before counts the waiting requests that are more urgent than a.
+func (q queue) before(a Arrive) int {
+	n := 0
+	for n < len(q) && urgency(q[n], a) <= 0 {
+		n++
+	}
+	return n
+}
+
+func (q *queue) insert(a Arrive) {
+	*q = slices.Insert(*q, q.before(a), a)
+}
--- a/core/coordination/choice/load.go
+++ b/core/coordination/choice/load.go
@@ -40,6 +40,7 @@
 	at       time.Time // of the hint, zero while there is none
 	own      float64   // average latency of good attempts from here, seconds
 	samples  int
+	bounced  time.Time // last refusal or failure seen here
 }
 
 // reported stores a hint that was true at the given time; what it says about others' requests excludes
--- a/core/coordination/choice/model.go
+++ b/core/coordination/choice/model.go
@@ -141,6 +141,8 @@
 	l.inflight = max(0, l.inflight-1)
 	if msg.Result == Good {
 		l.observed(msg.Latency)
+	} else if msg.Result != Cancelled {
+		l.bounced = now
 	}
 	if msg.Hint != nil {
 		m.report(now, Report{Backend: msg.Backend, Hint: *msg.Hint})
@@ -196,6 +198,9 @@
 	if len(open) == 0 {
 		return Target{}, false
 	}
+	if _, pool := m.rules.Pool(q.Service); pool {
+		return m.quickest(now, open, q)
+	}
 	if t, ok := m.warm(open, q); ok {
 		return t, true
 	}
@@ -270,7 +275,7 @@
 			continue
 		}
 		c := candidate{Target: t, guess: service.guess(now, t, m.loads[t.Backend], rules)}
-		if q.Spare && c.use() > m.spill(q.Service) {
+		if _, pool := m.rules.Pool(q.Service); q.Spare && !pool && c.use() > m.spill(q.Service) {
 			continue
 		}
 		switch {
@@ -335,5 +340,5 @@
 
 func (m *Model) open(t Target) bool {
 	serving := t.State == admission.Cold || t.State == admission.Ready
-	return serving && !m.rules.Zones[t.Zone].Out && !m.rules.Backends[t.Backend]
+	return serving && !m.rules.ZoneOut(t.Zone) && !m.rules.Backends[t.Backend]
 }
--- a/core/coordination/choice/msg.go
+++ b/core/coordination/choice/msg.go
@@ -59,5 +59,6 @@
 type Query struct {
 	Service string
 	Avoid   []string // back ends already tried
+	Size    int      // usual bytes of the response, which cost more between zones
 	Spare   bool     // only back ends with free slots, as for a hedge
 }
--- /dev/null
+++ b/core/coordination/choice/quick.go
@@ -0,0 +1,96 @@
+package choice
+
+import (
+	"time"
+
+	"pollenhill.example/core/coordination/admission"
+)
+
+// Weights of the expected time at a back end whose speed changes many times a second.
+const (
+	// paceMemory is how long a report of speed is believed: machines change their speed every 100 to 200 ms, and
+	// nodes report a change at once.
+	paceMemory = 400 * time.Millisecond
+	// usualPace is the speed assumed without a report: a back end at its usual speed three quarters of the time and
+	// five times slower otherwise takes twice as long on average.
+	usualPace = 2.0
+	// silence is the age of a report after which the node may be down; its node reports ten times a second.
+	silence     = 600 * time.Millisecond
+	silentCost  = 4.0
+	bounceTime  = 50 * time.Millisecond // after a refusal, for which the report that explains it may be late
+	bounceCost  = 1.0
+	loadCost    = 0.5 // of a full back end over an empty one
+	farCost     = 0.08
+	farBytes    = 80_000.0 // bytes between zones that cost as much as the usual time of a request
+	randomCost  = 0.25
+	coldCost    = 2.0 // a cold back end takes about twice as long
+	queueWeight = 1.5
+)
+
+// quickest returns the candidate at which one more request is expected to end first. The random part keeps entry
+// nodes with the same reports from choosing the same back end.
+func (m *Model) quickest(now time.Time, open []candidate, q Query) (Target, bool) {
+	best := -1
+	least := 0.0
+	for i, c := range open {
+		l := m.loads[c.Backend]
+		if q.Spare && !l.spare(now, c) {
+			continue
+		}
+		cost := l.expected(now, c) * (1 + randomCost*m.cfg.Rand.Float64())
+		if c.Zone != m.cfg.Zone {
+			cost += farCost + float64(q.Size)/farBytes
+		}
+		if best < 0 || cost < least {
+			best, least = i, cost
+		}
+	}
+	if best < 0 {
+		return Target{}, false
+	}
+	return open[best].Target, true
+}
+
+// pace is how long work takes now over its usual time, as far as a report tells.
+func (l *load) pace(now time.Time) float64 {
+	if l.at.IsZero() || l.hint.Pace <= 0 || now.Sub(l.at) > paceMemory {
+		return usualPace
+	}
+	return l.hint.Pace
+}
+
+// expected is the expected time of one more request, over its usual time on an idle back end.
+func (l *load) expected(now time.Time, c candidate) float64 {
+	limit := float64(max(l.hint.Limit, 1))
+	if l.at.IsZero() {
+		limit = max(c.limit, 1)
+	}
+	load := l.others + float64(l.inflight)
+	cost := l.pace(now) * (1 + loadCost*min(load/limit, 1))
+	if over := load + 1 - limit; over > 0 {
+		cost += l.pace(now) * queueWeight * over / limit
+	}
+	if c.State == admission.Cold {
+		cost *= coldCost
+	}
+	if !l.at.IsZero() && now.Sub(l.at) > silence {
+		cost += silentCost
+	}
+	if now.Sub(l.bounced) < bounceTime {
+		cost += bounceCost
+	}
+	return cost
+}
+
+// spareLoad is the share of its limit up to which a back end gets a request that is only a second try, and sparePace
+// the speed.
+const (
+	spareLoad = 0.7
+	sparePace = 1.5
+)
+
+// spare says whether a back end has room and is fast, so that a hedge there is worth its cost.
+func (l *load) spare(now time.Time, c candidate) bool {
+	load := l.others + float64(l.inflight)
+	return l.pace(now) <= sparePace && load < spareLoad*float64(max(l.hint.Limit, 1)) && c.State == admission.Ready
+}
--- a/core/coordination/member/entry.go
+++ b/core/coordination/member/entry.go
@@ -58,6 +58,7 @@
 		m.Zone = e.member.GetZone()
 		m.Region = e.member.GetRegion()
 		m.Backends = e.member.GetBackends()
+		m.Hints = e.member.GetHints()
 	}
 	return m
 }
--- a/core/protocol/attempt/header.go
+++ b/core/protocol/attempt/header.go
@@ -10,6 +10,7 @@
 	HeaderPriority    = "Pollenhill-Priority"
 	HeaderService     = "Pollenhill-Service"
 	HeaderRoute       = "Pollenhill-Route"
+	HeaderAim         = "Pollenhill-Aim" // milliseconds, may be negative
 	HeaderOutcome     = "Pollenhill-Outcome"
 	HeaderHint        = "Pollenhill-Hint"
 	HeaderClock       = "Pollenhill-Clock" // hybrid logical clock of the sender
--- a/core/protocol/hint/hint.go
+++ b/core/protocol/hint/hint.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,20 +15,34 @@
 	Queued   int           // requests waiting at the destination node
 	Limit    int           // requests that admission currently lets through at once
 	Latency  time.Duration // smoothed service time, microsecond resolution
+	Pace     float64       // how long work takes now, over its usual time; 0 if the back end does not say
 }
 
+// percent is the resolution of Pace on the wire; figures are those that every hint has.
+const (
+	percent = 100
+	figures = 4
+)
+
 // String returns the form that Parse reads.
 func (h Hint) String() string {
-	return fmt.Sprintf("%d %d %d %d", h.Inflight, h.Queued, h.Limit, h.Latency.Microseconds())
+	return fmt.Sprintf("%d %d %d %d %d", h.Inflight, h.Queued, h.Limit, h.Latency.Microseconds(), int(percent*h.Pace))
 }
 
 // Parse reads the form written by String.
 func Parse(s string) (Hint, error) {
 	var h Hint
-	var us int64
-	if _, err := fmt.Sscanf(s, "%d %d %d %d", &h.Inflight, &h.Queued, &h.Limit, &us); err != nil {
-		return Hint{}, errors.Wrapf(err, "parse hint %q", s)
+	parts := strings.Split(s, " ")
+	if len(parts) < figures {
+		return Hint{}, errors.Newf("parse hint %q: want %d figures", s, figures)
+	}
+	var n [figures + 1]int
+	for i, part := range parts[:min(len(parts), len(n))] {
+		var err error
+		if n[i], err = strconv.Atoi(part); err != nil {
+			return Hint{}, errors.Wrapf(err, "parse hint %q", s)
+		}
 	}
-	h.Latency = time.Duration(us) * time.Microsecond
+	h = Hint{Inflight: n[0], Queued: n[1], Limit: n[2], Latency: time.Duration(n[3]) * time.Microsecond, Pace: float64(n[4]) / percent}
 	return h, nil
 }
--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -17,6 +17,7 @@
 	CallEnded                           // call ended
 	SettingsReloaded                    // settings read again
 	ControlFollowed                     // control process followed
+	HintsFailed                         // exchange of hints failed
 )
 
 // Kinds of control events.
--- a/core/state/rule/traffic.go
+++ b/core/state/rule/traffic.go
@@ -52,6 +52,13 @@
 	Bound  *Bound
 }
 
+// Extra attempts per call of a pool: enough that a back end which turns slow or fails part of its requests is made up
+// for, and few enough that a service without capacity is not loaded further.
+const (
+	poolRetry = Ratio(0.15)
+	poolHedge = Ratio(0.1)
+)
+
 // hostPath finds a route.
 type hostPath struct{ host, path string }
 
@@ -87,7 +94,7 @@
 	s.pools = make(map[string]Pool, len(s.Pools))
 	for _, p := range s.Pools {
 		s.pools[p.Name] = p
-		one := Service{Name: p.Name, Slots: maxCount, Connections: p.Connections}.defaults(nil)
+		one := Service{Name: p.Name, Slots: maxCount, Connections: p.Connections, Retry: poolRetry, Hedge: poolHedge}.defaults(nil)
 		one.full = true
 		s.Services[p.Name] = one
 	}
--- a/node/coordination/arrival/model.go
+++ b/node/coordination/arrival/model.go
@@ -58,6 +58,8 @@
 		return append(m.admit(now, m.state(), false), m.budget(now)...)
 	case Pool:
 		return m.pool(now, msg)
+	case Pace:
+		return m.admit(now, admission.Speed(msg), false)
 	case Checked:
 		return m.checked(now, msg)
 	case Tick:
@@ -85,7 +87,10 @@
 	if reason := m.refusal(msg); reason != refusal.None {
 		return m.never(now, msg.ID, reason)
 	}
-	return m.admit(now, admission.Arrive{ID: msg.ID, Deadline: msg.Deadline, Priority: msg.Level}, false)
+	return m.admit(now, admission.Arrive{
+		ID: msg.ID, Deadline: msg.Deadline, Priority: msg.Level,
+		Route: msg.Route, Aim: now.Add(msg.Aim), AimIn: msg.Aim,
+	}, false)
 }
 
 // never refuses an attempt without admission and makes sure that no other copy of it starts later.
--- a/node/coordination/arrival/msg.go
+++ b/node/coordination/arrival/msg.go
@@ -20,6 +20,8 @@
 	Deadline    time.Time
 	Level       rule.Level
 	Depth       int
+	Route       string        // empty for a request that a service line led here
+	Aim         time.Duration // left until an answer is not of full use any more
 }
 
 // Cancel reports that the entry node gave up an attempt; the answer is Verdict.
--- a/node/coordination/call/model.go
+++ b/node/coordination/call/model.go
@@ -88,6 +88,11 @@
 	m.cfg.Choice.Update(now, choice.Members{Targets: targets})
 }
 
+// Report takes a hint that came without a response.
+func (m *Model) Report(now time.Time, msg choice.Report) {
+	m.cfg.Choice.Update(now, msg)
+}
+
 // Update applies one message at the given time and returns the effects.
 func (m *Model) Update(now time.Time, msg Msg) []Cmd {
 	switch msg := msg.(type) {
@@ -197,7 +202,19 @@
 	if len(s.attempts) >= MaxAttempts || s.Tries > 0 && s.reached() >= s.Tries {
 		return nil
 	}
-	target, ok := m.cfg.Choice.Pick(now, choice.Query{Service: s.Service, Avoid: s.tried})
+	return m.sendTo(now, s, choice.Query{Service: s.Service, Avoid: s.tried, Size: s.Size})
+}
+
+// sendSpare starts a hedge; with an aim it goes only to a back end that can still meet it.
+func (m *Model) sendSpare(now time.Time, s *state) []Cmd {
+	if len(s.attempts) >= MaxAttempts || s.Tries > 0 && s.reached() >= s.Tries {
+		return nil
+	}
+	return m.sendTo(now, s, choice.Query{Service: s.Service, Avoid: s.tried, Spare: s.Aim > 0, Size: s.Size})
+}
+
+func (m *Model) sendTo(now time.Time, s *state, q choice.Query) []Cmd {
+	target, ok := m.cfg.Choice.Pick(now, q)
 	if !ok {
 		return nil
 	}
@@ -244,7 +261,7 @@
 	s.hedge = time.Time{}
 	cmds := []Cmd{s.wake()}
 	if m.budget(s.Service).Hedge(now) {
-		cmds = append(m.send(now, s), cmds...)
+		cmds = append(m.sendSpare(now, s), cmds...)
 	}
 	return cmds
 }
--- a/node/coordination/call/msg.go
+++ b/node/coordination/call/msg.go
@@ -23,8 +23,10 @@
 	Keyed      bool
 	Deadline   time.Time
 	Depth      int
-	Tries      int  // back ends that the request may reach, 0 for no limit
-	Free       bool // a refusal by a node costs no retry budget: only what reaches a back end is work
+	Aim        time.Duration // time within which an answer is of full use, 0 if that is not known
+	Size       int           // usual bytes of the response, 0 if not known
+	Tries      int           // back ends that the request may reach, 0 for no limit
+	Free       bool          // a refusal by a node costs no retry budget: only what reaches a back end is work
 }
 
 // Claimed reports the verdict on the claim of a keyed call.
--- a/node/coordination/call/service.go
+++ b/node/coordination/call/service.go
@@ -3,15 +3,24 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
+
 	"pollenhill.example/core/coordination/choice"
 	"pollenhill.example/core/coordination/retry"
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/state/rule"
 )
 
+// hedgeShare is the part of the aim after which a hedge starts: a request that takes its usual time has ended by then,
+// and a hedge at a fast back end can still meet the aim.
+const hedgeShare = 0.5
+
 // burst is how many extra attempts may come at once: enough for a few failures in a row.
 const burst = 10
 
+// poolBurst is the same for services whose nodes share one budget: the bursts of all nodes add up.
+const poolBurst = 4
+
 // service is what is learned about one service.
 type service struct {
 	cfg    retry.Config
@@ -34,7 +43,8 @@
 	if !ok {
 		s = rule.Service{Retry: rule.DefaultRetry, Hedge: rule.DefaultHedge, After: rule.DefaultAfter}
 	}
-	return retry.Config{Ratio: float64(s.Retry), Burst: burst, Hedge: float64(s.Hedge), After: float64(s.After)}
+	_, pool := m.rules.Pool(name)
+	return retry.Config{Ratio: float64(s.Retry), Burst: lo.Ternary[float64](pool, poolBurst, burst), Hedge: float64(s.Hedge), After: float64(s.After)}
 }
 
 func (m *Model) budget(name string) *retry.Budget {
@@ -52,6 +62,9 @@
 	if s.Keyed || !retry.Hedged(s.Depth, s.Idempotent) {
 		return time.Time{}
 	}
+	if s.Aim > 0 {
+		return now.Add(time.Duration(hedgeShare * float64(s.Aim)))
+	}
 	if d, ok := m.budget(s.Service).Delay(now); ok {
 		return now.Add(d)
 	}
--- a/node/coordination/engine/engine.go
+++ b/node/coordination/engine/engine.go
@@ -131,6 +131,11 @@
 	return arrival.Unsure
 }
 
+// Hint passes on a hint that came without a response.
+func (e *Engine) Hint(msg choice.Report) {
+	e.post(envelope{msg: msg})
+}
+
 // Apply replaces members and rules.
 func (e *Engine) Apply(t Targets) {
 	e.post(envelope{msg: t})
@@ -156,6 +161,8 @@
 	case arrival.Msg:
 		e.arrived(e.cfg.Arrival.Update(now, msg))
 		e.publish()
+	case choice.Report:
+		e.cfg.Call.Report(now, msg)
 	case Targets:
 		e.apply(now, msg)
 	}
--- a/node/program/control.go
+++ b/node/program/control.go
@@ -61,6 +61,9 @@
 		Incarnation: p.incarnation,
 		Gone:        gone,
 	}
+	if p.cfg.Hints.IsValid() {
+		m.Hints = p.cfg.Hints.String()
+	}
 	a, state := p.backend.Current()
 	if state == admission.Absent {
 		return m
--- a/node/program/follow.go
+++ b/node/program/follow.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"pollenhill.example/core/coordination/choice"
+	"pollenhill.example/core/protocol/control"
 	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/state/rule"
 	"pollenhill.example/node/coordination/engine"
@@ -35,6 +36,7 @@
 	targets := p.targets(state.Members)
 	set := p.parse(state.Revision, state.Text)
 	p.engine.Apply(engine.Targets{Targets: targets, Set: set})
+	p.subscribe(state.Members)
 	if len(state.Members) > 0 {
 		p.targeted.Store(true)
 	}
@@ -45,6 +47,21 @@
 	p.keep(targets)
 }
 
+// subscribe asks every known node but this one for the load of its back end.
+func (p *Program) subscribe(members []*control.Member) {
+	if p.news == nil {
+		return
+	}
+	var addresses []netip.AddrPort
+	for _, m := range members {
+		address, err := netip.ParseAddrPort(m.GetHints())
+		if err == nil && m.GetNode() != p.cfg.Name && !m.GetGone() {
+			addresses = append(addresses, address)
+		}
+	}
+	p.news.Subscribe(addresses)
+}
+
 // parse puts newer rules in force; rules that cannot be parsed leave the last good ones in force.
 func (p *Program) parse(revision uint64, text string) *rule.Set {
 	old := p.rules.Load()
--- a/node/program/program.go
+++ b/node/program/program.go
@@ -21,6 +21,7 @@
 	"pollenhill.example/node/transport/backend"
 	"pollenhill.example/node/transport/caller"
 	"pollenhill.example/node/transport/local"
+	"pollenhill.example/node/transport/news"
 	"pollenhill.example/node/transport/peer"
 )
 
@@ -39,6 +40,7 @@
 	events      *event.Log
 	tls         *mtls.Source // nil: plain connections
 	metrics     *metrics
+	news        *news.Channel // nil without an address for hints
 	rules       atomic.Pointer[inForce]
 	leaving     atomic.Bool
 	targeted    atomic.Bool // some back end has been known
@@ -73,6 +75,10 @@
 	controlDone.Go(func() { _ = p.control.Run(controlCtx) })
 	controlDone.Go(func() { p.follow(controlCtx) })
 	controlDone.Go(func() { p.backend.Search(controlCtx) })
+	controlDone.Go(func() { p.backend.Measure(controlCtx) })
+	if p.news != nil {
+		controlDone.Go(func() { p.news.Run(controlCtx) })
+	}
 	p.announce()
 	failed := p.serve(listeners)
 	p.events.Emit(event.NodeStarted, zap.String("zone", p.cfg.Zone), zap.Uint64("incarnation", p.incarnation))
--- a/node/program/settings.go
+++ b/node/program/settings.go
@@ -25,6 +25,7 @@
 	Control []Control      `json:"control" validate:"dive"`
 	Seeds   []string       `json:"seeds"` // addresses of some control processes of a group that assembles itself
 	Ready   netip.AddrPort `json:"ready"` // listener that tells whether the node takes callers; invalid: none
+	Hints   netip.AddrPort `json:"hints"` // UDP listener for the load of back ends; invalid: only responses carry it
 	Backend Backside       `json:"backend"`
 	Headers header.Names   `json:"headers"` // that callers and the back end use
 	Limits  Limits         `json:"limits"`
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -8,6 +8,7 @@
 	"github.com/samber/do/v2"
 	"golang.org/x/sync/semaphore"
 
+	"pollenhill.example/core/coordination/admission"
 	"pollenhill.example/core/coordination/choice"
 	"pollenhill.example/core/protocol/hint"
 	"pollenhill.example/core/state/rule"
@@ -16,9 +17,11 @@
 	"pollenhill.example/node/coordination/call"
 	"pollenhill.example/node/coordination/engine"
 	"pollenhill.example/node/protocol/message"
+	"pollenhill.example/node/protocol/notice"
 	"pollenhill.example/node/transport/backend"
 	"pollenhill.example/node/transport/caller"
 	"pollenhill.example/node/transport/local"
+	"pollenhill.example/node/transport/news"
 	"pollenhill.example/node/transport/peer"
 )
 
@@ -48,6 +51,7 @@
 	do.Provide(i, newCaller)
 	do.Provide(i, newLocal)
 	do.Provide(i, newMetrics)
+	do.Provide(i, newNews)
 	return p, p.resolve()
 }
 
@@ -72,10 +76,43 @@
 	if p.caller, err = do.Invoke[*caller.Server](p.injector); err != nil {
 		return err
 	}
-	p.local, err = do.Invoke[*local.Server](p.injector)
+	if p.local, err = do.Invoke[*local.Server](p.injector); err != nil || !p.cfg.Hints.IsValid() {
+		return err
+	}
+	p.news, err = do.Invoke[*news.Channel](p.injector)
 	return err
 }
 
+func newNews(i do.Injector) (*news.Channel, error) {
+	p := do.MustInvoke[*Program](i)
+	return news.New(news.Config{
+		Node:        p.cfg.Name,
+		Incarnation: p.incarnation,
+		Listen:      p.cfg.Hints,
+		Current:     p.report,
+		Take: func(n notice.Notice) {
+			p.engine.Hint(choice.Report{Backend: n.Backend, Hint: n.Hint})
+		},
+		Events: p.events,
+	})
+}
+
+// report is what this node tells others about its back end.
+func (p *Program) report() (notice.Notice, bool) {
+	a, state := p.backend.Current()
+	if state == admission.Absent || p.leaving.Load() {
+		return notice.Notice{}, false
+	}
+	return notice.Notice{Backend: a.Name, Hint: p.engine.View().Admission.Hint}, true
+}
+
+// paced tells other nodes at once that the back end has changed its speed.
+func (p *Program) paced() {
+	if p.news != nil {
+		p.news.Publish()
+	}
+}
+
 func (p *Program) dialer() tcp.Dialer {
 	return tcp.Dialer{Bind: p.cfg.Bind, Timeout: dialTimeout}
 }
@@ -115,6 +152,7 @@
 		Address: p.cfg.Backend.Address,
 		Hangup:  p.cfg.Backend.Hangup,
 		Health:  p.health,
+		Paced:   p.paced,
 		Changed: func() {
 			p.announce()
 			p.apply()
--- a/node/protocol/message/attempt.go
+++ b/node/protocol/message/attempt.go
@@ -22,7 +22,8 @@
 	Revision    uint64
 	Level       rule.Level
 	Service     string
-	Route       string // empty for a request that a service line led here
+	Route       string        // empty for a request that a service line led here
+	Aim         time.Duration // left until an answer is not of full use any more; 0 if that is not known
 }
 
 // Write sets the headers of a on h; now turns the deadline into remaining milliseconds.
@@ -36,6 +37,7 @@
 	h.Set(attempt.HeaderService, a.Service)
 	if a.Route != "" {
 		h.Set(attempt.HeaderRoute, a.Route)
+		h.Set(attempt.HeaderAim, strconv.FormatInt(a.Aim.Milliseconds(), 10))
 	}
 }
 
@@ -65,6 +67,13 @@
 	a.Level = level(string(h.Peek(attempt.HeaderPriority)))
 	a.Service = string(h.Peek(attempt.HeaderService))
 	a.Route = string(h.Peek(attempt.HeaderRoute))
+	if a.Route != "" {
+		aim, err := strconv.ParseInt(string(h.Peek(attempt.HeaderAim)), 10, 64)
+		if err != nil {
+			return a, errors.Wrapf(err, "read header %s", attempt.HeaderAim)
+		}
+		a.Aim = time.Duration(aim) * time.Millisecond
+	}
 	return a, nil
 }
 
--- a/node/protocol/message/message.go
+++ b/node/protocol/message/message.go
@@ -22,11 +22,13 @@
 	Service    string
 	Idempotent bool
 	Level      rule.Level
-	Deadline   time.Time // for the response header
-	Depth      int       // of the attempts for this request
-	Route      string    // empty for a request that a service line led here
-	Tries      int       // back ends that the request may be sent to, 0 for no limit of its route
-	Key        string    // Idempotency-Key, empty if none
+	Arrived    time.Time     // at the entry node
+	Deadline   time.Time     // for the response header
+	Depth      int           // of the attempts for this request
+	Route      string        // empty for a request that a service line led here
+	Aim        time.Duration // time within which an answer is of full use
+	Tries      int           // back ends that the request may be sent to, 0 for no limit of its route
+	Key        string        // Idempotency-Key, empty if none
 }
 
 // Reply is a response whose body is still to be read, or a refusal without a body.
@@ -101,7 +103,7 @@
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
 	"TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 	attempt.HeaderAttempt, attempt.HeaderIncarnation, attempt.HeaderDeadline, attempt.HeaderDepth,
-	attempt.HeaderRevision, attempt.HeaderPriority, attempt.HeaderService, attempt.HeaderRoute, attempt.HeaderHint, attempt.HeaderClock,
+	attempt.HeaderRevision, attempt.HeaderPriority, attempt.HeaderService, attempt.HeaderRoute, attempt.HeaderAim, attempt.HeaderHint, attempt.HeaderClock,
 }
 
 // fields is what request and response headers of fasthttp have in common here.
--- a/node/transport/backend/beat.go
+++ b/node/transport/backend/beat.go
@@ -126,11 +126,7 @@
 	defer cancel()
 	pool := b.newPool(Announcement{Address: b.cfg.Address, Connections: 1})
 	defer pool.Close()
-	var h fasthttp.RequestHeader
-	h.SetMethod(fasthttp.MethodGet)
-	h.SetRequestURI(path)
-	h.SetHost(b.cfg.Address.String())
-	resp, err := pool.Exchange(ctx, &h, nil)
+	resp, err := pool.Exchange(ctx, check(path, b.cfg.Address), nil)
 	if err != nil {
 		return // nothing answers yet; the search goes on
 	}
@@ -176,6 +172,15 @@
 		return
 	}
 	b.cfg.Engine.Report(arrival.Pace{Factor: float64(pace) / usualPace})
+	old := b.paced.Swap(uint64(pace))
+	if b.cfg.Paced != nil && turned(old, uint64(pace)) {
+		b.cfg.Paced()
+	}
+}
+
+// turned reports whether a speed differs so much from the last one that other nodes must know at once.
+func turned(old, pace uint64) bool {
+	return 2*pace > 3*old || 3*pace < 2*old
 }
 
 // usualPace is the figure of a back end that works at its usual speed.
--- a/node/transport/backend/check.go
+++ b/node/transport/backend/check.go
@@ -20,22 +20,18 @@
 	go func() {
 		ctx, cancel := context.WithDeadline(context.Background(), cmd.Until)
 		defer cancel()
-		finding := b.check(ctx, cmd.Path)
+		finding := b.inspect(ctx, cmd.Path)
 		b.cfg.Engine.Report(arrival.Checked{ID: cmd.ID, Path: cmd.Path, Finding: finding})
 	}()
 }
 
-// check tells a failed check from one that only ran out of its budget, which proves nothing.
-func (b *Backend) check(ctx context.Context, path string) arrival.Finding {
+// inspect tells a failed check from one that only ran out of its budget, which proves nothing.
+func (b *Backend) inspect(ctx context.Context, path string) arrival.Finding {
 	pool := b.current()
 	if pool == nil {
 		return arrival.Silent
 	}
-	var h fasthttp.RequestHeader
-	h.SetMethod(fasthttp.MethodGet)
-	h.SetRequestURI(path)
-	h.SetHost(pool.Address().String())
-	resp, err := pool.Exchange(ctx, &h, nil)
+	resp, err := pool.Exchange(ctx, check(path, pool.Address()), nil)
 	if err != nil {
 		var step *tcp.Error
 		if ctx.Err() != nil || errors.As(err, &step) && step.Step == tcp.Wait {
--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -31,6 +31,8 @@
 		Deadline:    a.Deadline,
 		Level:       a.Level,
 		Depth:       a.Depth,
+		Route:       a.Route,
+		Aim:         a.Aim,
 	})
 	var cmd arrival.Cmd
 	select {
--- a/node/transport/caller/request.go
+++ b/node/transport/caller/request.go
@@ -28,7 +28,7 @@
 
 // request routes a received request by the rules in force.
 func (s *Server) request(in inbound.Request, now time.Time) (*message.Request, refusal.Reason) {
-	req := &message.Request{Body: in.Body}
+	req := &message.Request{Body: in.Body, Arrived: now}
 	in.Header.CopyTo(&req.Header)
 	if !origin(&req.Header) {
 		return nil, refusal.Malformed
@@ -88,6 +88,7 @@
 	req.Idempotent = r.Kind.Repeatable()
 	req.Level = levelOf(r.Rank)
 	req.Tries = r.Tries
+	req.Aim = r.Aim
 	if reason := s.read(req, cmp.Or(r.Within, rule.DefaultDeadline), now); reason != refusal.None {
 		return reason
 	}
--- a/node/transport/caller/run.go
+++ b/node/transport/caller/run.go
@@ -65,6 +65,8 @@
 		Keyed:      req.Key != "",
 		Deadline:   req.Deadline,
 		Depth:      req.Depth,
+		Aim:        req.Aim,
+		Size:       s.sizes.usual(req.Route),
 		Tries:      req.Tries,
 		Free:       req.Route != "",
 	})
@@ -143,6 +145,7 @@
 		Level:       r.req.Level,
 		Service:     r.req.Service,
 		Route:       r.req.Route,
+		Aim:         time.Until(r.req.Arrived.Add(r.req.Aim)),
 	}
 	go func() {
 		reply := r.s.cfg.Sender.Send(ctx, cmd.Target, a, r.req)
@@ -221,6 +224,7 @@
 	t := r.tries[id]
 	t.given = true
 	r.back.Store(int64(time.Since(t.began)))
+	r.s.sizes.learn(r.req.Route, t.reply.Length)
 	if r.req.Key != "" {
 		r.record(id, t)
 		return
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -45,6 +45,7 @@
 	in       *inbound.Handler
 	app      *fiber.App
 	split    splitter
+	sizes    sizes
 	inflight atomic.Int64
 	leaving  atomic.Bool
 	work     sync.WaitGroup // calls and claims that outlive their reply
--- /dev/null
+++ b/node/transport/news/channel.go
@@ -0,0 +1,196 @@
+package news
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"pollenhill.example/core/state/event"
+	"pollenhill.example/node/protocol/notice"
+)
+
+// Times and bounds of the channel.
+const (
+	Renewal     = time.Second            // between subscriptions to the same node
+	lease       = 3 * Renewal            // of a subscription, so that two may be lost
+	Report      = 100 * time.Millisecond // between reports without a change; they show that the node lives
+	maxDatagram = 1400                   // bytes; a notice takes about 100
+	maxReaders  = 512                    // subscribers of one node: a subset holds each node about a dozen times
+	retryListen = 100 * time.Millisecond // pause after a failed read
+)
+
+// Channel subscribes at other nodes and reports to its subscribers; it is safe for concurrent use.
+type Channel struct {
+	cfg      Config
+	conn     *net.UDPConn
+	mu       sync.Mutex
+	readers  map[netip.AddrPort]time.Time // end of the lease
+	targets  []netip.AddrPort
+	sequence uint64
+	seen     map[string]notice.Notice // newest report by node
+}
+
+// Config connects a Channel with the rest of the node.
+type Config struct {
+	Node        string
+	Incarnation uint64
+	Listen      netip.AddrPort
+	Current     func() (notice.Notice, bool) // what to report now; false without a back end
+	Take        func(notice.Notice)          // receives reports, newest only
+	Events      *event.Log
+}
+
+// New opens the channel.
+func New(cfg Config) (*Channel, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(cfg.Listen))
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for hints on %s", cfg.Listen)
+	}
+	return &Channel{cfg: cfg, conn: conn, readers: map[netip.AddrPort]time.Time{}, seen: map[string]notice.Notice{}}, nil
+}
+
+// Subscribe replaces the nodes whose reports are wanted.
+func (c *Channel) Subscribe(targets []netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range targets {
+		if !contains(c.targets, t) {
+			c.ask(t)
+		}
+	}
+	c.targets = targets
+}
+
+func contains(list []netip.AddrPort, a netip.AddrPort) bool {
+	for _, b := range list {
+		if a == b {
+			return true
+		}
+	}
+	return false
+}
+
+// Run reads and renews until ctx ends.
+func (c *Channel) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { c.read(ctx) })
+	renew, report := time.NewTicker(Renewal), time.NewTicker(Report)
+	defer renew.Stop()
+	defer report.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-renew.C:
+			c.renew()
+		case <-report.C:
+			c.Publish()
+		case <-ctx.Done():
+		}
+	}
+	if err := c.conn.Close(); err != nil {
+		c.cfg.Events.Emit(event.HintsFailed, zap.Error(err))
+	}
+	wg.Wait()
+}
+
+func (c *Channel) renew() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.targets {
+		c.ask(t)
+	}
+}
+
+// ask sends a subscription; a lost one is repeated with the next renewal. The caller holds mu.
+func (c *Channel) ask(t netip.AddrPort) {
+	n := notice.Notice{Node: c.cfg.Node, Incarnation: c.cfg.Incarnation}
+	_, _ = c.conn.WriteToUDPAddrPort(n.Encode(), t)
+}
+
+// Publish reports to every subscriber; a lost report is replaced by the next one.
+func (c *Channel) Publish() {
+	n, ok := c.cfg.Current()
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.readers) == 0 {
+		return
+	}
+	raw := c.stamped(n)
+	now := time.Now()
+	for reader, end := range c.readers {
+		if now.After(end) {
+			delete(c.readers, reader)
+			continue
+		}
+		_, _ = c.conn.WriteToUDPAddrPort(raw, reader)
+	}
+}
+
+func (c *Channel) stamped(n notice.Notice) []byte {
+	c.sequence++
+	n.Node, n.Incarnation, n.Sequence = c.cfg.Node, c.cfg.Incarnation, c.sequence
+	return n.Encode()
+}
+
+func (c *Channel) read(ctx context.Context) {
+	buf := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, from, err := c.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			c.cfg.Events.Emit(event.HintsFailed, zap.Error(err))
+			time.Sleep(retryListen)
+			continue
+		}
+		// A datagram that can't be read is like a lost one.
+		if msg, err := notice.Decode(buf[:n]); err == nil {
+			c.handle(from, msg)
+		}
+	}
+}
+
+func (c *Channel) handle(from netip.AddrPort, msg notice.Notice) {
+	if msg.Backend == "" {
+		c.admit(from)
+		return
+	}
+	if c.newer(msg) {
+		c.cfg.Take(msg)
+	}
+}
+
+// admit takes a subscriber and reports to it at once.
+func (c *Channel) admit(from netip.AddrPort) {
+	n, ok := c.cfg.Current()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, known := c.readers[from]
+	if !known && len(c.readers) >= maxReaders {
+		return
+	}
+	c.readers[from] = time.Now().Add(lease)
+	if ok && !known {
+		_, _ = c.conn.WriteToUDPAddrPort(c.stamped(n), from)
+	}
+}
+
+// newer drops reports that were overtaken.
+func (c *Channel) newer(msg notice.Notice) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old, ok := c.seen[msg.Node]
+	if ok && (msg.Incarnation < old.Incarnation || msg.Incarnation == old.Incarnation && msg.Sequence <= old.Sequence) {
+		return false
+	}
+	c.seen[msg.Node] = msg
+	return true
+}
