Keep the place of urgent requests, use all slots unless the last ones slow work down

Cause: calls inside of requests were refused when their aim was missed and failed their parents (2,687 of them); a fifth of the slots stayed free on back ends that do not slow down when full.

--- a/core/coordination/admission/model.go
+++ b/core/coordination/admission/model.go
@@ -22,6 +22,8 @@
 	queue   queue
 	late    queue // with Limits.Fixed: requests that can't meet their aim
 	works   works
+	knee    knee
+	now     time.Time // of the last Update
 	memory  memory
 	window  window
 	warmer  warmer
@@ -34,6 +36,7 @@
 	at    time.Time
 	route string
 	speed float64 // of the back end at the start
+	busy  int     // requests at the back end after the start
 }
 
 // New returns a Model with no back end.
@@ -49,6 +52,7 @@
 
 // Update applies one message at the given time and returns the effects.
 func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	m.now = now
 	cmds := m.expire(now)
 	switch msg := msg.(type) {
 	case Arrive:
@@ -133,7 +137,7 @@
 }
 
 func (m *Model) start(now time.Time, msg Arrive) Cmd {
-	m.started[msg.ID] = begun{at: now, route: msg.Route, speed: m.speed}
+	m.started[msg.ID] = begun{at: now, route: msg.Route, speed: m.speed, busy: len(m.started) + 1}
 	m.pace.note(now)
 	m.memory.set(now, msg.ID, ran)
 	return Start{ID: msg.ID}
@@ -222,7 +226,7 @@
 		return
 	}
 	if msg.Result == Good {
-		m.works.learn(b.route, msg.Latency, (max(b.speed, 1)+max(m.speed, 1))/2)
+		m.learn(now, b, msg.Latency)
 	}
 	busy := len(m.started)
 	delete(m.started, msg.ID)
@@ -234,6 +238,18 @@
 	}
 }
 
+// learn takes the time of a good request of a route.
+func (m *Model) learn(now time.Time, b begun, took time.Duration) {
+	if b.route == "" {
+		return
+	}
+	at := time.Duration(float64(took) / ((max(b.speed, 1) + max(m.speed, 1)) / 2))
+	if usual, known := m.works[b.route]; known && m.state == Ready {
+		m.knee.learn(now, float64(at)/float64(max(usual, 1)), b.busy, m.limits.Slots)
+	}
+	m.works.learn(b.route, at)
+}
+
 func (m *Model) backend(msg Backend) []Cmd {
 	before := m.state
 	m.state = msg.State
@@ -297,7 +313,7 @@
 	}
 	switch {
 	case m.limits.Fixed:
-		return m.limits.Slots
+		return m.knee.slots(m.now, m.limits.Slots)
 	case m.state == Cold:
 		return min(m.limits.Cold, m.limits.Slots)
 	}
--- a/core/coordination/admission/prompt.go
+++ b/core/coordination/admission/prompt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/state/rule"
 )
 
 // Pattern: overload of back ends whose speed changes many times a second. An answer is of full use within its aim
@@ -25,18 +26,12 @@
 	workWeight = 0.05
 	// firstWork is the time assumed for a route before its first completion, as a part of its aim.
 	firstWork = 0.3
-	// slowest bounds the speed factor that a completion is divided by.
-	slowest = 10.0
 )
 
 // works holds the usual time of the requests of each route on a back end at its best speed.
 type works map[string]time.Duration
 
-func (w works) learn(route string, took time.Duration, speed float64) {
-	if route == "" {
-		return
-	}
-	at := time.Duration(float64(took) / min(max(speed, 1), slowest))
+func (w works) learn(route string, at time.Duration) {
 	old, known := w[route]
 	if !known {
 		w[route] = at
@@ -78,7 +73,7 @@
 		return []Cmd{m.start(now, msg)}
 	}
 	msg.since = now
-	if now.Add(m.wait(m.queue.before(msg)) + m.span(msg)).Before(msg.Aim) {
+	if now.Add(m.wait(m.queue.before(msg)) + m.span(msg)).Before(msg.until()) {
 		m.queue.insert(msg)
 		return nil
 	}
@@ -97,7 +92,7 @@
 // sift moves waiting requests that can't meet their aim any more, and refuses those that waited for long enough.
 func (m *Model) sift(now time.Time) []Cmd {
 	var cmds []Cmd
-	missed := m.queue.remove(func(a Arrive) bool { return now.Add(m.works.least(a)).After(a.Aim) })
+	missed := m.queue.remove(func(a Arrive) bool { return now.Add(m.works.least(a)).After(a.until()) })
 	for _, a := range missed {
 		cmds = append(cmds, m.defers(now, a)...)
 	}
@@ -126,6 +121,15 @@
 	return cmds
 }
 
+// until is the time by which a waiting request must end to keep its place. The most urgent ones keep it up to their
+// deadline: they are few, they pass all others, and calls among them hold up requests that have a slot already.
+func (a Arrive) until() time.Time {
+	if a.Priority == rule.High {
+		return a.Deadline
+	}
+	return a.Aim
+}
+
 // urgency orders waiting requests: by priority, then by the aim.
 func urgency(a, b Arrive) int {
 	return cmp.Or(cmp.Compare(b.Priority, a.Priority), a.Aim.Compare(b.Aim))
--- a/node/coordination/arrival/model.go
+++ b/node/coordination/arrival/model.go
@@ -181,7 +181,7 @@
 	if p, ok := m.rules.Pool(m.backend.Service); ok {
 		l.Fixed = true
 		l.Rate = p.Rate
-		l.Slots = max(1, int(busyShare*float64(m.backend.Slots)))
+		l.Slots = m.backend.Slots
 		l.Queue = queueFactor * l.Slots
 	}
 	if n := m.backend.Connections; n > 0 && (l.Connections == 0 || n < l.Connections) {
@@ -197,8 +197,6 @@
 }
 
 const (
-	// Back ends slow down when they are nearly full, so that the last slots cost more than they bring.
-	busyShare = 0.8
 	// queueFactor is how many requests may wait at the node per request at the back end: a waiting one that would
 	// come too late is refused by its deadline long before.
 	queueFactor = 3
