Wait for room on a full disk instead of ending the control process

Change: the member of a group without operators opens its folder again once writes succeed; a start waits for room too.

--- a/control/coordination/group/run.go
+++ b/control/coordination/group/run.go
@@ -66,6 +66,9 @@
 			l.inputs = append(l.inputs, engine.Receive{Message: raw})
 			err = l.step()
 		}
+		if err != nil && !errors.Is(err, ErrClosed) {
+			err = l.reopen(err)
+		}
 	}
 	g.failed = errors.CombineErrors(err, g.engine.Close())
 	close(g.stopped)
--- a/control/daemon/main.go
+++ b/control/daemon/main.go
@@ -7,8 +7,12 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
+
+	"pollenhill.example/core/coordination/pause"
 )
 
 // Main runs the program with its arguments and returns the exit code: 0 after SIGTERM, 1 after an error.
@@ -34,12 +38,20 @@
 	return 0
 }
 
+// roomPause is the wait for room on a full disk: ending the process would not make any.
+const roomPause = 500 * time.Millisecond
+
 func action(ctx context.Context, cmd *cli.Command) error {
 	s, err := LoadSettings(cmd.String("settings"))
 	if err != nil {
 		return err
 	}
 	d, err := New(s)
+	for s.Voters > 0 && errors.IsAny(err, syscall.ENOSPC, syscall.EDQUOT) && ctx.Err() == nil {
+		fmt.Fprintln(cmd.Root().ErrWriter, "control: waiting for room in the data folder:", err)
+		pause.For(ctx, roomPause)
+		d, err = New(s)
+	}
 	if err != nil {
 		return err
 	}
