--- a/core/coordination/choice/msg.go
+++ b/core/coordination/choice/msg.go
@@ -20,6 +20,14 @@
 	Incarnation uint64
 	Slots       int
 	State       admission.State
+	Seen        Seen // what decided the choice
+}
+
+// Seen is what an entry node knew of a back end when it chose it.
+type Seen struct {
+	Age  time.Duration // of the report, 0 without one
+	Pace float64       // how long work took over its usual time
+	Load float64       // requests there
 }
 
 // Msg is an input of Model.Update.
--- a/core/coordination/choice/quick.go
+++ b/core/coordination/choice/quick.go
@@ -48,7 +48,13 @@
 	if best < 0 {
 		return Target{}, false
 	}
-	return open[best].Target, true
+	t := open[best].Target
+	l := m.loads[t.Backend]
+	t.Seen = Seen{Pace: l.pace(now), Load: l.others + float64(l.inflight)}
+	if !l.at.IsZero() {
+		t.Seen.Age = now.Sub(l.at)
+	}
+	return t, true
 }
 
 // pace is how long work takes now over its usual time, as far as a report tells.
--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -18,6 +18,8 @@
 	SettingsReloaded                    // settings read again
 	ControlFollowed                     // control process followed
 	HintsFailed                         // exchange of hints failed
+	CallFailed                          // call failed
+	AttemptLost                         // attempt lost
 )
 
 // Kinds of control events.
@@ -34,4 +36,5 @@
 const (
 	HandshakeFailed Kind = iota + 5000 // TLS handshake failed
 	FilesRefused                       // TLS files not in use
+	LinesDropped                       // log lines dropped
 )
--- a/core/state/event/kind_string.go
+++ b/core/state/event/kind_string.go
@@ -19,6 +19,8 @@
 	_ = x[SettingsReloaded-1008]
 	_ = x[ControlFollowed-1009]
 	_ = x[HintsFailed-1010]
+	_ = x[CallFailed-1011]
+	_ = x[AttemptLost-1012]
 	_ = x[ControlStarted-2000]
 	_ = x[ControlStopped-2001]
 	_ = x[LeaderChanged-2002]
@@ -27,29 +29,30 @@
 	_ = x[GroupChanged-2005]
 	_ = x[HandshakeFailed-5000]
 	_ = x[FilesRefused-5001]
+	_ = x[LinesDropped-5002]
 }
 
 const (
-	_Kind_name_0 = "node startednode stoppingnode stoppedback end state changedattempt refusedrules in forceback end found by its health checkcall endedsettings read againcontrol process followedexchange of hints failed"
+	_Kind_name_0 = "node startednode stoppingnode stoppedback end state changedattempt refusedrules in forceback end found by its health checkcall endedsettings read againcontrol process followedexchange of hints failedcall failedattempt lost"
 	_Kind_name_1 = "control startedcontrol stoppedleader changedchange acceptedchange rejectedmembers of the control group changed"
-	_Kind_name_2 = "TLS handshake failedTLS files not in use"
+	_Kind_name_2 = "TLS handshake failedTLS files not in uselog lines dropped"
 )
 
 var (
-	_Kind_index_0 = [...]uint8{0, 12, 25, 37, 59, 74, 88, 122, 132, 151, 175, 199}
+	_Kind_index_0 = [...]uint8{0, 12, 25, 37, 59, 74, 88, 122, 132, 151, 175, 199, 210, 222}
 	_Kind_index_1 = [...]uint8{0, 15, 30, 44, 59, 74, 110}
-	_Kind_index_2 = [...]uint8{0, 20, 40}
+	_Kind_index_2 = [...]uint8{0, 20, 40, 57}
 )
 
 func (i Kind) String() string {
 	switch {
-	case 1000 <= i && i <= 1010:
+	case 1000 <= i && i <= 1012:
 		i -= 1000
 		return _Kind_name_0[_Kind_index_0[i]:_Kind_index_0[i+1]]
 	case 2000 <= i && i <= 2005:
 		i -= 2000
 		return _Kind_name_1[_Kind_index_1[i]:_Kind_index_1[i+1]]
-	case 5000 <= i && i <= 5001:
+	case 5000 <= i && i <= 5002:
 		i -= 5000
 		return _Kind_name_2[_Kind_index_2[i]:_Kind_index_2[i+1]]
 	default:
--- a/core/state/event/open.go
+++ b/core/state/event/open.go
@@ -26,7 +26,8 @@
 	switch path {
 	case "":
 	case Stdout:
-		w = os.Stdout
+		lines := newPipe(os.Stdout)
+		w, closing = lines, lines.close
 	default:
 		if err := writable(path); err != nil {
 			return nil, nil, err
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -224,6 +224,7 @@
 		Claims:   p.control,
 		Rules:    func() *rule.Set { return p.rules.Load().set },
 		Observe:  do.MustInvoke[*metrics](i).observe,
+		Events:   p.events,
 		Inflight: p.cfg.Limits.Inflight,
 		Header:   p.cfg.Limits.Header,
 		Body:     p.cfg.Limits.Body,
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -10,7 +10,6 @@
 
 	"github.com/samber/lo"
 	"go.uber.org/zap"
-	"golang.org/x/time/rate"
 
 	"pollenhill.example/core/coordination/admission"
 	"pollenhill.example/core/protocol/header"
@@ -41,7 +40,7 @@
 	load   atomic.Pointer[Load]
 
 	paced  atomic.Uint64 // last reported speed, in percent
-	logged *rate.Limiter // of refusals, which overload makes too many of to log each
+	logged *event.Limit  // of refusals, which overload makes too many of to log each
 }
 
 // Refusals logged a second, and at once after a quiet time.
@@ -73,7 +72,7 @@
 // New returns a Backend that is absent.
 func New(cfg Config) *Backend {
 	beats := presence.New(presence.Config{Service: cfg.Service, Address: cfg.Address})
-	return &Backend{cfg: cfg, beats: beats, logged: rate.NewLimiter(refusalRate, refusalBurst)}
+	return &Backend{cfg: cfg, beats: beats, logged: event.NewLimit(refusalRate, refusalBurst)}
 }
 
 // Announcement is the body of POST /announce.
--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -51,11 +51,16 @@
 
 // log records a refusal, with the entry node as peer.
 func (b *Backend) log(a message.Attempt, r arrival.Refuse) {
-	if !b.logged.Allow() {
+	fields, ok := b.logged.Allow()
+	if !ok {
 		return
 	}
-	b.cfg.Events.Emit(event.AttemptRefused, zap.String("attempt", a.ID.String()), zap.String("peer", a.ID.Node),
-		zap.String("service", a.Service), zap.Stringer("reason", r.Reason), zap.Stringer("outcome", r.Outcome))
+	v := b.cfg.Engine.View().Admission
+	fields = append(fields, zap.String("attempt", a.ID.String()), zap.String("peer", a.ID.Node),
+		zap.String("service", a.Service), zap.Stringer("reason", r.Reason), zap.Stringer("outcome", r.Outcome),
+		zap.Stringer("state", v.State), zap.Int("inflight", v.Hint.Inflight), zap.Int("queued", v.Hint.Queued),
+		zap.Int("limit", v.Hint.Limit), zap.Float64("pace", v.Hint.Pace), zap.Duration("age", time.Since(b.Load().At)))
+	b.cfg.Events.Emit(event.AttemptRefused, fields...)
 }
 
 func (b *Backend) refuse(a message.Attempt, f refusal.Refusal) *message.Reply {
@@ -181,6 +186,14 @@
 	errPromise  = errors.New("response says that the request may come again, but not that it did not run")
 )
 
+// lost records an attempt that ended without a response of the back end, with what ended it.
+func (b *Backend) lost(a message.Attempt, err error) {
+	if fields, ok := b.logged.Allow(); ok {
+		b.cfg.Events.Emit(event.AttemptLost, append(fields, zap.String("attempt", a.ID.String()), zap.String("peer", a.ID.Node),
+			zap.String("service", a.Service), zap.NamedError("cause", err))...)
+	}
+}
+
 // verify fills in the outcome of a response, or returns why it must not reach the caller.
 func (b *Backend) verify(reply *message.Reply, a message.Attempt) error {
 	names := b.cfg.Headers
@@ -221,6 +234,9 @@
 		f.Reason = refusal.Cancelled
 		result = admission.Aborted
 	}
+	if f.Reason != refusal.Cancelled {
+		b.lost(a, err)
+	}
 	var step *tcp.Error
 	var ended <-chan struct{}
 	if errors.As(err, &step) {
--- a/node/transport/caller/run.go
+++ b/node/transport/caller/run.go
@@ -24,6 +24,8 @@
 	answer  chan *message.Reply
 	heads   chan head
 	tries   map[attempt.ID]*try
+	mu      sync.Mutex // guards order, which the end of the call reads
+	order   []step
 	open    int // attempts whose reply has not come
 	timer   *time.Timer
 	stored  chan *control.Answer // answer of an earlier request with the same key
@@ -135,6 +137,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &try{target: cmd.Target, began: time.Now(), cancel: cancel}
 	r.tries[cmd.Attempt] = t
+	r.note(cmd)
 	r.open++
 	r.sent.Add(1)
 	a := message.Attempt{
@@ -161,6 +164,7 @@
 	r.open--
 	t := r.tries[h.id]
 	t.reply = h.reply
+	r.ending(h)
 	id := h.id
 	if h.reply.Body != nil {
 		h.reply.Body = &message.Tracked[choice.Result]{
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -18,6 +18,7 @@
 	"pollenhill.example/core/protocol/control"
 	"pollenhill.example/core/protocol/header"
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/state/rule"
 	"pollenhill.example/node/coordination/arrival"
 	"pollenhill.example/node/coordination/call"
@@ -46,6 +47,7 @@
 	app      *fiber.App
 	split    splitter
 	sizes    sizes
+	story    story
 	inflight atomic.Int64
 	leaving  atomic.Bool
 	work     sync.WaitGroup // calls and claims that outlive their reply
@@ -60,6 +62,7 @@
 	Claims   Claims
 	Rules    func() *rule.Set
 	Observe  func(Observation) // may be nil
+	Events   *event.Log        // nil: calls are not logged
 	Inflight int               // calls at once
 	Header   int               // largest header, in bytes
 	Body     int               // largest request body, in bytes
@@ -85,7 +88,7 @@
 
 // New returns a Server.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg}
+	s := &Server{cfg: cfg, story: newStory(cfg)}
 	s.in = inbound.New(inbound.Config{Body: cfg.Body, Memory: cfg.Memory, Refuse: s.refuse, Serve: s.serve})
 	s.app = fiber.New(fiber.Config{
 		ErrorHandler:                 s.malformed,
@@ -189,11 +192,14 @@
 	began := time.Now()
 	req, reason := s.request(in, began)
 	if reason != refusal.None {
-		return s.refuse(in.Header, reason)
+		reply := s.refuse(in.Header, reason)
+		s.story.refused(in.Header, reply)
+		return reply
 	}
 	r := s.start(ctx, req)
 	reply := <-r.answer
 	s.observe(r, reply, time.Since(began))
+	s.story.tell(r, reply, time.Since(began))
 	return s.finish(req, reply)
 }
 
--- /dev/null
+++ b/node/transport/caller/story.go
@@ -0,0 +1,154 @@
+package caller
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"pollenhill.example/core/coordination/choice"
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/state/event"
+	"pollenhill.example/node/coordination/call"
+	"pollenhill.example/node/protocol/message"
+)
+
+// Lines a second about calls: those that failed are what on-call engineers look for.
+const (
+	failedRate  = 50
+	failedBurst = 200
+	servedRate  = 5
+	servedBurst = 20
+)
+
+// story logs how calls ended and what decided it; it is safe for concurrent use.
+type story struct {
+	cfg    Config
+	failed *event.Limit
+	served *event.Limit
+}
+
+func newStory(cfg Config) story {
+	return story{
+		cfg:    cfg,
+		failed: event.NewLimit(failedRate, failedBurst),
+		served: event.NewLimit(servedRate, servedBurst),
+	}
+}
+
+// step is one attempt of a call as the log shows it.
+type step struct {
+	id      attempt.ID
+	target  choice.Target
+	at      time.Time
+	took    time.Duration
+	ended   bool
+	status  int
+	outcome attempt.Outcome
+	reason  refusal.Reason
+}
+
+// note records the start of an attempt.
+func (r *run) note(cmd call.Send) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.order = append(r.order, step{id: cmd.Attempt, target: cmd.Target, at: time.Now()})
+}
+
+// ending records the response header of an attempt, or its failure.
+func (r *run) ending(h head) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.order {
+		if s := &r.order[i]; s.id == h.id {
+			s.ended = true
+			s.took = time.Since(s.at)
+			s.status = h.reply.Header.StatusCode()
+			s.outcome = h.reply.Outcome
+			s.reason = h.reply.Refusal.Reason
+		}
+	}
+}
+
+// MarshalLogObject writes an attempt with the inputs that chose its back end.
+func (s step) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddString("attempt", s.id.String())
+	enc.AddString("backend", s.target.Backend)
+	enc.AddString("node", s.target.Node)
+	enc.AddDuration("age", s.target.Seen.Age)
+	enc.AddFloat64("pace", s.target.Seen.Pace)
+	enc.AddFloat64("load", s.target.Seen.Load)
+	if !s.ended {
+		enc.AddString("outcome", "open")
+		return nil
+	}
+	enc.AddDuration("took", s.took)
+	enc.AddString("outcome", s.outcome.String())
+	if s.outcome == attempt.Answered {
+		enc.AddInt("status", s.status)
+	} else {
+		enc.AddString("reason", s.reason.String())
+	}
+	return nil
+}
+
+type steps []step
+
+// MarshalLogArray writes the attempts in the order of their starts.
+func (s steps) MarshalLogArray(enc zapcore.ArrayEncoder) error {
+	for _, one := range s {
+		if err := enc.AppendObject(one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// tell logs the end of a call; reply may have no body any more.
+func (s *story) tell(r *run, reply *message.Reply, took time.Duration) {
+	status := reply.Header.StatusCode()
+	kind, limit := event.CallEnded, s.served
+	if status >= fasthttp.StatusBadRequest {
+		kind, limit = event.CallFailed, s.failed
+	}
+	if s.cfg.Events == nil {
+		return
+	}
+	fields, ok := limit.Allow()
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	order := append(steps(nil), r.order...)
+	r.mu.Unlock()
+	fields = append(fields, zap.String("request", s.request(&r.req.Header)), zap.String("route", r.req.Route),
+		zap.String("service", r.req.Service), zap.Uint64("revision", s.cfg.Rules().Revision), zap.Int("status", status),
+		zap.Stringer("outcome", reply.Outcome), zap.Duration("took", took), zap.Duration("given", r.req.Deadline.Sub(r.req.Arrived)),
+		zap.Array("attempts", order))
+	if reply.Refusal.Reason != refusal.None {
+		fields = append(fields, zap.Stringer("reason", reply.Refusal.Reason), zap.Duration("after", reply.Refusal.After))
+	}
+	s.cfg.Events.Emit(kind, fields...)
+}
+
+// refused logs a request that was refused before it became a call.
+func (s *story) refused(h *fasthttp.RequestHeader, reply *message.Reply) {
+	if s.cfg.Events == nil {
+		return
+	}
+	if fields, ok := s.failed.Allow(); ok {
+		s.cfg.Events.Emit(event.CallFailed, append(fields, zap.String("request", s.request(h)),
+			zap.Uint64("revision", s.cfg.Rules().Revision), zap.Int("status", reply.Header.StatusCode()),
+			zap.Stringer("outcome", reply.Outcome), zap.Stringer("reason", reply.Refusal.Reason))...)
+	}
+}
+
+// request returns the ID that the caller gave its request, empty if callers give none.
+func (s *story) request(h *fasthttp.RequestHeader) string {
+	if s.cfg.Headers.Request == "" {
+		return ""
+	}
+	return string(h.Peek(s.cfg.Headers.Request))
+}
