--- a/core/protocol/refusal/refusal.go
+++ b/core/protocol/refusal/refusal.go
@@ -24,7 +24,7 @@
 	Node    string        // node that refused
 	Level   int           // depth of the attempt at which it refused
 
-	Fraction bool // the caller takes a wait of less than a second
+	Promise bool // the caller takes 503 as the promise that the request did not run, and After in fractions of a second
 }
 
 // Field is one header line.
@@ -47,22 +47,23 @@
 	return fmt.Sprintf("%s; error=%s; details=%q; level=%d", r.Node, r.Reason.proxyError(), r.Reason, r.Level)
 }
 
-// Status returns the HTTP status code: what was not run for lack of a server or of time is answered 503, so that the
-// caller may come back, and no 503 hides a request that may have run.
+// Status returns the HTTP status code. For callers that take 503 as a promise, what was not run for lack of a server or
+// of time is answered 503, so that they may come back, and no 503 hides a request that may have run.
 func (r Refusal) Status() int {
 	code := r.Reason.Status()
 	switch {
+	case !r.Promise:
 	case r.Outcome == attempt.NotRun && (code == 502 || code == 504):
 		return 503
-	case r.Outcome == attempt.Unknown && code == 503 && r.Reason != NoQuorum:
+	case r.Outcome == attempt.Unknown && code == 503:
 		return 502
 	}
 	return code
 }
 
-// retry returns After in seconds, with a fraction where callers take one.
+// retry returns After in seconds, with a fraction where the caller takes one.
 func (r Refusal) retry() string {
-	if r.Fraction {
+	if r.Promise {
 		return strconv.FormatFloat(max(r.After, time.Millisecond).Seconds(), 'f', 3, 64)
 	}
 	return strconv.Itoa(max(1, int(math.Ceil(r.After.Seconds()))))
--- a/node/program/settings.go
+++ b/node/program/settings.go
@@ -62,7 +62,7 @@
 	Grace    settings.Duration `json:"grace" validate:"gte=0"`    // after SIGTERM until the process ends with requests in flight; 0: it waits for all
 	Keep     settings.Duration `json:"keep" validate:"gte=0"`     // until a connection to the back end or another node is not used again
 	Whole    int               `json:"whole" validate:"gte=0"`    // bytes up to which a response is received before it is passed on
-	Fraction bool              `json:"fraction"`                  // callers take a Retry-After of less than a second
+	Promise  bool              `json:"promise"`                   // callers take 503 as the promise that a request did not run, and a Retry-After in fractions of a second
 }
 
 // Defaults of Limits.
@@ -93,7 +93,7 @@
 		Keep:     cmp.Or(l.Keep, l.Idle, settings.Duration(defaultIdle)),
 		Whole:    cmp.Or(l.Whole, message.SmallBody),
 		Grace:    l.Grace,
-		Fraction: l.Fraction,
+		Promise:  l.Promise,
 	}
 }
 
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -234,7 +234,7 @@
 		Stall:    time.Duration(p.cfg.Limits.Stall),
 		Headers:  p.cfg.Headers,
 		Service:  p.cfg.Backend.Service,
-		Fraction: p.cfg.Limits.Fraction,
+		Promise:  p.cfg.Limits.Promise,
 	}), nil
 }
 
--- a/node/protocol/message/message.go
+++ b/node/protocol/message/message.go
@@ -57,6 +57,7 @@
 // Absorb receives the body if it has at most limit bytes; an error says that it was cut. Above SmallBody it also
 // receives bodies of unknown length, so that one that is cut never reaches the caller. A larger one stays a stream.
 func (r *Reply) Absorb(limit int) error {
+	limit = max(limit, SmallBody)
 	if r.Body == nil || r.Length == 0 || r.Length > limit || r.Length < 0 && limit <= SmallBody {
 		return nil
 	}
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -72,7 +72,7 @@
 	Stall    time.Duration // longest time for one write
 	Headers  header.Names
 	Service  string // beside this node, told to back ends
-	Fraction bool   // callers take a Retry-After of less than a second
+	Promise  bool   // callers take 503 as the promise that a request did not run, and a Retry-After in fractions
 }
 
 // Observation is what metrics need to know of one call.
@@ -175,10 +175,10 @@
 
 // waited fills in when the caller may come back.
 func (s *Server) waited(f refusal.Refusal, req *message.Request) refusal.Refusal {
-	if !s.cfg.Fraction || req != nil && req.Route == "" {
+	if !s.cfg.Promise || req != nil && req.Route == "" {
 		return f
 	}
-	f.Fraction = true
+	f.Promise = true
 	f.After = shortWait + rand.N(waitRange)
 	return f
 }
