--- a/core/coordination/admission/model.go
+++ b/core/coordination/admission/model.go
@@ -28,6 +28,7 @@
 	window  window
 	warmer  warmer
 	pace    pace
+	faults  float64 // share of recent requests that failed
 	speed   float64 // how long work takes now over its usual time, as the back end says; 0 if it does not
 }
 
@@ -228,6 +229,7 @@
 	if msg.Result == Good {
 		m.learn(now, b, msg.Latency)
 	}
+	m.fault(b, msg)
 	busy := len(m.started)
 	delete(m.started, msg.ID)
 	// Counted from the end, so that a cancel after a long download is still answered truthfully.
@@ -238,6 +240,33 @@
 	}
 }
 
+const (
+	faultWeight = 0.06 // of one request in the share of failed ones
+	hungFactor  = 4    // a request given up after this many times its expected time counts as failed
+)
+
+// fault takes the end of a request of a route as evidence for a back end that fails while its checks are good.
+func (m *Model) fault(b begun, msg Done) {
+	if b.route == "" {
+		return
+	}
+	failed := 0.0
+	switch msg.Result {
+	case Aborted:
+		usual := time.Duration(float64(m.works[b.route]) * max(b.speed, m.speed, usualSpeed))
+		if usual == 0 || msg.Latency < hungFactor*usual {
+			return // given up for reasons of the entry node
+		}
+		failed = 1
+	case Failed, Reset:
+		failed = 1
+	case Shed:
+		failed = 1
+	case Good:
+	}
+	m.faults += faultWeight * (failed - m.faults)
+}
+
 // learn takes the time of a good request of a route.
 func (m *Model) learn(now time.Time, b begun, took time.Duration) {
 	if b.route == "" {
@@ -256,6 +285,9 @@
 	if before != msg.State {
 		m.window.restart()
 	}
+	if msg.State == Absent {
+		m.faults = 0
+	}
 	if msg.State == Absent {
 		m.warmer = warmer{}
 	}
@@ -329,6 +361,7 @@
 			Limit:    m.cap(),
 			Latency:  m.window.mean(),
 			Pace:     m.speed,
+			Faults:   m.faults,
 		},
 		State: m.state,
 		Cap:   m.cap(),
--- a/core/coordination/admission/prompt.go
+++ b/core/coordination/admission/prompt.go
@@ -82,7 +82,7 @@
 
 // defers puts a request behind those that can meet their aim, or refuses it.
 func (m *Model) defers(now time.Time, msg Arrive) []Cmd {
-	if len(m.late) < max(1, int(lateShare*float64(m.cap()))) && now.Sub(msg.since) < lateWait {
+	if now.Add(m.span(msg)).Before(msg.Deadline) && len(m.late) < max(1, int(lateShare*float64(m.cap()))) && now.Sub(msg.since) < lateWait {
 		m.late.insert(msg)
 		return nil
 	}
@@ -97,7 +97,7 @@
 		cmds = append(cmds, m.defers(now, a)...)
 	}
 	over := m.late.remove(func(a Arrive) bool {
-		return now.Sub(a.since) >= lateWait || now.Add(m.works.least(a)).After(a.Deadline)
+		return now.Sub(a.since) >= lateWait || now.Add(m.span(a)).After(a.Deadline)
 	})
 	for _, a := range over {
 		cmds = append(cmds, Refuse{ID: a.ID, Reason: refusal.Late, After: busyWait})
--- a/core/coordination/choice/quick.go
+++ b/core/coordination/choice/quick.go
@@ -19,6 +19,7 @@
 	silentCost  = 4.0
 	bounceTime  = 50 * time.Millisecond // after a refusal, for which the report that explains it may be late
 	bounceCost  = 1.0
+	faultCost   = 6.0 // a failed attempt costs its time, that of the next one, and a part of the retry budget
 	loadCost    = 0.5 // of a full back end over an empty one
 	farCost     = 0.08
 	farBytes    = 80_000.0 // bytes between zones that cost as much as the usual time of a request
@@ -82,6 +83,7 @@
 	if !l.at.IsZero() && now.Sub(l.at) > silence {
 		cost += silentCost
 	}
+	cost += faultCost * l.hint.Faults
 	if now.Sub(l.bounced) < bounceTime {
 		cost += bounceCost
 	}
--- a/core/coordination/raft/model.go
+++ b/core/coordination/raft/model.go
@@ -129,6 +129,9 @@
 	}
 	m.durable = m.log.last()
 	m.resetElection()
+	// After a power loss of all members nobody leads, and every moment without a leader is one without rules. A leader
+	// that lives is not disturbed: the others refuse pre-votes while they hear it.
+	m.electionAt = now.Add(m.cfg.Election/4 + time.Duration(m.cfg.Rand.Int64N(int64(m.cfg.Election)/2)))
 	if set := m.members(); len(set.Voters) == 1 && set.voter(cfg.ID) {
 		m.electionAt = now
 	}
--- a/core/protocol/hint/hint.go
+++ b/core/protocol/hint/hint.go
@@ -16,9 +16,10 @@
 	Limit    int           // requests that admission currently lets through at once
 	Latency  time.Duration // smoothed service time, microsecond resolution
 	Pace     float64       // how long work takes now, over its usual time; 0 if the back end does not say
+	Faults   float64       // share of recent requests that the back end failed, broke off or did not answer in time
 }
 
-// percent is the resolution of Pace on the wire; figures are those that every hint has.
+// percent is the resolution of Pace and Faults on the wire; figures are those that every hint has.
 const (
 	percent = 100
 	figures = 4
@@ -26,7 +27,8 @@
 
 // String returns the form that Parse reads.
 func (h Hint) String() string {
-	return fmt.Sprintf("%d %d %d %d %d", h.Inflight, h.Queued, h.Limit, h.Latency.Microseconds(), int(percent*h.Pace))
+	return fmt.Sprintf("%d %d %d %d %d %d", h.Inflight, h.Queued, h.Limit, h.Latency.Microseconds(),
+		int(percent*h.Pace), int(percent*h.Faults))
 }
 
 // Parse reads the form written by String.
@@ -36,13 +38,13 @@
 	if len(parts) < figures {
 		return Hint{}, errors.Newf("parse hint %q: want %d figures", s, figures)
 	}
-	var n [figures + 1]int
+	var n [figures + 2]int
 	for i, part := range parts[:min(len(parts), len(n))] {
 		var err error
 		if n[i], err = strconv.Atoi(part); err != nil {
 			return Hint{}, errors.Wrapf(err, "parse hint %q", s)
 		}
 	}
-	h = Hint{Inflight: n[0], Queued: n[1], Limit: n[2], Latency: time.Duration(n[3]) * time.Microsecond, Pace: float64(n[4]) / percent}
+	h = Hint{Inflight: n[0], Queued: n[1], Limit: n[2], Latency: time.Duration(n[3]) * time.Microsecond, Pace: float64(n[4]) / percent, Faults: float64(n[5]) / percent}
 	return h, nil
 }
--- a/node/coordination/call/attempt.go
+++ b/node/coordination/call/attempt.go
@@ -171,6 +171,9 @@
 
 // ended handles the end of a delivered or abandoned body.
 func (m *Model) ended(now time.Time, s *state, t *try, result choice.Result) []Cmd {
+	if t.open && result == choice.Cancelled && t.aim > 0 && now.Sub(t.begun) >= t.aim {
+		result = choice.Lost // given up because no answer came
+	}
 	t.open = false
 	m.end(now, t, result, Head{})
 	return m.settle(s)
--- a/node/coordination/call/model.go
+++ b/node/coordination/call/model.go
@@ -64,6 +64,7 @@
 	open    bool // no response header yet
 	ended   bool
 	asked   bool
+	aim     time.Duration
 	spared  bool // refused before it reached the back end
 }
 
@@ -220,7 +221,7 @@
 	}
 	m.sequence++
 	id := attempt.ID{Node: m.cfg.Node, Incarnation: m.cfg.Incarnation, Sequence: m.sequence}
-	s.attempts = append(s.attempts, &try{id: id, target: target, begun: now, open: true})
+	s.attempts = append(s.attempts, &try{id: id, target: target, begun: now, open: true, aim: s.Aim})
 	s.tried = append(s.tried, target.Backend)
 	m.owners[id] = s
 	m.cfg.Choice.Update(now, choice.Begin{Backend: target.Backend})
--- a/node/program/control.go
+++ b/node/program/control.go
@@ -68,7 +68,7 @@
 	if state == admission.Absent {
 		return m
 	}
-	if p.leaving.Load() {
+	if p.ending.Load() {
 		state = admission.Leaving
 	}
 	m.Backends = []*control.Backend{{
--- a/node/program/program.go
+++ b/node/program/program.go
@@ -42,7 +42,8 @@
 	metrics     *metrics
 	news        *news.Channel // nil without an address for hints
 	rules       atomic.Pointer[inForce]
-	leaving     atomic.Bool
+	leaving     atomic.Bool // callers move to other nodes
+	ending      atomic.Bool // the back end gets nothing new through this node
 	targeted    atomic.Bool // some back end has been known
 	applying    sync.Mutex
 }
@@ -133,14 +134,17 @@
 func (p *Program) shutdown() {
 	p.events.Emit(event.NodeStopping)
 	p.leaving.Store(true)
-	p.engine.Report(arrival.Leave{})
 	p.caller.Leave()
+	// The back end runs on; it would idle while callers move to other nodes.
+	<-time.After(time.Duration(p.cfg.Limits.Serving))
+	p.ending.Store(true)
+	p.engine.Report(arrival.Leave{})
 	p.announce()
 	p.apply()
 	// Listeners stay open for a moment, so that attempts already on their way are refused as not run.
 	ctx, cancel := p.grace()
 	defer cancel()
-	<-time.After(time.Duration(p.cfg.Limits.Linger))
+	<-time.After(time.Duration(p.cfg.Limits.Linger - p.cfg.Limits.Serving))
 	var wg sync.WaitGroup
 	wg.Go(func() { p.ended("callers", p.caller.Shutdown(ctx)) })
 	wg.Go(func() { p.ended("nodes", p.peer.Shutdown(ctx)) })
--- a/node/program/settings.go
+++ b/node/program/settings.go
@@ -59,6 +59,7 @@
 	Read     settings.Duration `json:"read" validate:"gte=0"`     // for receiving a request
 	Stall    settings.Duration `json:"stall" validate:"gte=0"`    // without progress of a response
 	Linger   settings.Duration `json:"linger" validate:"gte=0"`   // after SIGTERM until listeners close
+	Serving  settings.Duration `json:"serving" validate:"gte=0"`  // part of Linger in which other nodes may still send work to the back end
 	Grace    settings.Duration `json:"grace" validate:"gte=0"`    // after SIGTERM until the process ends with requests in flight; 0: it waits for all
 	Keep     settings.Duration `json:"keep" validate:"gte=0"`     // until a connection to the back end or another node is not used again
 	Whole    int               `json:"whole" validate:"gte=0"`    // bytes up to which a response is received before it is passed on
@@ -93,6 +94,7 @@
 		Keep:     cmp.Or(l.Keep, l.Idle, settings.Duration(defaultIdle)),
 		Whole:    cmp.Or(l.Whole, message.SmallBody),
 		Grace:    l.Grace,
+		Serving:  min(l.Serving, cmp.Or(l.Linger, settings.Duration(defaultLinger))),
 		Promise:  l.Promise,
 	}
 }
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -100,7 +100,7 @@
 // report is what this node tells others about its back end.
 func (p *Program) report() (notice.Notice, bool) {
 	a, state := p.backend.Current()
-	if state == admission.Absent || p.leaving.Load() {
+	if state == admission.Absent || p.ending.Load() {
 		return notice.Notice{}, false
 	}
 	return notice.Notice{Backend: a.Name, Hint: p.engine.View().Admission.Hint}, true
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -199,7 +199,7 @@
 	r := s.start(ctx, req)
 	reply := <-r.answer
 	s.observe(r, reply, time.Since(began))
-	s.story.tell(r, reply, time.Since(began))
+	s.story.tell(ctx, r, reply, time.Since(began))
 	return s.finish(req, reply)
 }
 
--- a/node/transport/caller/story.go
+++ b/node/transport/caller/story.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -107,8 +108,9 @@
 }
 
 // tell logs the end of a call; reply may have no body any more.
-func (s *story) tell(r *run, reply *message.Reply, took time.Duration) {
+func (s *story) tell(ctx context.Context, r *run, reply *message.Reply, took time.Duration) {
 	status := reply.Header.StatusCode()
+	left := ctx.Err() != nil
 	kind, limit := event.CallEnded, s.served
 	if status >= fasthttp.StatusBadRequest {
 		kind, limit = event.CallFailed, s.failed
@@ -127,7 +129,9 @@
 		zap.String("service", r.req.Service), zap.Uint64("revision", s.cfg.Rules().Revision), zap.Int("status", status),
 		zap.Stringer("outcome", reply.Outcome), zap.Duration("took", took), zap.Duration("given", r.req.Deadline.Sub(r.req.Arrived)),
 		zap.Array("attempts", order))
-	if reply.Refusal.Reason != refusal.None {
+	if left {
+		fields = append(fields, zap.Bool("left", true)) // the caller; it gets no answer
+	} else if reply.Refusal.Reason != refusal.None {
 		fields = append(fields, zap.Stringer("reason", reply.Refusal.Reason), zap.Duration("after", reply.Refusal.After))
 	}
 	s.cfg.Events.Emit(kind, fields...)
