--- a/node/coordination/call/msg.go
+++ b/node/coordination/call/msg.go
@@ -25,8 +25,8 @@
 	Depth      int
 	Aim        time.Duration // time within which an answer is of full use, 0 if that is not known
 	Size       int           // usual bytes of the response, 0 if not known
-	Urgent     bool // extra attempts of this call come before those of others
-	Tries      int  // back ends that the request may reach, 0 for no limit
+	Urgent     bool          // extra attempts of this call come before those of others
+	Tries      int           // back ends that the request may reach, 0 for no limit
 	Free       bool          // a refusal by a node costs no retry budget: only what reaches a back end is work
 }
 
--- a/pollenhill/command/run.go
+++ b/pollenhill/command/run.go
@@ -95,7 +95,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // Run reports errors
 		OnUsageError:   usage,
 		Flags:          flags(),
-		Commands:       []*cli.Command{checkCommand(), showCommand(), statusCommand(), refusalCommand(), timelineCommand()},
+		Commands:       []*cli.Command{checkCommand(), showCommand(), statusCommand(), refusalCommand(), timelineCommand(), explainCommand()},
 		Action:         unknown,
 	}
 	for _, one := range root.Commands {
--- /dev/null
+++ b/pollenhill/state/cause/walk.go
@@ -0,0 +1,171 @@
+package cause
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollenhill.example/core/state/event"
+	"pollenhill.example/pollenhill/state/timeline"
+)
+
+// Walk is what the events tell about one request.
+type Walk struct {
+	Calls []Call
+}
+
+// Call is one arrival of the request at an entry node.
+type Call struct {
+	Node     string // entry node
+	Status   int
+	Outcome  string
+	Reason   string
+	Route    string
+	Service  string
+	Revision json.Number // of the rules
+	Took     time.Duration
+	Given    time.Duration
+	Left     bool // the caller left before the answer
+	Attempts []Attempt
+}
+
+// Attempt is one try at a back end.
+type Attempt struct {
+	ID      string  `json:"attempt"`
+	Backend string  `json:"backend"`
+	Node    string  `json:"node"`
+	Age     float64 `json:"age"` // seconds, of the report that chose the back end
+	Pace    float64 `json:"pace"`
+	Load    float64 `json:"load"`
+	Took    float64 `json:"took"` // seconds
+	Outcome string  `json:"outcome"`
+	Reason  string  `json:"reason"`
+	Status  int     `json:"status"`
+
+	Notes []string `json:"-"` // what the destination node logged
+}
+
+// ErrUnknown reports that no event is about the request: its lines may have been suppressed, or it was served.
+var ErrUnknown = errors.New("no event is about this request")
+
+// Of follows a request through events in the order of their stamps.
+func Of(request string, events []timeline.Event) (Walk, error) {
+	var w Walk
+	notes := map[string][]string{}
+	for _, e := range events {
+		switch event.Kind(e.Kind) {
+		case event.CallEnded, event.CallFailed:
+			if e.Fields["request"] == request {
+				w.Calls = append(w.Calls, callOf(e))
+			}
+		case event.AttemptRefused, event.AttemptLost:
+			id, _ := e.Fields["attempt"].(string)
+			notes[id] = append(notes[id], noteOf(e))
+		}
+	}
+	if len(w.Calls) == 0 {
+		return w, ErrUnknown
+	}
+	for i := range w.Calls {
+		for j := range w.Calls[i].Attempts {
+			a := &w.Calls[i].Attempts[j]
+			a.Notes = notes[a.ID]
+		}
+	}
+	return w, nil
+}
+
+func callOf(e timeline.Event) Call {
+	c := Call{
+		Node: e.Process, Outcome: str(e, "outcome"), Reason: str(e, "reason"), Route: str(e, "route"), Service: str(e, "service"),
+		Took: span(e, "took"), Given: span(e, "given"), Status: int(num(e, "status")),
+	}
+	c.Revision, _ = e.Fields["revision"].(json.Number)
+	c.Left, _ = e.Fields["left"].(bool)
+	raw, err := json.Marshal(e.Fields["attempts"])
+	if err == nil {
+		err = json.Unmarshal(raw, &c.Attempts)
+	}
+	if err != nil {
+		c.Attempts = []Attempt{{Outcome: "unreadable", Reason: err.Error()}}
+	}
+	return c
+}
+
+func noteOf(e timeline.Event) string {
+	if event.Kind(e.Kind) == event.AttemptLost {
+		return fmt.Sprintf("%s: no response of the back end: %s", e.Process, str(e, "cause"))
+	}
+	return fmt.Sprintf("%s: refused (%s) with %.0f of %.0f at work, %.0f waiting, pace %.2f by a report %s old, back end %s",
+		e.Process, str(e, "reason"), num(e, "inflight"), num(e, "limit"), num(e, "queued"), num(e, "pace"),
+		span(e, "age").Round(time.Millisecond), str(e, "state"))
+}
+
+func str(e timeline.Event, key string) string {
+	s, _ := e.Fields[key].(string)
+	return s
+}
+
+func num(e timeline.Event, key string) float64 {
+	n, _ := e.Fields[key].(json.Number)
+	f, _ := n.Float64() // absent: 0
+	return f
+}
+
+func span(e timeline.Event, key string) time.Duration { return seconds(num(e, key)) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// String returns the walk as text, with the cause as its last line.
+func (w Walk) String() string {
+	var b strings.Builder
+	for _, c := range w.Calls {
+		fmt.Fprintf(&b, "at %s: status %d, outcome %s after %s of %s; route %s, service %s, rules revision %s\n",
+			c.Node, c.Status, c.Outcome, c.Took.Round(time.Millisecond), c.Given.Round(time.Millisecond), c.Route, c.Service, c.Revision)
+		for i, a := range c.Attempts {
+			fmt.Fprintf(&b, "  %d. %s at %s, chosen by a report %s old (pace %.2f, load %.0f): %s\n",
+				i+1, a.Backend, a.Node, seconds(a.Age).Round(time.Millisecond), a.Pace, a.Load, a.end())
+			for _, n := range a.Notes {
+				fmt.Fprintf(&b, "     %s\n", n)
+			}
+		}
+		fmt.Fprintf(&b, "  cause: %s\n", c.why())
+	}
+	return b.String()
+}
+
+func (a Attempt) end() string {
+	switch a.Outcome {
+	case "answered":
+		return fmt.Sprintf("status %d after %s", a.Status, seconds(a.Took).Round(time.Millisecond))
+	case "open":
+		return "no answer when the call ended"
+	}
+	return fmt.Sprintf("%s, %s, after %s", a.Outcome, a.Reason, seconds(a.Took).Round(time.Millisecond))
+}
+
+// why names what ended the call.
+func (c Call) why() string {
+	last := Attempt{}
+	if len(c.Attempts) > 0 {
+		last = c.Attempts[len(c.Attempts)-1]
+	}
+	switch {
+	case c.Left:
+		return "the caller left before an answer came"
+	case len(c.Attempts) == 0:
+		return "refused at the entry node before any attempt: " + c.Reason
+	case last.Outcome == "answered" && last.Status >= 500:
+		return fmt.Sprintf("back end %s answered with its own failure %d", last.Backend, last.Status)
+	case last.Outcome == "answered":
+		return "answered"
+	case c.Outcome == "not-run":
+		return fmt.Sprintf("refused (%s); every attempt is proven not run, the caller may come back", c.Reason)
+	case last.Outcome == "open":
+		return fmt.Sprintf("time passed while back end %s had not answered", last.Backend)
+	}
+	return fmt.Sprintf("%s at back end %s; it is not known whether the request ran", c.Reason, last.Backend)
+}
