--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := core control lab node pollenhill standin
+MODULES := core control lab node platform pollenhill standin
 SOURCES  = $(shell git ls-files -co --exclude-standard '*.go' | grep -vE '\.pb\.go$$|\.connect\.go$$|_string\.go$$')
 
 .PHONY: build test demo format lint generate fresh tools clean
@@ -7,7 +7,7 @@
 	@GOWORK=off go build -C tools -o ../bin/tools/ tool
 
 build:
-	CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ $(foreach m,$(filter-out core,$(MODULES)),./$(m))
+	CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ $(foreach m,$(filter-out core platform,$(MODULES)),./$(m))
 
 # Tests listed in KNOWN-RED.txt are printed and passed over; each of them has an open issue.
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
--- a/core/state/replica/edit.go
+++ b/core/state/replica/edit.go
@@ -75,7 +75,7 @@
 	return r.Table().Apply(p), nil
 }
 
-func (r *Replica) resent(version, print uint64) bool {
+func (r *Replica) resent(version, hash uint64) bool {
 	at, ok := slices.BinarySearchFunc(r.edits, version, func(e edit, v uint64) int {
 		switch {
 		case e.version < v:
@@ -85,7 +85,7 @@
 		}
 		return 0
 	})
-	return ok && r.edits[at].print == print
+	return ok && r.edits[at].print == hash
 }
 
 // zone takes a zone out or back; an order that is in force already changes nothing.
--- a/node/main.go
+++ b/node/main.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := program.New(program.Config{Settings: cfg, Events: events})
+	p, err := program.New(program.Config{Settings: cfg, Events: events, Path: path})
 	if err != nil {
 		return err
 	}
--- a/node/program/follow.go
+++ b/node/program/follow.go
@@ -17,9 +17,14 @@
 
 // follow applies every change of rules and members until ctx ends.
 func (p *Program) follow(ctx context.Context) {
+	server := ""
 	for {
 		changed := p.control.Changed()
 		p.apply()
+		if now := p.control.State().Server; now != server {
+			server = now
+			p.events.Emit(event.ControlFollowed, zap.String("server", server))
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/node/program/program.go
+++ b/node/program/program.go
@@ -27,6 +27,7 @@
 
 // Program is one node.
 type Program struct {
+	path        string // of the settings file
 	cfg         Settings
 	incarnation uint64
 	injector    *do.RootScope
@@ -60,6 +61,7 @@
 	Settings Settings
 	Events   *event.Log
 	Control  ControlClient // nil for the client that the settings describe
+	Path     string        // of the settings file, read again when it changes; empty: never
 }
 
 // Run runs a node until ctx ends and returns after the last request in flight.
@@ -75,6 +77,7 @@
 	controlCtx, stopControl := context.WithCancel(context.Background())
 	controlDone.Go(func() { _ = p.control.Run(controlCtx) })
 	controlDone.Go(func() { p.follow(controlCtx) })
+	controlDone.Go(func() { p.reload(controlCtx) })
 	controlDone.Go(func() { p.backend.Search(controlCtx) })
 	controlDone.Go(func() { p.backend.Measure(controlCtx) })
 	if p.news != nil {
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -31,7 +31,7 @@
 // New wires a Program; nothing runs and no address is used before Run.
 func New(cfg Config) (*Program, error) {
 	cfg.Settings.Limits = cfg.Settings.Limits.withDefaults()
-	p := &Program{cfg: cfg.Settings, incarnation: uint64(time.Now().UnixNano()), events: cfg.Events, control: cfg.Control}
+	p := &Program{path: cfg.Path, cfg: cfg.Settings, incarnation: uint64(time.Now().UnixNano()), events: cfg.Events, control: cfg.Control}
 	var err error
 	if p.tls, err = newSource(cfg); err != nil {
 		return nil, err
--- /dev/null
+++ b/node/protocol/notice/notice_test.go
@@ -0,0 +1,40 @@
+package notice_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pollenhill.example/core/protocol/hint"
+	"pollenhill.example/node/protocol/notice"
+)
+
+// Guards against a report that reads back other than it was sent.
+func TestNoticeReadsBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := notice.Notice{
+			Node: rapid.StringN(1, 20, -1).Draw(t, "node"), Incarnation: rapid.Uint64().Draw(t, "incarnation"),
+			Sequence: rapid.Uint64().Draw(t, "sequence"), Backend: rapid.StringN(1, 20, -1).Draw(t, "backend"),
+			Hint: hint.Hint{
+				Inflight: rapid.IntRange(0, 99).Draw(t, "inflight"), Queued: rapid.IntRange(0, 99).Draw(t, "queued"), Limit: 12,
+				Latency: 5 * time.Millisecond, Pace: float64(rapid.IntRange(0, 40).Draw(t, "pace")) / 4, Faults: 0.25,
+			},
+		}
+		got, err := notice.Decode(n.Encode())
+		if err != nil || got != n {
+			t.Fatalf("got %+v, %v, want %+v", got, err, n)
+		}
+	})
+}
+
+// Guards against a crash by a datagram of another sender.
+func FuzzDecode(f *testing.F) {
+	f.Add(notice.Notice{Node: "n", Backend: "b"}.Encode())
+	f.Add([]byte{0xff, 0xff})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if n, err := notice.Decode(raw); err == nil && n.Node == "" {
+			t.Error("no sender")
+		}
+	})
+}
--- a/node/transport/caller/request.go
+++ b/node/transport/caller/request.go
@@ -84,7 +84,7 @@
 // routed fills in what a route says of a request.
 func (s *Server) routed(req *message.Request, r rule.Route, now time.Time) refusal.Reason {
 	req.Route = r.Name
-	req.Service = s.split.pick(r)
+	req.Service = s.split.Pick(r)
 	req.Idempotent = r.Kind.Repeatable()
 	req.Level = levelOf(r.Rank)
 	req.Tries = r.Tries
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -45,7 +45,7 @@
 	cfg      Config
 	in       *inbound.Handler
 	app      *fiber.App
-	split    splitter
+	split    Splitter
 	sizes    sizes
 	story    story
 	inflight atomic.Int64
--- a/node/transport/caller/split.go
+++ b/node/transport/caller/split.go
@@ -7,11 +7,11 @@
 	"pollenhill.example/core/state/rule"
 )
 
-// splitter spreads the requests of routes over their parts; it is safe for concurrent use.
+// Splitter spreads the requests of routes over their parts; it is safe for concurrent use.
 //
 // Each node deals out the shares in turn, smooth weighted round robin, from a random start: the shares are exact also
 // for few requests, and nodes do not deal the same part at the same time.
-type splitter struct {
+type Splitter struct {
 	mu     sync.Mutex
 	routes map[string]*shares
 }
@@ -21,8 +21,8 @@
 	credit []float64
 }
 
-// pick returns the service for the next request of a route.
-func (s *splitter) pick(r rule.Route) string {
+// Pick returns the service for the next request of a route.
+func (s *Splitter) Pick(r rule.Route) string {
 	if len(r.Parts) == 1 {
 		return r.Parts[0].Service
 	}
--- /dev/null
+++ b/node/transport/caller/split_test.go
@@ -0,0 +1,38 @@
+package caller_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"pollenhill.example/core/state/rule"
+	"pollenhill.example/node/transport/caller"
+)
+
+// Guards against shares of a route that drift from its weights, for any number of requests.
+func TestSplitIsExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(0, 100), 2, 4).Draw(t, "weights")
+		total := 0
+		r := rule.Route{Name: "r", Split: true}
+		for i, w := range weights {
+			total += w
+			r.Parts = append(r.Parts, rule.Part{Service: string(rune('a' + i)), Weight: float64(w)})
+		}
+		if total == 0 {
+			return
+		}
+		var s caller.Splitter
+		n := rapid.IntRange(1, 500).Draw(t, "requests")
+		got := map[string]int{}
+		for range n {
+			got[s.Pick(r)]++
+		}
+		for i, p := range r.Parts {
+			want := float64(n*weights[i]) / float64(total)
+			if off := float64(got[p.Service]) - want; off > 2 || off < -2 {
+				t.Fatalf("%s got %d of %d, weight %v", p.Service, got[p.Service], n, weights)
+			}
+		}
+	})
+}
--- a/node/transport/control/client.go
+++ b/node/transport/control/client.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
 	"pollenhill.example/core/coordination/follow"
@@ -53,6 +54,7 @@
 	dirty    chan struct{} // the member changed
 	mu       sync.Mutex
 	changed  chan struct{}
+	seeded   atomic.Pointer[[]Server] // servers that the session has not taken yet
 	member   *control.Member
 }
 
@@ -94,6 +96,17 @@
 	return list, true
 }
 
+// Seeds replaces the configured control processes; members of the group that were learned stay known.
+func (c *Client) Seeds(servers []Server) {
+	c.mu.Lock()
+	known := lo.Map(c.servers, func(s Server, _ int) string { return s.Name })
+	c.cfg.Servers = servers
+	c.mu.Unlock()
+	if list, changed := c.learn(known); changed {
+		c.seeded.Store(&list)
+	}
+}
+
 // remote returns the connection to a control process.
 func (c *Client) remote(name string) *remote {
 	c.mu.Lock()
--- a/node/transport/control/session.go
+++ b/node/transport/control/session.go
@@ -64,6 +64,9 @@
 		case m := <-s.inbox:
 			s.handle(ctx, m)
 		case <-ticker.C:
+			if list := s.c.seeded.Swap(nil); list != nil {
+				s.update(ctx, follow.Servers{List: followed(*list)})
+			}
 			s.update(ctx, follow.Tick{})
 		case <-renew.C:
 			s.announce(ctx)
