--- a/node/program/follow.go
+++ b/node/program/follow.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"pollenhill.example/core/coordination/choice"
-	"pollenhill.example/core/protocol/control"
 	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/state/rule"
 	"pollenhill.example/node/coordination/engine"
@@ -52,21 +51,6 @@
 	p.keep(targets)
 }
 
-// subscribe asks every known node but this one for the load of its back end.
-func (p *Program) subscribe(members []*control.Member) {
-	if p.news == nil {
-		return
-	}
-	var addresses []netip.AddrPort
-	for _, m := range members {
-		address, err := netip.ParseAddrPort(m.GetHints())
-		if err == nil && m.GetNode() != p.cfg.Name && !m.GetGone() {
-			addresses = append(addresses, address)
-		}
-	}
-	p.news.Subscribe(addresses)
-}
-
 // parse puts newer rules in force; rules that cannot be parsed leave the last good ones in force.
 func (p *Program) parse(revision uint64, text string) *rule.Set {
 	old := p.rules.Load()
--- a/node/program/program.go
+++ b/node/program/program.go
@@ -42,6 +42,7 @@
 	tls         *mtls.Source // nil: plain connections
 	metrics     *metrics
 	news        *news.Channel // nil without an address for hints
+	interest    interest
 	rules       atomic.Pointer[inForce]
 	leaving     atomic.Bool // callers move to other nodes
 	ending      atomic.Bool // the back end gets nothing new through this node
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -225,6 +225,7 @@
 		Rules:    func() *rule.Set { return p.rules.Load().set },
 		Observe:  do.MustInvoke[*metrics](i).observe,
 		Events:   p.events,
+		Called:   p.called,
 		Inflight: p.cfg.Limits.Inflight,
 		Header:   p.cfg.Limits.Header,
 		Body:     p.cfg.Limits.Body,
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -61,11 +61,12 @@
 	Sender   Sender
 	Claims   Claims
 	Rules    func() *rule.Set
-	Observe  func(Observation) // may be nil
-	Events   *event.Log        // nil: calls are not logged
-	Inflight int               // calls at once
-	Header   int               // largest header, in bytes
-	Body     int               // largest request body, in bytes
+	Observe  func(Observation)    // may be nil
+	Events   *event.Log           // nil: calls are not logged
+	Called   func(service string) // told of every call; may be nil
+	Inflight int                  // calls at once
+	Header   int                  // largest header, in bytes
+	Body     int                  // largest request body, in bytes
 	Memory   *semaphore.Weighted
 	Read     time.Duration // longest time for receiving a request
 	Idle     time.Duration // after which an unused connection is closed
