--- a/core/coordination/admission/model.go
+++ b/core/coordination/admission/model.go
@@ -109,14 +109,14 @@
 	// Every level may fill the queue: holding places back refuses low priority in short bursts that the
 	// queue would have absorbed. When it is full, higher levels take the places of lower ones.
 	if len(m.queue) < m.room() {
-		m.queue.push(msg)
+		m.queue.push(msg, order)
 		return nil
 	}
 	victim, ok := m.queue.evict(msg.Priority)
 	if !ok {
 		return []Cmd{Refuse{ID: msg.ID, Reason: m.fullReason(), After: busyWait}}
 	}
-	m.queue.push(msg)
+	m.queue.push(msg, order)
 	return []Cmd{Refuse{ID: victim.ID, Reason: refusal.Shed, After: busyWait}}
 }
 
@@ -191,7 +191,7 @@
 	if len(m.started) < m.cap() {
 		return true
 	}
-	ahead := m.queue.ahead(a) + 1
+	ahead := m.queue.ahead(a, order) + 1
 	wait := m.window.mean() * time.Duration(ahead) / time.Duration(max(1, m.cap()))
 	return now.Add(wait + m.window.median()).Before(a.Deadline)
 }
--- a/core/coordination/admission/prompt.go
+++ b/core/coordination/admission/prompt.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"pollenhill.example/core/protocol/refusal"
@@ -73,8 +72,8 @@
 		return []Cmd{m.start(now, msg)}
 	}
 	msg.since = now
-	if now.Add(m.wait(m.queue.before(msg)) + m.span(msg)).Before(msg.until()) {
-		m.queue.insert(msg)
+	if now.Add(m.wait(m.queue.ahead(msg, urgency)) + m.span(msg)).Before(msg.until()) {
+		m.queue.push(msg, urgency)
 		return nil
 	}
 	return m.defers(now, msg)
@@ -83,7 +82,7 @@
 // defers puts a request behind those that can meet their aim, or refuses it.
 func (m *Model) defers(now time.Time, msg Arrive) []Cmd {
 	if now.Add(m.span(msg)).Before(msg.Deadline) && len(m.late) < max(1, int(lateShare*float64(m.cap()))) && now.Sub(msg.since) < lateWait {
-		m.late.insert(msg)
+		m.late.push(msg, urgency)
 		return nil
 	}
 	return []Cmd{Refuse{ID: msg.ID, Reason: m.fullReason(), After: busyWait}}
@@ -134,16 +133,3 @@
 func urgency(a, b Arrive) int {
 	return cmp.Or(cmp.Compare(b.Priority, a.Priority), a.Aim.Compare(b.Aim))
 }
-
-// before counts the waiting requests that are more urgent than a.
-func (q queue) before(a Arrive) int {
-	n := 0
-	for n < len(q) && urgency(q[n], a) <= 0 {
-		n++
-	}
-	return n
-}
-
-func (q *queue) insert(a Arrive) {
-	*q = slices.Insert(*q, q.before(a), a)
-}
--- a/core/coordination/admission/queue.go
+++ b/core/coordination/admission/queue.go
@@ -7,11 +7,11 @@
 	"pollenhill.example/core/state/rule"
 )
 
-// queue holds waiting attempts, most urgent first: by deadline, then by priority. Priority decides who
-// leaves a full queue; starting by priority first would add the waits of short bursts to low priority
-// alone and so lengthen the tail of all.
+// queue holds waiting attempts in one order, most urgent first.
 type queue []Arrive
 
+// order is by deadline, then by priority. Priority decides who leaves a full queue; starting by priority first would
+// add the waits of short bursts to low priority alone and so lengthen the tail of all.
 func order(a, b Arrive) int {
 	if c := a.Deadline.Compare(b.Deadline); c != 0 {
 		return c
@@ -20,7 +20,7 @@
 }
 
 // ahead counts the waiting attempts that start before a.
-func (q queue) ahead(a Arrive) int {
+func (q queue) ahead(a Arrive, order func(a, b Arrive) int) int {
 	n := 0
 	for n < len(q) && order(q[n], a) <= 0 {
 		n++
@@ -28,8 +28,8 @@
 	return n
 }
 
-func (q *queue) push(a Arrive) {
-	*q = slices.Insert(*q, q.ahead(a), a)
+func (q *queue) push(a Arrive, order func(a, b Arrive) int) {
+	*q = slices.Insert(*q, q.ahead(a, order), a)
 }
 
 func (q *queue) pop() Arrive {
--- a/node/program/interest.go
+++ b/node/program/interest.go
@@ -44,14 +44,14 @@
 
 // called follows the load of a service from its first call on.
 func (p *Program) called(service string) {
-	if p.news != nil && p.interest.note(time.Now(), service) {
+	if p.hints != nil && p.interest.note(time.Now(), service) {
 		p.subscribe(p.control.State().Members)
 	}
 }
 
 // subscribe asks the nodes whose load is of interest for it, but not this one.
 func (p *Program) subscribe(members []*control.Member) {
-	if p.news == nil {
+	if p.hints == nil {
 		return
 	}
 	var addresses []netip.AddrPort
@@ -62,5 +62,5 @@
 			addresses = append(addresses, address)
 		}
 	}
-	p.news.Subscribe(addresses)
+	p.hints.Subscribe(addresses)
 }
--- a/node/program/program.go
+++ b/node/program/program.go
@@ -20,8 +20,8 @@
 	"pollenhill.example/node/coordination/engine"
 	"pollenhill.example/node/transport/backend"
 	"pollenhill.example/node/transport/caller"
+	"pollenhill.example/node/transport/hints"
 	"pollenhill.example/node/transport/local"
-	"pollenhill.example/node/transport/news"
 	"pollenhill.example/node/transport/peer"
 )
 
@@ -41,7 +41,7 @@
 	events      *event.Log
 	tls         *mtls.Source // nil: plain connections
 	metrics     *metrics
-	news        *news.Channel // nil without an address for hints
+	hints       *hints.Channel // nil without an address for hints
 	interest    interest
 	rules       atomic.Pointer[inForce]
 	leaving     atomic.Bool // callers move to other nodes
@@ -81,8 +81,8 @@
 	controlDone.Go(func() { p.reload(controlCtx) })
 	controlDone.Go(func() { p.backend.Search(controlCtx) })
 	controlDone.Go(func() { p.backend.Measure(controlCtx) })
-	if p.news != nil {
-		controlDone.Go(func() { p.news.Run(controlCtx) })
+	if p.hints != nil {
+		controlDone.Go(func() { p.hints.Run(controlCtx) })
 	}
 	p.announce()
 	failed := p.serve(listeners)
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -20,8 +20,8 @@
 	"pollenhill.example/node/protocol/notice"
 	"pollenhill.example/node/transport/backend"
 	"pollenhill.example/node/transport/caller"
+	"pollenhill.example/node/transport/hints"
 	"pollenhill.example/node/transport/local"
-	"pollenhill.example/node/transport/news"
 	"pollenhill.example/node/transport/peer"
 )
 
@@ -51,7 +51,7 @@
 	do.Provide(i, newCaller)
 	do.Provide(i, newLocal)
 	do.Provide(i, newMetrics)
-	do.Provide(i, newNews)
+	do.Provide(i, newHints)
 	return p, p.resolve()
 }
 
@@ -79,13 +79,13 @@
 	if p.local, err = do.Invoke[*local.Server](p.injector); err != nil || !p.cfg.Hints.IsValid() {
 		return err
 	}
-	p.news, err = do.Invoke[*news.Channel](p.injector)
+	p.hints, err = do.Invoke[*hints.Channel](p.injector)
 	return err
 }
 
-func newNews(i do.Injector) (*news.Channel, error) {
+func newHints(i do.Injector) (*hints.Channel, error) {
 	p := do.MustInvoke[*Program](i)
-	return news.New(news.Config{
+	return hints.New(hints.Config{
 		Node:        p.cfg.Name,
 		Incarnation: p.incarnation,
 		Listen:      p.cfg.Hints,
@@ -108,8 +108,8 @@
 
 // paced tells other nodes at once that the back end has changed its speed.
 func (p *Program) paced() {
-	if p.news != nil {
-		p.news.Publish()
+	if p.hints != nil {
+		p.hints.Publish()
 	}
 }
 
--- a/node/transport/caller/story.go
+++ b/node/transport/caller/calllog.go
@@ -24,15 +24,15 @@
 	servedBurst = 20
 )
 
-// story logs how calls ended and what decided it; it is safe for concurrent use.
-type story struct {
+// callLog logs how calls ended and what decided it; it is safe for concurrent use.
+type callLog struct {
 	cfg    Config
 	failed *event.Limit
 	served *event.Limit
 }
 
-func newStory(cfg Config) story {
-	return story{
+func newCallLog(cfg Config) callLog {
+	return callLog{
 		cfg:    cfg,
 		failed: event.NewLimit(failedRate, failedBurst),
 		served: event.NewLimit(servedRate, servedBurst),
@@ -108,7 +108,7 @@
 }
 
 // tell logs the end of a call; reply may have no body any more.
-func (s *story) tell(ctx context.Context, r *run, reply *message.Reply, took time.Duration) {
+func (s *callLog) tell(ctx context.Context, r *run, reply *message.Reply, took time.Duration) {
 	status := reply.Header.StatusCode()
 	left := ctx.Err() != nil
 	kind, limit := event.CallEnded, s.served
@@ -138,7 +138,7 @@
 }
 
 // refused logs a request that was refused before it became a call.
-func (s *story) refused(h *fasthttp.RequestHeader, reply *message.Reply) {
+func (s *callLog) refused(h *fasthttp.RequestHeader, reply *message.Reply) {
 	if s.cfg.Events == nil {
 		return
 	}
@@ -150,7 +150,7 @@
 }
 
 // request returns the ID that the caller gave its request, empty if callers give none.
-func (s *story) request(h *fasthttp.RequestHeader) string {
+func (s *callLog) request(h *fasthttp.RequestHeader) string {
 	if s.cfg.Headers.Request == "" {
 		return ""
 	}
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -47,7 +47,7 @@
 	app      *fiber.App
 	split    Splitter
 	sizes    sizes
-	story    story
+	log      callLog
 	inflight atomic.Int64
 	leaving  atomic.Bool
 	work     sync.WaitGroup // calls and claims that outlive their reply
@@ -89,7 +89,7 @@
 
 // New returns a Server.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, story: newStory(cfg)}
+	s := &Server{cfg: cfg, log: newCallLog(cfg)}
 	s.in = inbound.New(inbound.Config{Body: cfg.Body, Memory: cfg.Memory, Refuse: s.refuse, Serve: s.serve})
 	s.app = fiber.New(fiber.Config{
 		ErrorHandler:                 s.malformed,
@@ -194,13 +194,13 @@
 	req, reason := s.request(in, began)
 	if reason != refusal.None {
 		reply := s.refuse(in.Header, reason)
-		s.story.refused(in.Header, reply)
+		s.log.refused(in.Header, reply)
 		return reply
 	}
 	r := s.start(ctx, req)
 	reply := <-r.answer
 	s.observe(r, reply, time.Since(began))
-	s.story.tell(ctx, r, reply, time.Since(began))
+	s.log.tell(ctx, r, reply, time.Since(began))
 	return s.finish(req, reply)
 }
 
--- a/node/transport/news/channel.go
+++ b/node/transport/hints/channel.go
@@ -1,4 +1,4 @@
-package news
+package hints
 
 import (
 	"context"
--- a/node/transport/news/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package news exchanges the load of back ends with other nodes in datagrams, between the responses that carry it too.
-package news
