--- a/core/state/disk/fake.go
+++ b/core/state/disk/fake.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -21,9 +22,10 @@
 	rand    *rand.Rand
 	names   map[string]*inode
 	durable map[string]*inode
-	moves   []move // name changes since the last SyncDir, oldest first
-	space   int    // bytes that can still be written, negative: no limit
-	failing int    // syncs until one fails, negative: none
+	moves   []move     // name changes since the last SyncDir, oldest first
+	mu      sync.Mutex // guards space and failing, which a test sets while a process writes
+	space   int        // bytes that can still be written, negative: no limit
+	failing int        // syncs until one fails, negative: none
 	locked  map[string]bool
 }
 
@@ -44,10 +46,18 @@
 }
 
 // Limit lets n further bytes be written, then writes run out of space; a negative n removes the limit.
-func (d *Fake) Limit(n int) { d.space = n }
+func (d *Fake) Limit(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.space = n
+}
 
 // FailSync lets n further syncs succeed and the next one fail.
-func (d *Fake) FailSync(n int) { d.failing = n }
+func (d *Fake) FailSync(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failing = n
+}
 
 // Wipe removes everything, like a replaced disk.
 func (d *Fake) Wipe() {
@@ -67,8 +77,8 @@
 // Kill ends the process that used the disk; the system keeps what it wrote.
 func (d *Fake) Kill() {
 	d.locked = map[string]bool{}
-	d.space = -1
-	d.failing = -1
+	d.Limit(-1)
+	d.FailSync(-1)
 }
 
 // Crash ends the whole VM: unsynced names are kept in order up to a random one, unsynced content is lost, kept, cut or torn.
@@ -195,6 +205,8 @@
 }
 
 func (d *Fake) fails() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if d.failing < 0 {
 		return false
 	}
@@ -227,11 +239,7 @@
 }
 
 func (f *fakeFile) Write(b []byte) (int, error) {
-	n := len(b)
-	if f.disk.space >= 0 {
-		n = min(n, f.disk.space)
-		f.disk.space -= n
-	}
+	n := f.disk.room(len(b))
 	f.node.data = append(f.node.data, b[:n]...)
 	if n < len(b) {
 		return n, syscall.ENOSPC
@@ -239,6 +247,17 @@
 	return n, nil
 }
 
+// room returns how many of n bytes can still be written, and takes them.
+func (d *Fake) room(n int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.space >= 0 {
+		n = min(n, d.space)
+		d.space -= n
+	}
+	return n
+}
+
 func (f *fakeFile) Sync() error {
 	if f.disk.fails() {
 		f.node.broken = true
--- a/core/state/event/pipe.go
+++ b/core/state/event/pipe.go
@@ -54,10 +54,11 @@
 func (p *pipe) run() {
 	defer close(p.done)
 	for range p.wake {
-		p.flush()
+		// Read first: lines that come while a write waits for its reader are written too.
 		p.mu.Lock()
 		closed := p.closed
 		p.mu.Unlock()
+		p.flush()
 		if closed {
 			return
 		}
