--- a/core/coordination/engine/assembled_test.go
+++ b/core/coordination/engine/assembled_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pollenhill.example/core/coordination/engine"
+	"pollenhill.example/core/state/replica"
 )
 
 // assembledHistories is how many seeded fault histories run on groups that choose their members.
@@ -107,3 +108,40 @@
 		}
 	}
 }
+
+// Guards against a group that never leads again, or forgets a change, after as many disks are lost at once as its
+// number of voters is chosen for, while all other VMs lose power.
+func TestTwoDisksLostAtOnce(t *testing.T) {
+	for seed := range uint64(30) {
+		s := newGroupSim(seed, 3, 5)
+		for _, name := range []string{"s1", "s2", "s3"} {
+			s.start(s.add(name, true))
+		}
+		if !s.run(10*time.Second, s.settled) {
+			t.Fatalf("seed %d: %s %s", seed, s.problem, s.describe())
+		}
+		change := replica.Command{Kind: replica.Change, Number: 1, Text: "text"}
+		accepted := false
+		s.call(s.leader(), func(token uint64) engine.Input { return engine.Propose{Token: token, Command: change} },
+			func(o engine.Outcome) { accepted = o.Err == nil && o.Result.Verdict == replica.Accepted })
+		if !s.run(time.Second, func() bool { return accepted }) {
+			t.Fatalf("seed %d: the change is not accepted", seed)
+		}
+		voters := s.leader().process.View(s.now).Members.Voters
+		for _, v := range s.vms {
+			s.stop(v, true)
+		}
+		for _, id := range voters[:2] {
+			v := s.vm(engine.NameOf(id))
+			v.disk.Wipe()
+			v.join, v.number = true, 0
+		}
+		for _, v := range s.vms {
+			s.start(v)
+		}
+		led := func() bool { return s.leader() != nil && s.leader().process.Replica().Rules().Number == 1 }
+		if !s.run(10*time.Second, led) {
+			t.Fatalf("seed %d: %s %s", seed, s.problem, s.describe())
+		}
+	}
+}
