Tell changes of speed at once, prefer back ends that have just turned fast, hedge by progress

Logs of decisions and of each change of speed showed four faults. (1) A node published a change of speed before its control goroutine had taken it, so that the datagram carried the old speed; other nodes heard of the change with the next regular report, up to 100 ms later, while a speed lasts 150 ms or a few times that. (2) No report tells the entry side about the back end beside it, so that it was taken for twice as slow as usual, always. (3) The choice took every fast back end for equally good; one that has been fast for 140 ms slows down while it works on the next request. (4) Hedges started at half of the aim, whatever was known, and the budget for them was 5% of the calls.

Ruled out: too little capacity (half of the slots were free), the wait at the node, the way between zones.

Change: the engine tells that the view shows another speed, and only then a report goes out; the engine reports the local back end to the entry side; pace.Spells learns how long back ends stay fast, and the choice adds the expected cost of a slowdown within the usual time of the request; an attempt's progress is followed at the reported speeds, and a slowdown that makes it miss its aim starts a hedge at once. The budget of pools follows the setting limits.extra, the bound that all nodes share, is not ended by refusals of back ends (their nodes keep them within their slots), is spent only when there is a back end for the attempt, and is charged for calls that second runs make. pace.Works replaces the table that admission had for itself.

--- a/core/coordination/admission/model.go
+++ b/core/coordination/admission/model.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
+
+	"pollenhill.example/core/coordination/pace"
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/hint"
 	"pollenhill.example/core/protocol/refusal"
@@ -21,13 +24,13 @@
 	started map[attempt.ID]begun
 	queue   queue
 	late    queue // with Limits.Fixed: requests that can't meet their aim
-	works   works
+	works   pace.Works
 	knee    knee
 	now     time.Time // of the last Update
 	memory  memory
 	window  window
 	warmer  warmer
-	pace    pace
+	starts  starts
 	faults  float64 // share of recent requests that failed
 	speed   float64 // how long work takes now over its usual time, as the back end says; 0 if it does not
 }
@@ -38,6 +41,7 @@
 	route string
 	speed float64 // of the back end at the start
 	busy  int     // requests at the back end after the start
+	rerun bool
 }
 
 // New returns a Model with no back end.
@@ -46,7 +50,7 @@
 	return &Model{
 		limits:  limits,
 		started: map[attempt.ID]begun{},
-		works:   works{},
+		works:   pace.Works{},
 		window:  newWindow(limits),
 	}
 }
@@ -138,8 +142,8 @@
 }
 
 func (m *Model) start(now time.Time, msg Arrive) Cmd {
-	m.started[msg.ID] = begun{at: now, route: msg.Route, speed: m.speed, busy: len(m.started) + 1}
-	m.pace.note(now)
+	m.started[msg.ID] = begun{at: now, route: msg.Route, speed: m.speed, busy: len(m.started) + 1, rerun: msg.Rerun}
+	m.starts.note(now)
 	m.memory.set(now, msg.ID, ran)
 	return Start{ID: msg.ID}
 }
@@ -241,6 +245,8 @@
 }
 
 const (
+	// usualSpeed is the factor by which a request counts as slowed at least before it counts as hung.
+	usualSpeed  = 1.6
 	faultWeight = 0.06 // of one request in the share of failed ones
 	hungFactor  = 4    // a request given up after this many times its expected time counts as failed
 )
@@ -276,7 +282,7 @@
 	if usual, known := m.works[b.route]; known && m.state == Ready {
 		m.knee.learn(now, float64(at)/float64(max(usual, 1)), b.busy, m.limits.Slots)
 	}
-	m.works.learn(b.route, at)
+	m.works.Learn(b.route, at)
 }
 
 func (m *Model) backend(msg Backend) []Cmd {
@@ -309,7 +315,7 @@
 	back := m.limits.Reason != refusal.None && msg.Reason == refusal.None
 	m.limits = msg.defaults()
 	m.window.limits = m.limits
-	m.pace.rate = m.limits.Rate
+	m.starts.rate = m.limits.Rate
 	if back {
 		m.window.restart()
 	}
@@ -336,7 +342,7 @@
 
 // free reports whether one more request may start now.
 func (m *Model) free(now time.Time) bool {
-	return len(m.started) < m.cap() && (m.state != Cold || m.pace.free(now))
+	return len(m.started) < m.cap() && (m.state != Cold || m.starts.free(now))
 }
 
 func (m *Model) cap() int {
@@ -365,5 +371,12 @@
 		},
 		State: m.state,
 		Cap:   m.cap(),
+		Rerun: m.rerun(),
 	}
 }
+
+// rerun is the share of the started requests that are second runs.
+func (m *Model) rerun() float64 {
+	again := lo.CountBy(lo.Values(m.started), func(b begun) bool { return b.rerun })
+	return float64(again) / float64(max(1, len(m.started)))
+}
--- a/core/coordination/admission/msg.go
+++ b/core/coordination/admission/msg.go
@@ -20,6 +20,7 @@
 	Route    string        // whose requests take about the same time
 	Aim      time.Time     // until then an answer is of full use
 	AimIn    time.Duration // the whole time of the route until Aim
+	Rerun    bool          // an earlier attempt of the same request may run or have run
 
 	since time.Time // start of the wait
 }
@@ -130,4 +131,5 @@
 	Hint  hint.Hint
 	State State
 	Cap   int
+	Rerun float64 // share of the started requests that are second runs
 }
--- a/core/coordination/admission/prompt.go
+++ b/core/coordination/admission/prompt.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"pollenhill.example/core/coordination/pace"
 	"pollenhill.example/core/protocol/refusal"
 	"pollenhill.example/core/state/rule"
 )
@@ -13,49 +14,25 @@
 // is left over, for a short time, or is refused while its caller can still come back.
 
 const (
-	// swing is how long a speed lasts on average; after it, work goes on at the usual speed.
-	swing = 150 * time.Millisecond
-	// usualSpeed is the average of the factor by which work is slower than at best.
-	usualSpeed = 1.6
 	// lateWait is the longest wait of a request that can't meet its aim any more.
 	lateWait = 150 * time.Millisecond
 	// lateShare is the length of the queue of such requests, per request at the back end.
 	lateShare = 0.5
-	// workWeight is the part of one completion in the usual time of its route.
-	workWeight = 0.05
 	// firstWork is the time assumed for a route before its first completion, as a part of its aim.
 	firstWork = 0.3
 )
 
-// works holds the usual time of the requests of each route on a back end at its best speed.
-type works map[string]time.Duration
-
-func (w works) learn(route string, at time.Duration) {
-	old, known := w[route]
-	if !known {
-		w[route] = at
-		return
-	}
-	w[route] = old + time.Duration(workWeight*float64(at-old))
-}
-
 // least is the shortest time that a request can be expected to take.
-func (w works) least(a Arrive) time.Duration {
-	if d, ok := w[a.Route]; ok {
+func (m *Model) least(a Arrive) time.Duration {
+	if d, ok := m.works[a.Route]; ok {
 		return d
 	}
 	return time.Duration(firstWork * float64(a.AimIn))
 }
 
-// span is the expected time of a request that starts now, at a speed that lasts for a swing.
+// span is the expected time of a request that starts now.
 func (m *Model) span(a Arrive) time.Duration {
-	least := m.works.least(a)
-	speed := max(m.speed, 1)
-	if slow := time.Duration(float64(least) * speed); slow <= swing {
-		return slow
-	}
-	done := time.Duration(float64(swing) / speed)
-	return swing + time.Duration(usualSpeed*float64(least-done))
+	return pace.Span(m.least(a), m.speed)
 }
 
 // wait is the expected time until a slot is free behind a number of waiting requests.
@@ -65,7 +42,7 @@
 
 // arrivePrompt starts a request, lets it wait while that makes sense for its caller, or refuses it.
 func (m *Model) arrivePrompt(now time.Time, msg Arrive) []Cmd {
-	if now.Add(m.works.least(msg)).After(msg.Deadline) {
+	if now.Add(m.least(msg)).After(msg.Deadline) {
 		return []Cmd{Refuse{ID: msg.ID, Reason: refusal.Late, After: busyWait}}
 	}
 	if len(m.queue) == 0 && m.free(now) {
@@ -91,7 +68,7 @@
 // sift moves waiting requests that can't meet their aim any more, and refuses those that waited for long enough.
 func (m *Model) sift(now time.Time) []Cmd {
 	var cmds []Cmd
-	missed := m.queue.remove(func(a Arrive) bool { return now.Add(m.works.least(a)).After(a.until()) })
+	missed := m.queue.remove(func(a Arrive) bool { return now.Add(m.least(a)).After(a.until()) })
 	for _, a := range missed {
 		cmds = append(cmds, m.defers(now, a)...)
 	}
--- a/core/coordination/choice/model.go
+++ b/core/coordination/choice/model.go
@@ -178,8 +178,11 @@
 	if !ok {
 		return
 	}
-	l.reported(now.Add(-msg.Age), msg.Hint)
-	m.service(m.names[msg.Backend]).learn(l)
+	at := now.Add(-msg.Age)
+	s := m.service(m.names[msg.Backend])
+	s.spell(l, at, msg.Hint.Pace)
+	l.reported(at, msg.Hint)
+	s.learn(l)
 }
 
 // overloaded is the load per slot, waiting requests included, above which a service has too much work
--- a/core/coordination/choice/msg.go
+++ b/core/coordination/choice/msg.go
@@ -66,7 +66,8 @@
 // Query asks for a target.
 type Query struct {
 	Service string
-	Avoid   []string // back ends already tried
-	Size    int      // usual bytes of the response, which cost more between zones
-	Spare   bool     // only back ends with free slots, as for a hedge
+	Avoid   []string      // back ends already tried
+	Work    time.Duration // usual time of the request on a fast back end, 0 if not known
+	Size    int           // usual bytes of the response, which cost more between zones
+	Spare   bool          // only back ends with free slots, as for a hedge
 }
--- a/core/coordination/choice/quick.go
+++ b/core/coordination/choice/quick.go
@@ -38,7 +38,7 @@
 		if q.Spare && !l.spare(now, c) {
 			continue
 		}
-		cost := l.expected(now, c) * (1 + randomCost*m.cfg.Rand.Float64())
+		cost := m.service(q.Service).slowing(now, l, q.Work) + l.expected(now, c)*(1+randomCost*m.cfg.Rand.Float64())
 		if c.Zone != m.cfg.Zone {
 			cost += farCost + float64(q.Size)/farBytes
 		}
@@ -58,6 +58,15 @@
 	return t, true
 }
 
+// Pace returns how long work takes at a back end now over its usual time, as far as a report tells.
+func (m *Model) Pace(now time.Time, backend string) float64 {
+	l, ok := m.loads[backend]
+	if !ok {
+		return usualPace
+	}
+	return l.pace(now)
+}
+
 // pace is how long work takes now over its usual time, as far as a report tells.
 func (l *load) pace(now time.Time) float64 {
 	if l.at.IsZero() || l.hint.Pace <= 0 || now.Sub(l.at) > paceMemory {
--- /dev/null
+++ b/core/coordination/pace/doc.go
@@ -0,0 +1,2 @@
+// Package pace estimates how long requests take on back ends whose speed changes many times a second.
+package pace
--- a/core/coordination/retry/budget.go
+++ b/core/coordination/retry/budget.go
@@ -37,6 +37,10 @@
 	Burst float64 // extra attempts that may come at once
 	Hedge float64 // hedges per call, part of Ratio
 	After float64 // latency quantile after which a hedge starts, 0 to 1
+
+	// Steady keeps the budget while servers refuse work: where destinations refuse before their back end, refusals
+	// of back ends show faults rather than overload.
+	Steady bool
 }
 
 // New returns an empty Budget: extra attempts are earned by calls.
@@ -66,6 +70,11 @@
 	return true
 }
 
+// Charge takes a part of an extra attempt that was made elsewhere; the budget may fall below nothing.
+func (b *Budget) Charge(part float64) {
+	b.tokens = max(b.tokens-part, -b.cfg.Burst)
+}
+
 // Hedge spends one hedge, which is also an extra attempt, or returns false if none is left.
 func (b *Budget) Hedge(now time.Time) bool { return b.HedgeOver(now, 0) }
 
@@ -114,5 +123,8 @@
 
 // scale shrinks the budget from all to nothing as overload grows.
 func (b *Budget) scale() float64 {
+	if b.cfg.Steady {
+		return 1
+	}
 	return max(0, min(1, (overloadLimit-b.overload)/(overloadLimit-overloadFloor)))
 }
--- a/core/coordination/retry/budget_test.go
+++ b/core/coordination/retry/budget_test.go
@@ -80,3 +80,27 @@
 		}
 	}
 }
+
+// Guards against a budget of a service behind exact admission that refusals of its back ends end, and against extra
+// attempts made elsewhere that do not count.
+func TestSteadyBudgetIsCharged(t *testing.T) {
+	b := retry.New(retry.Config{Ratio: 0.1, Burst: 10, Steady: true})
+	for range 100 {
+		b.Call(epoch)
+		b.Answer(epoch, true)
+	}
+	if !b.Take(epoch) {
+		t.Fatal("refusals ended a steady budget")
+	}
+	b.Charge(9)
+	if b.Take(epoch) {
+		t.Fatal("a charged budget allows another attempt")
+	}
+	b.Charge(100)
+	for range 200 {
+		b.Call(epoch)
+	}
+	if !b.Take(epoch) {
+		t.Fatal("a charge is remembered for longer than a burst")
+	}
+}
--- a/core/protocol/attempt/header.go
+++ b/core/protocol/attempt/header.go
@@ -10,7 +10,8 @@
 	HeaderPriority    = "Pollenhill-Priority"
 	HeaderService     = "Pollenhill-Service"
 	HeaderRoute       = "Pollenhill-Route"
-	HeaderAim         = "Pollenhill-Aim" // milliseconds, may be negative
+	HeaderAim         = "Pollenhill-Aim"   // milliseconds, may be negative
+	HeaderRerun       = "Pollenhill-Rerun" // present if an earlier attempt of the request may run or have run
 	HeaderOutcome     = "Pollenhill-Outcome"
 	HeaderHint        = "Pollenhill-Hint"
 	HeaderClock       = "Pollenhill-Clock" // hybrid logical clock of the sender
--- a/node/coordination/arrival/model.go
+++ b/node/coordination/arrival/model.go
@@ -73,6 +73,9 @@
 	return m.admission.View()
 }
 
+// Backend returns the name of the local back end, empty if there is none.
+func (m *Model) Backend() string { return m.backend.Name }
+
 func (m *Model) state() admission.Backend {
 	if m.leaving {
 		return admission.Backend{State: admission.Leaving}
@@ -89,7 +92,7 @@
 	}
 	return m.admit(now, admission.Arrive{
 		ID: msg.ID, Deadline: msg.Deadline, Priority: msg.Level,
-		Route: msg.Route, Aim: now.Add(msg.Aim), AimIn: msg.Aim,
+		Route: msg.Route, Aim: now.Add(msg.Aim), AimIn: msg.Aim, Rerun: msg.Rerun,
 	}, false)
 }
 
--- a/node/coordination/arrival/msg.go
+++ b/node/coordination/arrival/msg.go
@@ -21,6 +21,7 @@
 	Level       rule.Level
 	Depth       int
 	Route       string        // empty for a request that a service line led here
+	Rerun       bool          // an earlier attempt of the same request may run or have run
 	Aim         time.Duration // left until an answer is not of full use any more
 }
 
--- a/node/coordination/call/attempt.go
+++ b/node/coordination/call/attempt.go
@@ -20,6 +20,7 @@
 	t.outcome = msg.Outcome
 	t.spared = msg.Outcome == attempt.NotRun && msg.Refusal.Reason != refusal.Shed
 	m.learn(now, s, t, msg)
+	m.untrack(t)
 	var cmds []Cmd
 	if msg.Outcome != attempt.Answered || !msg.Reply {
 		m.end(now, t, msg.Result, msg)
@@ -50,10 +51,11 @@
 	if !s.Idempotent || s.Keyed || s.phase != active || !now.Before(s.Deadline) {
 		return nil
 	}
-	if !m.budget(s.Service).TakeOver(now, m.reserve(s)) {
+	target, ok := m.pick(now, s, false)
+	if !ok || !m.budget(s.Service).TakeOver(now, m.reserve(s)) {
 		return nil
 	}
-	return m.send(now, s)
+	return m.sendTo(now, s, target)
 }
 
 // deliver gives the caller the first answer and abandons the other attempts.
@@ -112,11 +114,15 @@
 	if !retry.Again(failure) {
 		return nil
 	}
+	target, ok := m.pick(now, s, false)
+	if !ok {
+		return nil
+	}
 	// The first attempt that reaches a back end is no repeat.
 	if free := s.Free && s.reached() == 0; !free && !m.budget(s.Service).TakeOver(now, m.reserve(s)) {
 		return nil
 	}
-	return m.send(now, s)
+	return m.sendTo(now, s, target)
 }
 
 // unproven says whether an attempt may run or have run.
@@ -185,6 +191,7 @@
 		return
 	}
 	t.ended = true
+	m.untrack(t)
 	m.cfg.Choice.Update(now, choice.End{
 		Backend: t.target.Backend,
 		Result:  result,
--- /dev/null
+++ b/node/coordination/call/hedge.go
@@ -0,0 +1,160 @@
+package call
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"pollenhill.example/core/coordination/choice"
+	"pollenhill.example/core/coordination/pace"
+	"pollenhill.example/core/coordination/retry"
+)
+
+// Pattern: a back end slows down while it works on a request. Its node reports the change at once, so that the entry
+// node knows how far the request should be, and sends it to a fast back end while that one can still meet the aim.
+
+const (
+	// hedgeShare is the part of the aim after which a hedge starts of which nothing better is known: a request that
+	// takes its usual time has ended by then, and a hedge at a fast back end can still meet the aim.
+	hedgeShare = 0.5
+	// checkShare is the part of the aim between two looks at a request that has taken longer than that.
+	checkShare = 0.125
+	// leastLeft is the part of the usual time that a request has left at least while it has no answer.
+	leastLeft = 0.25
+	// overdue is the part of the usual time after which a request counts as stuck.
+	overdue = 3
+	// hedgeDoubt is the factor on the expected rest that makes a miss likely enough for a hedge.
+	hedgeDoubt = 1.3
+	// spareSpan is the factor on the usual time at a fast back end, for the way there and its other work.
+	spareSpan = 1.15
+)
+
+// hedgeAt returns when a call that starts now is looked at for a hedge first, zero for never.
+func (m *Model) hedgeAt(now time.Time, s *state) time.Time {
+	if s.Keyed || !retry.Hedged(s.Depth, s.Idempotent) {
+		return time.Time{}
+	}
+	if s.Aim > 0 {
+		return now.Add(time.Duration(hedgeShare * float64(s.Aim)))
+	}
+	if d, ok := m.budget(s.Service).Delay(now); ok {
+		return now.Add(d)
+	}
+	return time.Time{}
+}
+
+// hedgeDue decides about a hedge when the time of hedgeAt has come.
+func (m *Model) hedgeDue(now time.Time, s *state) []Cmd {
+	s.hedge = time.Time{}
+	var cmds []Cmd
+	if m.wanted(now, s) {
+		cmds = m.startHedge(now, s)
+	}
+	if s.Aim > 0 && !s.hedged {
+		s.hedge = now.Add(time.Duration(checkShare * float64(s.Aim)))
+	}
+	return append(cmds, s.wake())
+}
+
+// wanted says whether a hedge is worth its cost, as far as the usual time of the route tells.
+func (m *Model) wanted(now time.Time, s *state) bool {
+	if _, known := m.works[s.Route]; !known || s.Aim == 0 {
+		return true
+	}
+	t, only := s.only()
+	return only && m.misses(now, s, t)
+}
+
+// startHedge sends the hedge of a call if the budget allows it and a back end can take it.
+func (m *Model) startHedge(now time.Time, s *state) []Cmd {
+	target, ok := m.pickSpare(now, s)
+	if !ok || !m.budget(s.Service).HedgeOver(now, m.reserve(s)) {
+		return nil
+	}
+	s.hedged = true
+	return m.sendTo(now, s, target)
+}
+
+// Report takes a hint that came without a response; calls whose back end slowed down may start a hedge.
+func (m *Model) Report(now time.Time, msg choice.Report) []Cmd {
+	m.cfg.Choice.Update(now, msg)
+	speed := m.cfg.Choice.Pace(now, msg.Backend)
+	var cmds []Cmd
+	for _, t := range m.running[msg.Backend] {
+		slower := speed > t.pace
+		t.move(now, speed)
+		if slower {
+			cmds = append(cmds, m.slowed(now, m.owners[t.id], t)...)
+		}
+	}
+	return cmds
+}
+
+// slowed starts a hedge for a call whose only attempt will miss its aim.
+func (m *Model) slowed(now time.Time, s *state, t *try) []Cmd {
+	if s.hedge.IsZero() || s.Aim == 0 || s.phase != active {
+		return nil
+	}
+	if open, only := s.only(); !only || open != t || !m.misses(now, s, t) {
+		return nil
+	}
+	cmds := m.startHedge(now, s)
+	if len(cmds) == 0 {
+		return nil
+	}
+	s.hedge = time.Time{}
+	return append(cmds, s.wake())
+}
+
+// only returns the open attempt of a call that has no other and no hedge.
+func (s *state) only() (*try, bool) {
+	open := lo.Filter(s.attempts, func(t *try, _ int) bool { return t.open })
+	if s.hedged || len(open) != 1 {
+		return nil, false
+	}
+	return open[0], true
+}
+
+// misses says whether an attempt is expected to end after the aim of its call, or after its deadline where the aim
+// is out of reach, while another attempt that starts now would not.
+func (m *Model) misses(now time.Time, s *state, t *try) bool {
+	usual, known := m.works[s.Route]
+	if !known {
+		return false
+	}
+	t.move(now, t.pace)
+	goal := s.begun.Add(s.Aim)
+	other := now.Add(time.Duration(spareSpan * float64(pace.Span(usual, 1))))
+	if float64(t.done) > overdue*float64(usual) {
+		return !other.After(s.Deadline)
+	}
+	if other.After(goal) {
+		return false
+	}
+	left := max(usual-t.done, time.Duration(leastLeft*float64(usual)))
+	return now.Add(time.Duration(hedgeDoubt * float64(pace.Span(left, t.pace)))).After(goal)
+}
+
+// move counts the work that an attempt should have done since the last report of speed.
+func (t *try) move(now time.Time, speed float64) {
+	t.done += time.Duration(float64(now.Sub(t.moved)) / max(t.pace, 1))
+	t.moved = now
+	t.pace = speed
+}
+
+// track adds an attempt to those that follow the speed of its back end.
+func (m *Model) track(now time.Time, t *try) {
+	t.moved = now
+	t.pace = m.cfg.Choice.Pace(now, t.target.Backend)
+	m.running[t.target.Backend] = append(m.running[t.target.Backend], t)
+}
+
+// untrack removes an attempt that has an answer or is given up.
+func (m *Model) untrack(t *try) {
+	rest := lo.Without(m.running[t.target.Backend], t)
+	if len(rest) == 0 {
+		delete(m.running, t.target.Backend)
+		return
+	}
+	m.running[t.target.Backend] = rest
+}
--- a/node/coordination/call/model.go
+++ b/node/coordination/call/model.go
@@ -6,6 +6,7 @@
 	"github.com/samber/lo"
 
 	"pollenhill.example/core/coordination/choice"
+	"pollenhill.example/core/coordination/pace"
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/refusal"
 	"pollenhill.example/core/state/rule"
@@ -24,6 +25,8 @@
 	calls    map[ID]*state
 	owners   map[attempt.ID]*state
 	services map[string]*service
+	works    pace.Works        // usual time of each route as seen here
+	running  map[string][]*try // open attempts by back end
 	sequence uint64
 }
 
@@ -32,6 +35,7 @@
 	Node        string
 	Incarnation uint64
 	Choice      *choice.Model
+	Extra       float64 // extra attempts over calls that all nodes together may send to a pool, 0: by the rules
 }
 
 // state is one call.
@@ -39,7 +43,8 @@
 	Begin
 	phase    phase
 	begun    time.Time
-	hedge    time.Time // when a hedge may start, zero for never
+	hedge    time.Time // when the next look for a hedge is due, zero for never
+	hedged   bool      // a hedge was sent
 	tried    []string  // back ends
 	attempts []*try
 	last     refusal.Refusal // newest refusal
@@ -66,6 +71,10 @@
 	asked   bool
 	aim     time.Duration
 	spared  bool // refused before it reached the back end
+
+	done  time.Duration // work at the best speed that the back end should have done
+	moved time.Time     // until when done counts
+	pace  float64       // of the back end since then
 }
 
 // New returns a Model without calls.
@@ -76,6 +85,8 @@
 		calls:    map[ID]*state{},
 		owners:   map[attempt.ID]*state{},
 		services: map[string]*service{},
+		works:    pace.Works{},
+		running:  map[string][]*try{},
 	}
 }
 
@@ -89,11 +100,6 @@
 	m.cfg.Choice.Update(now, choice.Members{Targets: targets})
 }
 
-// Report takes a hint that came without a response.
-func (m *Model) Report(now time.Time, msg choice.Report) {
-	m.cfg.Choice.Update(now, msg)
-}
-
 // Update applies one message at the given time and returns the effects.
 func (m *Model) Update(now time.Time, msg Msg) []Cmd {
 	switch msg := msg.(type) {
@@ -136,6 +142,7 @@
 	s := &state{Begin: msg, begun: now}
 	m.calls[msg.Call] = s
 	m.budget(msg.Service).Call(now)
+	m.budget(msg.Service).Charge(msg.Rerun)
 	switch {
 	case msg.Depth > attempt.MaxDepth:
 		return m.refuse(s, refusal.Deep, Unclaimed(msg.Keyed))
@@ -200,32 +207,37 @@
 
 // send starts an attempt at a back end that this call has not tried; no effects if there is none.
 func (m *Model) send(now time.Time, s *state) []Cmd {
-	if len(s.attempts) >= MaxAttempts || s.Tries > 0 && s.reached() >= s.Tries {
+	target, ok := m.pick(now, s, false)
+	if !ok {
 		return nil
 	}
-	return m.sendTo(now, s, choice.Query{Service: s.Service, Avoid: s.tried, Size: s.Size})
+	return m.sendTo(now, s, target)
 }
 
-// sendSpare starts a hedge; with an aim it goes only to a back end that can still meet it.
-func (m *Model) sendSpare(now time.Time, s *state) []Cmd {
+// pick returns a back end that this call has not tried, or false if there is none or the call has no attempts left.
+func (m *Model) pick(now time.Time, s *state, spare bool) (choice.Target, bool) {
 	if len(s.attempts) >= MaxAttempts || s.Tries > 0 && s.reached() >= s.Tries {
-		return nil
+		return choice.Target{}, false
 	}
-	return m.sendTo(now, s, choice.Query{Service: s.Service, Avoid: s.tried, Spare: s.Aim > 0, Size: s.Size})
+	return m.cfg.Choice.Pick(now, choice.Query{Service: s.Service, Avoid: s.tried, Spare: spare, Work: m.works[s.Route], Size: s.Size})
 }
 
-func (m *Model) sendTo(now time.Time, s *state, q choice.Query) []Cmd {
-	target, ok := m.cfg.Choice.Pick(now, q)
-	if !ok {
-		return nil
-	}
+// pickSpare picks for a hedge; with an aim that is a back end that can still meet it.
+func (m *Model) pickSpare(now time.Time, s *state) (choice.Target, bool) {
+	return m.pick(now, s, s.Aim > 0)
+}
+
+func (m *Model) sendTo(now time.Time, s *state, target choice.Target) []Cmd {
 	m.sequence++
 	id := attempt.ID{Node: m.cfg.Node, Incarnation: m.cfg.Incarnation, Sequence: m.sequence}
-	s.attempts = append(s.attempts, &try{id: id, target: target, begun: now, open: true, aim: s.Aim})
+	t := &try{id: id, target: target, begun: now, open: true, aim: s.Aim}
+	m.track(now, t)
+	rerun := s.unproven()
+	s.attempts = append(s.attempts, t)
 	s.tried = append(s.tried, target.Backend)
 	m.owners[id] = s
 	m.cfg.Choice.Update(now, choice.Begin{Backend: target.Backend})
-	return []Cmd{Send{Call: s.Call, Attempt: id, Target: target}}
+	return []Cmd{Send{Call: s.Call, Attempt: id, Target: target, Rerun: rerun}}
 }
 
 // reached counts the attempts that reached a back end or may have.
@@ -253,20 +265,11 @@
 	case s.phase == expiring && !now.Before(s.Deadline.Add(Grace)):
 		return m.refuse(s, refusal.Timeout, attempt.Unknown)
 	case s.phase == active && !s.hedge.IsZero() && !now.Before(s.hedge):
-		return m.startHedge(now, s)
+		return m.hedgeDue(now, s)
 	}
 	return nil
 }
 
-func (m *Model) startHedge(now time.Time, s *state) []Cmd {
-	s.hedge = time.Time{}
-	cmds := []Cmd{s.wake()}
-	if m.budget(s.Service).HedgeOver(now, m.reserve(s)) {
-		cmds = append(m.sendSpare(now, s), cmds...)
-	}
-	return cmds
-}
-
 // expire asks every open attempt's destination whether it ran.
 func (m *Model) expire(s *state) []Cmd {
 	s.phase = expiring
--- a/node/coordination/call/msg.go
+++ b/node/coordination/call/msg.go
@@ -19,6 +19,7 @@
 type Begin struct {
 	Call       ID
 	Service    string
+	Route      string // whose requests take about the same time, empty if that is not known
 	Idempotent bool
 	Keyed      bool
 	Deadline   time.Time
@@ -27,6 +28,7 @@
 	Size       int           // usual bytes of the response, 0 if not known
 	Urgent     bool          // extra attempts of this call come before those of others
 	Tries      int           // back ends that the request may reach, 0 for no limit
+	Rerun      float64       // share of second runs at the local back end: calls that they make are extra attempts
 	Free       bool          // a refusal by a node costs no retry budget: only what reaches a back end is work
 }
 
@@ -98,6 +100,7 @@
 	Call    ID
 	Attempt attempt.ID
 	Target  choice.Target
+	Rerun   bool // an earlier attempt of the call may run or have run
 }
 
 // Abort abandons an attempt: its connection is closed and its destination told.
--- a/node/coordination/call/service.go
+++ b/node/coordination/call/service.go
@@ -1,32 +1,34 @@
 package call
 
 import (
+	"cmp"
 	"time"
 
-	"github.com/samber/lo"
-
 	"pollenhill.example/core/coordination/choice"
 	"pollenhill.example/core/coordination/retry"
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/state/rule"
 )
 
-// hedgeShare is the part of the aim after which a hedge starts: a request that takes its usual time has ended by then,
-// and a hedge at a fast back end can still meet the aim.
-const hedgeShare = 0.5
-
 // burst is how many extra attempts may come at once: enough for a few failures in a row.
 const burst = 10
 
-// poolBurst is the same for services whose nodes share one budget: the bursts of all nodes add up.
-const poolBurst = 4
+// Budgets of services whose nodes share the bound on extra attempts.
+const (
+	poolBurst = 4 // extra attempts that may come at once at one node; those of all nodes add up
+	// poolShare is the part of the stated ratio that is used: nodes count their own calls only, and a window of the
+	// bound may see the attempts of one and the calls of another.
+	poolShare = 0.85
+	// poolHedge is the part of the extra attempts that may be hedges.
+	poolHedge = 0.75
+)
 
 // reserve is how many extra attempts a call leaves to more urgent ones, whose failure would fail other work too.
 func (m *Model) reserve(s *state) float64 {
 	if _, pool := m.rules.Pool(s.Service); !pool || s.Urgent {
 		return 0
 	}
-	return poolBurst / 2
+	return poolBurst / 4
 }
 
 // service is what is learned about one service.
@@ -51,8 +53,11 @@
 	if !ok {
 		s = rule.Service{Retry: rule.DefaultRetry, Hedge: rule.DefaultHedge, After: rule.DefaultAfter}
 	}
-	_, pool := m.rules.Pool(name)
-	return retry.Config{Ratio: float64(s.Retry), Burst: lo.Ternary[float64](pool, poolBurst, burst), Hedge: float64(s.Hedge), After: float64(s.After)}
+	if _, pool := m.rules.Pool(name); pool {
+		ratio := cmp.Or(m.cfg.Extra*poolShare, float64(s.Retry))
+		return retry.Config{Ratio: ratio, Burst: poolBurst, Hedge: ratio * poolHedge, Steady: true}
+	}
+	return retry.Config{Ratio: float64(s.Retry), Burst: burst, Hedge: float64(s.Hedge), After: float64(s.After)}
 }
 
 func (m *Model) budget(name string) *retry.Budget {
@@ -65,25 +70,21 @@
 	return s.budget
 }
 
-// hedgeAt returns when a hedge of a call that starts now may start, zero for never.
-func (m *Model) hedgeAt(now time.Time, s *state) time.Time {
-	if s.Keyed || !retry.Hedged(s.Depth, s.Idempotent) {
-		return time.Time{}
-	}
-	if s.Aim > 0 {
-		return now.Add(time.Duration(hedgeShare * float64(s.Aim)))
-	}
-	if d, ok := m.budget(s.Service).Delay(now); ok {
-		return now.Add(d)
-	}
-	return time.Time{}
-}
-
 // learn tells the budget how an attempt ended.
 func (m *Model) learn(now time.Time, s *state, t *try, msg Head) {
 	b := m.budget(s.Service)
 	if msg.Outcome == attempt.Answered {
 		b.Latency(now, now.Sub(t.begun))
+		m.learnWork(now, s, t, msg)
 	}
 	b.Answer(now, msg.Outcome == attempt.NotRun && retry.Overloaded(msg.Refusal.Reason))
 }
+
+// learnWork takes the time of a good answer, less what the back end's slowness added to it.
+func (m *Model) learnWork(now time.Time, s *state, t *try, msg Head) {
+	if s.Route == "" || msg.Fault {
+		return
+	}
+	t.move(now, t.pace)
+	m.works.Learn(s.Route, t.done)
+}
--- a/node/coordination/engine/engine.go
+++ b/node/coordination/engine/engine.go
@@ -38,6 +38,7 @@
 	Arrival *arrival.Model
 	Warm    func(count int)     // opens connections to the back end without waiting; may be nil
 	Probe   func(arrival.Probe) // checks the back end without waiting; may be nil
+	Paced   func()              // tells that the view shows another speed of the back end, without waiting; may be nil
 }
 
 // Targets replaces the members and rules that both models use.
@@ -64,7 +65,7 @@
 		arrivals: map[attempt.ID]chan arrival.Cmd{},
 		asks:     map[attempt.ID][]chan arrival.Answer{},
 	}
-	e.publish()
+	e.publish(time.Now())
 	return e
 }
 
@@ -81,7 +82,7 @@
 			e.handle(time.Now(), env)
 		case now := <-ticker.C:
 			e.arrived(e.cfg.Arrival.Update(now, arrival.Tick{}))
-			e.publish()
+			e.publish(now)
 		}
 	}
 }
@@ -145,24 +146,25 @@
 	switch msg := env.msg.(type) {
 	case call.Begin:
 		e.calls[msg.Call] = env.call
+		msg.Rerun = e.cfg.Arrival.View().Rerun
 		e.called(e.cfg.Call.Update(now, msg))
 	case call.Msg:
 		e.called(e.cfg.Call.Update(now, msg))
 	case arrival.Arrive:
 		e.arrive(now, msg, env.arrival)
-		e.publish()
+		e.publish(now)
 	case arrival.Cancel:
 		e.asks[msg.ID] = append(e.asks[msg.ID], env.ask)
 		e.arrived(e.cfg.Arrival.Update(now, msg))
 	case arrival.Done:
 		delete(e.arrivals, msg.ID)
 		e.arrived(e.cfg.Arrival.Update(now, msg))
-		e.publish()
+		e.publish(now)
 	case arrival.Msg:
 		e.arrived(e.cfg.Arrival.Update(now, msg))
-		e.publish()
+		e.publish(now)
 	case choice.Report:
-		e.cfg.Call.Report(now, msg)
+		e.called(e.cfg.Call.Report(now, msg))
 	case Targets:
 		e.apply(now, msg)
 	}
@@ -192,7 +194,7 @@
 		e.arrived(e.cfg.Arrival.Update(now, arrival.Rules{Set: t.Set}))
 	}
 	e.cfg.Call.Members(now, t.Targets)
-	e.publish()
+	e.publish(now)
 }
 
 func (e *Engine) called(cmds []call.Cmd) {
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -109,7 +109,7 @@
 // paced tells other nodes at once that the back end has changed its speed.
 func (p *Program) paced() {
 	if p.hints != nil {
-		p.hints.Publish()
+		p.hints.Hurry()
 	}
 }
 
@@ -123,6 +123,7 @@
 		Call: call.New(call.Config{
 			Node:        p.cfg.Name,
 			Incarnation: p.incarnation,
+			Extra:       p.cfg.Limits.Extra,
 			Choice: choice.New(choice.Config{
 				Zone:   p.cfg.Zone,
 				Region: p.cfg.Region,
@@ -132,6 +133,7 @@
 		Arrival: arrival.New(arrival.Config{Zone: p.cfg.Zone, Incarnation: p.incarnation}),
 		Warm:    func(count int) { p.backend.Warm(count) },
 		Probe:   func(cmd arrival.Probe) { p.backend.Probe(cmd) },
+		Paced:   p.paced,
 	}), nil
 }
 
@@ -152,7 +154,6 @@
 		Address: p.cfg.Backend.Address,
 		Hangup:  p.cfg.Backend.Hangup,
 		Health:  p.health,
-		Paced:   p.paced,
 		Changed: func() {
 			p.announce()
 			p.apply()
--- a/node/protocol/message/attempt.go
+++ b/node/protocol/message/attempt.go
@@ -23,6 +23,7 @@
 	Level       rule.Level
 	Service     string
 	Route       string        // empty for a request that a service line led here
+	Rerun       bool          // an earlier attempt of the same request may run or have run
 	Aim         time.Duration // left until an answer is not of full use any more; 0 if that is not known
 }
 
@@ -35,6 +36,9 @@
 	h.Set(attempt.HeaderRevision, strconv.FormatUint(a.Revision, 10))
 	h.Set(attempt.HeaderPriority, a.Level.String())
 	h.Set(attempt.HeaderService, a.Service)
+	if a.Rerun {
+		h.Set(attempt.HeaderRerun, rerun)
+	}
 	if a.Route != "" {
 		h.Set(attempt.HeaderRoute, a.Route)
 		h.Set(attempt.HeaderAim, strconv.FormatInt(a.Aim.Milliseconds(), 10))
@@ -66,6 +70,7 @@
 	a.Deadline = now.Add(time.Duration(min(remaining, maxDeadline)) * time.Millisecond)
 	a.Level = level(string(h.Peek(attempt.HeaderPriority)))
 	a.Service = string(h.Peek(attempt.HeaderService))
+	a.Rerun = len(h.Peek(attempt.HeaderRerun)) > 0
 	a.Route = string(h.Peek(attempt.HeaderRoute))
 	if a.Route != "" {
 		aim, err := strconv.ParseInt(string(h.Peek(attempt.HeaderAim)), 10, 64)
@@ -94,6 +99,9 @@
 	return rule.Normal
 }
 
+// rerun is the value of HeaderRerun, which is absent otherwise.
+const rerun = "1"
+
 // Remaining returns the value of HeaderDeadline at the time now.
 func Remaining(deadline, now time.Time) string {
 	return strconv.FormatInt(max(0, deadline.Sub(now).Milliseconds()), 10)
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -39,8 +39,7 @@
 	warm   *time.Timer // end of the cold time of the instance that beats describe
 	load   atomic.Pointer[Load]
 
-	paced  atomic.Uint64 // last reported speed, in percent
-	logged *event.Limit  // of refusals, which overload makes too many of to log each
+	logged *event.Limit // of refusals, which overload makes too many of to log each
 }
 
 // Refusals logged a second, and at once after a quiet time.
@@ -65,8 +64,7 @@
 	Service string         // that beats are expected to name
 	Address netip.AddrPort // of the back end, if it is known before it announces itself
 	Health  func(service string) (path string, connections int)
-	Paced   func() // called after a change of the speed that the back end reports; may be nil
-	Hangup  bool   // a request is cancelled by closing its connection, not only the write side
+	Hangup  bool // a request is cancelled by closing its connection, not only the write side
 }
 
 // New returns a Backend that is absent.
--- a/node/transport/backend/beat.go
+++ b/node/transport/backend/beat.go
@@ -172,15 +172,6 @@
 		return
 	}
 	b.cfg.Engine.Report(arrival.Pace{Factor: float64(pace) / usualPace})
-	old := b.paced.Swap(uint64(pace))
-	if b.cfg.Paced != nil && turned(old, uint64(pace)) {
-		b.cfg.Paced()
-	}
-}
-
-// turned reports whether a speed differs so much from the last one that other nodes must know at once.
-func turned(old, pace uint64) bool {
-	return 2*pace > 3*old || 3*pace < 2*old
 }
 
 // usualPace is the figure of a back end that works at its usual speed.
--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -33,6 +33,7 @@
 		Depth:       a.Depth,
 		Route:       a.Route,
 		Aim:         a.Aim,
+		Rerun:       a.Rerun,
 	})
 	var cmd arrival.Cmd
 	select {
--- a/node/transport/caller/run.go
+++ b/node/transport/caller/run.go
@@ -67,6 +67,7 @@
 	}
 	r.id, r.effects = s.cfg.Engine.Call(call.Begin{
 		Service:    req.Service,
+		Route:      req.Route,
 		Idempotent: req.Idempotent,
 		Keyed:      req.Key != "",
 		Deadline:   req.Deadline,
@@ -153,6 +154,7 @@
 		Level:       r.req.Level,
 		Service:     r.req.Service,
 		Route:       r.req.Route,
+		Rerun:       cmd.Rerun,
 		Aim:         time.Until(r.req.Arrived.Add(r.req.Aim)),
 	}
 	go func() {
--- a/node/transport/hints/channel.go
+++ b/node/transport/hints/channel.go
@@ -33,6 +33,7 @@
 	targets  []netip.AddrPort
 	sequence uint64
 	seen     map[string]notice.Notice // newest report by node
+	hurry    chan struct{}            // asks for a report at once
 }
 
 // Config connects a Channel with the rest of the node.
@@ -51,7 +52,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for hints on %s", cfg.Listen)
 	}
-	return &Channel{cfg: cfg, conn: conn, readers: map[netip.AddrPort]time.Time{}, seen: map[string]notice.Notice{}}, nil
+	return &Channel{cfg: cfg, conn: conn, readers: map[netip.AddrPort]time.Time{}, seen: map[string]notice.Notice{}, hurry: make(chan struct{}, 1)}, nil
 }
 
 // Subscribe replaces the nodes whose reports are wanted.
@@ -88,6 +89,8 @@
 			c.renew()
 		case <-report.C:
 			c.Publish()
+		case <-c.hurry:
+			c.Publish()
 		case <-ctx.Done():
 		}
 	}
@@ -111,6 +114,14 @@
 	_, _ = c.conn.WriteToUDPAddrPort(n.Encode(), t)
 }
 
+// Hurry asks for a report at once; it does not wait for it.
+func (c *Channel) Hurry() {
+	select {
+	case c.hurry <- struct{}{}:
+	default: // one is on its way that tells the newest state
+	}
+}
+
 // Publish reports to every subscriber; a lost report is replaced by the next one.
 func (c *Channel) Publish() {
 	n, ok := c.cfg.Current()
