Ask three control processes in a search instead of all

Ruled out: the disks and the order of the starts.

Change: a search draws three control processes, two of the own region at least.

--- a/core/coordination/follow/model.go
+++ b/core/coordination/follow/model.go
@@ -23,6 +23,12 @@
 	homeward = 30 * time.Second       // pause between searches for a current one in the own region
 )
 
+// Bounds of one search.
+const (
+	most  = 3 // control processes asked
+	homes = 2 // of these in the own region, if it has as many
+)
+
 // Model is the failover decision of one node; it is not safe for concurrent use.
 type Model struct {
 	cfg     Config
@@ -58,6 +64,7 @@
 	first   time.Time // first current answer
 	home    bool      // a current one of the own region has answered
 	answers map[string]bool
+	asked   int
 	lost    int
 }
 
@@ -195,7 +202,21 @@
 
 func (m *Model) begin(now time.Time) []Cmd {
 	m.search = search{round: m.search.round + 1, running: true, start: now, answers: map[string]bool{}}
-	return lo.Map(m.cfg.Servers, func(s Server, _ int) Cmd { return Probe{Server: s.Name, Round: m.search.round} })
+	asked := m.asked()
+	m.search.asked = len(asked)
+	return lo.Map(asked, func(s Server, _ int) Cmd { return Probe{Server: s.Name, Round: m.search.round} })
+}
+
+// asked draws the control processes that one search asks: after a loss of power all nodes search at once, and asking all
+// processes takes the processor time that these need to elect a leader. The own region has half of the places at least.
+func (m *Model) asked() []Server {
+	if len(m.cfg.Servers) <= most {
+		return m.cfg.Servers
+	}
+	order := lo.Map(m.cfg.Rand.Perm(len(m.cfg.Servers)), func(i, _ int) Server { return m.cfg.Servers[i] })
+	home, away := lo.FilterReject(order, func(s Server, _ int) bool { return s.Region == m.cfg.Region })
+	near := lo.Slice(home, 0, max(homes, most-len(away)))
+	return append(near, lo.Slice(away, 0, most-len(near))...)
 }
 
 func (m *Model) searched(now time.Time) bool {
@@ -205,7 +226,7 @@
 	if !m.trouble(now) || len(s.answers) > 0 {
 		limit = again
 	}
-	if len(s.answers)+s.lost >= len(m.cfg.Servers) || now.Sub(s.start) >= limit {
+	if len(s.answers)+s.lost >= s.asked || now.Sub(s.start) >= limit {
 		return true
 	}
 	if s.first.IsZero() {
--- a/core/coordination/follow/model_test.go
+++ b/core/coordination/follow/model_test.go
@@ -323,3 +323,34 @@
 		t.Fatal("no control process is followed")
 	}
 }
+
+// Guards against a search that asks every control process: when all nodes search at once, answering them takes the time
+// in which a leader would be elected. All of them must be found in turn.
+func TestSearchAsksAFewServers(t *testing.T) {
+	var servers []follow.Server
+	for i := range 7 {
+		servers = append(servers, follow.Server{Name: string(rune('a' + i)), Region: []string{"home", "far"}[i/4]})
+	}
+	m := follow.New(follow.Config{Region: "home", Servers: servers, Rand: rand.New(rand.NewPCG(1, 0))})
+	asked := map[string]int{}
+	now := epoch
+	for range 1000 {
+		now = now.Add(50 * time.Millisecond)
+		round := 0
+		for _, cmd := range m.Update(now, follow.Tick{}) {
+			p, ok := cmd.(follow.Probe)
+			if !ok {
+				continue
+			}
+			round++
+			asked[p.Server]++
+			m.Update(now, follow.Probed{Server: p.Server, Round: p.Round})
+		}
+		if round > 3 {
+			t.Fatalf("%d probes in one search", round)
+		}
+	}
+	if len(asked) != len(servers) {
+		t.Errorf("asked only %v", asked)
+	}
+}
