Derive the grace of a node from the time until it is killed

Cause: the template stated 5.4 s, which fits deployments that kill 6 s after SIGTERM and no others. Change: limits.kill takes the bound of the deployment; nine tenths of it are the grace, as before (5.4 s of 6 s).

--- a/node/program/settings.go
+++ b/node/program/settings.go
@@ -61,6 +61,7 @@
 	Linger   settings.Duration `json:"linger" validate:"gte=0"`      // after SIGTERM until listeners close
 	Serving  settings.Duration `json:"serving" validate:"gte=0"`     // part of Linger in which other nodes may still send work to the back end
 	Grace    settings.Duration `json:"grace" validate:"gte=0"`       // after SIGTERM until the process ends with requests in flight; 0: it waits for all
+	Kill     settings.Duration `json:"kill" validate:"gte=0"`        // after SIGTERM until the process is killed, from which Grace follows; 0: not known
 	Keep     settings.Duration `json:"keep" validate:"gte=0"`        // until a connection to the back end or another node is not used again
 	Whole    int               `json:"whole" validate:"gte=0"`       // bytes up to which a response is received before it is passed on
 	Extra    float64           `json:"extra" validate:"gte=0,lte=1"` // extra attempts over calls that all nodes together may send to a pool; 0: by the rules
@@ -80,6 +81,9 @@
 	defaultLinger   = time.Second // other nodes learn of the leaving within a few hundred milliseconds
 )
 
+// killShares is into how many parts the time until a kill is divided; the last one is left for the end of the process.
+const killShares = 10
+
 // withDefaults replaces zero values.
 func (l Limits) withDefaults() Limits {
 	return Limits{
@@ -94,7 +98,7 @@
 		Linger:   cmp.Or(l.Linger, settings.Duration(defaultLinger)),
 		Keep:     cmp.Or(l.Keep, l.Idle, settings.Duration(defaultIdle)),
 		Whole:    cmp.Or(l.Whole, message.SmallBody),
-		Grace:    l.Grace,
+		Grace:    cmp.Or(l.Grace, l.Kill/killShares*(killShares-1)),
 		Serving:  min(l.Serving, cmp.Or(l.Linger, settings.Duration(defaultLinger))),
 		Extra:    l.Extra,
 		Promise:  l.Promise,
