Count second runs without allocation; state the usual slowness once

Found while reading the change: the share of second runs was counted over a copy of the map at each event, and admission had its own copy of the factor that pace uses. No change of behaviour; tests of admission, pace and the entry side pass.

--- a/core/coordination/admission/model.go
+++ b/core/coordination/admission/model.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/samber/lo"
-
 	"pollenhill.example/core/coordination/pace"
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/hint"
@@ -245,8 +243,6 @@
 }
 
 const (
-	// usualSpeed is the factor by which a request counts as slowed at least before it counts as hung.
-	usualSpeed  = 1.6
 	faultWeight = 0.06 // of one request in the share of failed ones
 	hungFactor  = 4    // a request given up after this many times its expected time counts as failed
 )
@@ -259,7 +255,7 @@
 	failed := 0.0
 	switch msg.Result {
 	case Aborted:
-		usual := time.Duration(float64(m.works[b.route]) * max(b.speed, m.speed, usualSpeed))
+		usual := time.Duration(float64(m.works[b.route]) * max(b.speed, m.speed, pace.Usual))
 		if usual == 0 || msg.Latency < hungFactor*usual {
 			return // given up for reasons of the entry node
 		}
@@ -377,6 +373,11 @@
 
 // rerun is the share of the started requests that are second runs.
 func (m *Model) rerun() float64 {
-	again := lo.CountBy(lo.Values(m.started), func(b begun) bool { return b.rerun })
+	again := 0
+	for _, b := range m.started {
+		if b.rerun {
+			again++
+		}
+	}
 	return float64(again) / float64(max(1, len(m.started)))
 }
--- a/core/coordination/pace/works.go
+++ b/core/coordination/pace/works.go
@@ -5,8 +5,8 @@
 const (
 	// swing is how long a speed lasts on average; after it, work goes on at the usual speed.
 	swing = 150 * time.Millisecond
-	// usual is the average of the factor by which work is slower than at best.
-	usual = 1.6
+	// Usual is the average of the factor by which work is slower than at best.
+	Usual = 1.6
 	// workWeight is the part of one completion in the usual time of its route.
 	workWeight = 0.05
 )
@@ -31,5 +31,5 @@
 		return slow
 	}
 	done := time.Duration(float64(swing) / speed)
-	return swing + time.Duration(usual*float64(work-done))
+	return swing + time.Duration(Usual*float64(work-done))
 }
