Log how long a back end had been fast, second runs and earlier waits

Cause: choices now depend on how long a back end has been fast, and attempts on the progress of an earlier one; the lines about a call did not tell either, and explain showed a hedge like any attempt. Requests outside of routes get the time of their first try, too: it was zero, which only the new field would have shown.

--- a/core/coordination/choice/msg.go
+++ b/core/coordination/choice/msg.go
@@ -28,6 +28,7 @@
 	Age  time.Duration // of the report, 0 without one
 	Pace float64       // how long work took over its usual time
 	Load float64       // requests there
+	Fast time.Duration // since it turned fast, 0 if that is not known or it is slow
 }
 
 // Msg is an input of Model.Update.
--- a/core/coordination/choice/quick.go
+++ b/core/coordination/choice/quick.go
@@ -55,6 +55,9 @@
 	if !l.at.IsZero() {
 		t.Seen.Age = now.Sub(l.at)
 	}
+	if l.spell.fast && !l.spell.since.IsZero() {
+		t.Seen.Fast = now.Sub(l.spell.since)
+	}
 	return t, true
 }
 
--- a/node/transport/caller/calllog.go
+++ b/node/transport/caller/calllog.go
@@ -43,6 +43,7 @@
 type step struct {
 	id      attempt.ID
 	target  choice.Target
+	rerun   bool // an earlier attempt may run or have run
 	at      time.Time
 	took    time.Duration
 	ended   bool
@@ -55,7 +56,7 @@
 func (r *run) note(cmd call.Send) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.order = append(r.order, step{id: cmd.Attempt, target: cmd.Target, at: time.Now()})
+	r.order = append(r.order, step{id: cmd.Attempt, target: cmd.Target, rerun: cmd.Rerun, at: time.Now()})
 }
 
 // ending records the response header of an attempt, or its failure.
@@ -81,6 +82,12 @@
 	enc.AddDuration("age", s.target.Seen.Age)
 	enc.AddFloat64("pace", s.target.Seen.Pace)
 	enc.AddFloat64("load", s.target.Seen.Load)
+	if s.target.Seen.Fast > 0 {
+		enc.AddDuration("fast", s.target.Seen.Fast)
+	}
+	if s.rerun {
+		enc.AddBool("rerun", true)
+	}
 	if !s.ended {
 		enc.AddString("outcome", "open")
 		return nil
@@ -128,6 +135,7 @@
 	fields = append(fields, zap.String("request", s.request(&r.req.Header)), zap.String("route", r.req.Route),
 		zap.String("service", r.req.Service), zap.Uint64("revision", s.cfg.Rules().Revision), zap.Int("status", status),
 		zap.Stringer("outcome", reply.Outcome), zap.Duration("took", took), zap.Duration("given", r.req.Deadline.Sub(r.req.Arrived)),
+		zap.Duration("waited", r.req.Arrived.Sub(r.req.First)),
 		zap.Array("attempts", order))
 	if left {
 		fields = append(fields, zap.Bool("left", true)) // the caller; it gets no answer
--- a/node/transport/caller/request.go
+++ b/node/transport/caller/request.go
@@ -28,7 +28,7 @@
 
 // request routes a received request by the rules in force.
 func (s *Server) request(in inbound.Request, now time.Time) (*message.Request, refusal.Reason) {
-	req := &message.Request{Body: in.Body, Arrived: now}
+	req := &message.Request{Body: in.Body, Arrived: now, First: now}
 	in.Header.CopyTo(&req.Header)
 	if !origin(&req.Header) {
 		return nil, refusal.Malformed
--- a/pollenhill/command/explain_test.go
+++ b/pollenhill/command/explain_test.go
@@ -53,3 +53,22 @@
 		t.Errorf("exit code %d", code)
 	}
 }
+
+// Guards against a hedge that looks like an attempt of its own, and against a choice whose reason is not told: how long
+// the back end had been fast. The line is from a played day.
+func TestExplainHedgedCall(t *testing.T) {
+	out := &bytes.Buffer{}
+	streams := command.Streams{In: strings.NewReader(""), Out: out, Err: &bytes.Buffer{}}
+	args := []string{"pollenhill", "explain", "b69722f6bc9102d5", "../state/cause/testdata/hedged.log"}
+	if code := command.Run(t.Context(), args, streams); code != command.ExitOK {
+		t.Fatalf("exit code %d", code)
+	}
+	for _, want := range []string{
+		"1. i-0013c9f0f4 at sidecar-bkk-b-1, chosen by a report 39ms old (pace 1.00, load 3, fast for 109ms): unknown, cancelled",
+		"2. i-fb046d7daa at sidecar-bkk-b-2, chosen by a report 65ms old (pace 1.00, load 4, fast for 198ms), beside or after a run: status 200",
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("printed is\n%s\nwant a line with %s", out, want)
+		}
+	}
+}
--- a/pollenhill/state/cause/walk.go
+++ b/pollenhill/state/cause/walk.go
@@ -40,7 +40,9 @@
 	Age     float64 `json:"age"` // seconds, of the report that chose the back end
 	Pace    float64 `json:"pace"`
 	Load    float64 `json:"load"`
-	Took    float64 `json:"took"` // seconds
+	Fast    float64 `json:"fast"`  // seconds since the back end turned fast, 0 if not known
+	Rerun   bool    `json:"rerun"` // an earlier attempt could still run or have run
+	Took    float64 `json:"took"`  // seconds
 	Outcome string  `json:"outcome"`
 	Reason  string  `json:"reason"`
 	Status  int     `json:"status"`
@@ -126,8 +128,8 @@
 		fmt.Fprintf(&b, "at %s: status %d, outcome %s after %s of %s; route %s, service %s, rules revision %s\n",
 			c.Node, c.Status, c.Outcome, c.Took.Round(time.Millisecond), c.Given.Round(time.Millisecond), c.Route, c.Service, c.Revision)
 		for i, a := range c.Attempts {
-			fmt.Fprintf(&b, "  %d. %s at %s, chosen by a report %s old (pace %.2f, load %.0f): %s\n",
-				i+1, a.Backend, a.Node, seconds(a.Age).Round(time.Millisecond), a.Pace, a.Load, a.end())
+			fmt.Fprintf(&b, "  %d. %s at %s, chosen by a report %s old (pace %.2f, load %.0f%s)%s: %s\n",
+				i+1, a.Backend, a.Node, seconds(a.Age).Round(time.Millisecond), a.Pace, a.Load, a.spell(), a.again(), a.end())
 			for _, n := range a.Notes {
 				fmt.Fprintf(&b, "     %s\n", n)
 			}
@@ -137,6 +139,22 @@
 	return b.String()
 }
 
+// spell says how long the back end had been fast.
+func (a Attempt) spell() string {
+	if a.Fast == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", fast for %s", seconds(a.Fast).Round(time.Millisecond))
+}
+
+// again marks an attempt beside or after one that may have run: a hedge, or a retry after a failure.
+func (a Attempt) again() string {
+	if !a.Rerun {
+		return ""
+	}
+	return ", beside or after a run"
+}
+
 func (a Attempt) end() string {
 	switch a.Outcome {
 	case "answered":
