Say what misses and hedgeShare mean; name the places of the own region apart from the method

Found while reading the change: the comment of misses still told of a trial that was not kept, that of hedgeShare of a hedge at a fixed time, and the constant homes stood beside the method homes in the failover model. Comments and one name change, no behaviour: tests of the two packages and of the control client pass.

--- a/core/coordination/follow/model.go
+++ b/core/coordination/follow/model.go
@@ -25,8 +25,8 @@
 
 // Bounds of one search.
 const (
-	most  = 3 // control processes asked
-	homes = 2 // of these in the own region, if it has as many
+	most   = 3 // control processes asked
+	atHome = 2 // of these in the own region, if it has as many
 )
 
 // Model is the failover decision of one node; it is not safe for concurrent use.
@@ -208,14 +208,14 @@
 }
 
 // asked draws the control processes that one search asks: after a loss of power all nodes search at once, and asking all
-// processes takes the processor time that these need to elect a leader. The own region has half of the places at least.
+// processes takes the processor time that these need to elect a leader. Most places are for the own region.
 func (m *Model) asked() []Server {
 	if len(m.cfg.Servers) <= most {
 		return m.cfg.Servers
 	}
 	order := lo.Map(m.cfg.Rand.Perm(len(m.cfg.Servers)), func(i, _ int) Server { return m.cfg.Servers[i] })
 	home, away := lo.FilterReject(order, func(s Server, _ int) bool { return s.Region == m.cfg.Region })
-	near := lo.Slice(home, 0, max(homes, most-len(away)))
+	near := lo.Slice(home, 0, max(atHome, most-len(away)))
 	return append(near, lo.Slice(away, 0, most-len(near))...)
 }
 
--- a/node/coordination/call/hedge.go
+++ b/node/coordination/call/hedge.go
@@ -14,8 +14,8 @@
 // node knows how far the request should be, and sends it to a fast back end while that one can still meet the aim.
 
 const (
-	// hedgeShare is the part of the aim after which a hedge starts of which nothing better is known: a request that
-	// takes its usual time has ended by then, and a hedge at a fast back end can still meet the aim.
+	// hedgeShare is the part of the aim after which a call is looked at without news, and hedged if the usual time of its
+	// route is not known: by then a request of usual length has ended, and a hedge can still meet the aim.
 	hedgeShare = 0.5
 	// checkShare is the part of the aim between two looks at a request that has taken longer than that.
 	checkShare = 0.125
@@ -115,8 +115,8 @@
 	return open[0], true
 }
 
-// misses says whether an attempt is expected to end after the aim of its call, or after its deadline where the aim
-// is out of reach, while another attempt that starts now would not.
+// misses says whether an attempt is expected to end after the aim of its call while another one that starts now would
+// not. A stuck attempt misses, too, as long as another one can end before the deadline.
 func (m *Model) misses(now time.Time, s *state, t *try) bool {
 	usual, known := m.works[s.Route]
 	if !known {
