End exchanges whose bytes have no end, and go on accepting after errors that pass

Cause: interim responses, trailer lines and the body of an answer to an earlier request were dropped in loops without a bound, and bytes that are no response were collected until 16 KiB or the deadline of the attempt. A listener that failed once, for example with all descriptors in use, ended the whole node: fasthttp returns every error of Accept that is not a time-out. Ruled out: chunk extensions and single header or trailer lines were bounded before (tests kept). Change: bounds for each loop; bytes that do not begin like a response end the exchange at the first byte; the rest of a header has one second after its first byte (back ends only); listeners pause and go on, event 5003. After: all end by themselves, with the connection closed and the attempt reported as broken.

--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -37,4 +37,5 @@
 	HandshakeFailed Kind = iota + 5000 // TLS handshake failed
 	FilesRefused                       // TLS files not in use
 	LinesDropped                       // log lines dropped
+	AcceptFailed                       // connection not accepted
 )
--- a/core/state/event/kind_string.go
+++ b/core/state/event/kind_string.go
@@ -30,18 +30,19 @@
 	_ = x[HandshakeFailed-5000]
 	_ = x[FilesRefused-5001]
 	_ = x[LinesDropped-5002]
+	_ = x[AcceptFailed-5003]
 }
 
 const (
 	_Kind_name_0 = "node startednode stoppingnode stoppedback end state changedattempt refusedrules in forceback end found by its health checkcall endedsettings read againcontrol process followedexchange of hints failedcall failedattempt lost"
 	_Kind_name_1 = "control startedcontrol stoppedleader changedchange acceptedchange rejectedmembers of the control group changed"
-	_Kind_name_2 = "TLS handshake failedTLS files not in uselog lines dropped"
+	_Kind_name_2 = "TLS handshake failedTLS files not in uselog lines droppedconnection not accepted"
 )
 
 var (
 	_Kind_index_0 = [...]uint8{0, 12, 25, 37, 59, 74, 88, 122, 132, 151, 175, 199, 210, 222}
 	_Kind_index_1 = [...]uint8{0, 15, 30, 44, 59, 74, 110}
-	_Kind_index_2 = [...]uint8{0, 20, 40, 57}
+	_Kind_index_2 = [...]uint8{0, 20, 40, 57, 80}
 )
 
 func (i Kind) String() string {
@@ -52,7 +53,7 @@
 	case 2000 <= i && i <= 2005:
 		i -= 2000
 		return _Kind_name_1[_Kind_index_1[i]:_Kind_index_1[i+1]]
-	case 5000 <= i && i <= 5002:
+	case 5000 <= i && i <= 5003:
 		i -= 5000
 		return _Kind_name_2[_Kind_index_2[i]:_Kind_index_2[i+1]]
 	default:
--- a/core/transport/tcp/block.go
+++ b/core/transport/tcp/block.go
@@ -17,9 +17,11 @@
 	ErrTransfer = errors.New("transfer-encoding is not exactly chunked")
 	ErrFraming  = errors.New("content-length and transfer-encoding are both present")
 	ErrHeader   = errors.New("header is too large")
+	ErrProtocol = errors.New("bytes are no HTTP/1 response")
 )
 
 var (
+	protocol = []byte("HTTP/1.")
 	crlf     = []byte("\r\n")
 	blockEnd = []byte("\r\n\r\n")
 	length   = []byte("Content-Length")
@@ -32,6 +34,10 @@
 	for n := 1; ; n = r.Buffered() + 1 {
 		_, err := r.Peek(n)
 		b, _ := r.Peek(r.Buffered())
+		// Bytes that are no response may come without end.
+		if known := min(len(b), len(protocol)); !bytes.Equal(b[:known], protocol[:known]) {
+			return nil, ErrProtocol
+		}
 		if end := bytes.Index(b, blockEnd); end >= 0 {
 			start := bytes.Index(b, crlf)
 			return b[start+len(crlf) : end+len(blockEnd)], nil
--- /dev/null
+++ b/core/transport/tcp/endless_test.go
@@ -0,0 +1,126 @@
+package tcp_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollenhill.example/core/transport/tcp"
+)
+
+// endless is a server that writes start and then part until the other side closes.
+func endless(t *testing.T, start, part string, pause time.Duration) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { flood(c, start, part, pause) })
+		}
+	})
+	t.Cleanup(func() { ln.Close(); wg.Wait() })
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+func flood(c net.Conn, start, part string, pause time.Duration) {
+	defer c.Close()
+	_, _ = c.Read(make([]byte, tcp.BufferSize))
+	_, err := io.WriteString(c, start)
+	for err == nil {
+		_, err = io.WriteString(c, part)
+		<-time.After(pause)
+	}
+}
+
+// Guards against bytes without end that are no answer: they hold an exchange until the caller gives up, or fill the memory.
+func TestBytesWithoutEndAreGivenUp(t *testing.T) {
+	const dribble = 5 * time.Millisecond
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, test := range map[string]struct {
+		start, part string
+		pause       time.Duration
+		want        error // nil: any
+	}{
+		"no response":         {part: "x", pause: dribble, want: tcp.ErrProtocol},
+		"no response, fast":   {part: strings.Repeat("x", 4096), want: tcp.ErrProtocol},
+		"status line":         {start: "HTTP/1.1 200 ", part: strings.Repeat("O", 4096), want: tcp.ErrHeader},
+		"header lines":        {start: ok, part: "X-A: " + strings.Repeat("a", 500) + "\r\n", want: tcp.ErrHeader},
+		"slow header lines":   {start: ok, part: "X-A: b\r\n", pause: dribble},
+		"slow status line":    {start: "HTTP/1.1 200 ", part: "O", pause: dribble},
+		"interim responses":   {part: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+		"slow interim":        {part: "HTTP/1.1 100 Continue\r\n\r\n", pause: dribble},
+		"other responses":     {part: ok + "X-ID: other\r\nContent-Length: 2\r\n\r\nno"},
+		"another's body":      {start: ok + "X-ID: other\r\nTransfer-Encoding: chunked\r\n\r\n", part: "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n"},
+		"chunk extension":     {start: ok + "Transfer-Encoding: chunked\r\n\r\n1;", part: strings.Repeat("e", 4096)},
+		"chunk extensions":    {start: ok + "Transfer-Encoding: chunked\r\n\r\n", part: "1;" + strings.Repeat("e", 2000) + "\r\nx\r\n"},
+		"trailer":             {start: ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", part: "X-A: " + strings.Repeat("a", 500) + "\r\n", want: tcp.ErrHeader},
+		"trailer of one line": {start: ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-A: ", part: strings.Repeat("a", 4096)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := tcp.NewPool(tcp.PoolConfig{
+				Address: endless(t, test.start, test.part, test.pause),
+				Dialer:  tcp.Dialer{Timeout: 5 * time.Second},
+				Cap:     1, Idle: time.Minute, Echo: "X-ID", Head: 20 * dribble,
+			})
+			t.Cleanup(p.Close)
+			h := header("GET")
+			h.Set("X-ID", "own")
+			resp, err := p.Exchange(context.Background(), h, nil)
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+			}
+			if err == nil || test.want != nil && !errors.Is(err, test.want) {
+				t.Errorf("error %v, want %v", err, test.want)
+			}
+			if used, idle := p.Open(); used+idle != 0 {
+				t.Errorf("%d used, %d idle", used, idle)
+			}
+		})
+	}
+}
+
+// Guards against a head time that cuts a slow answer: the wait for its first byte, and its body, have other bounds.
+func TestHeadTimeLeavesSlowAnswersAlone(t *testing.T) {
+	const pause = 20 * time.Millisecond
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = c.Read(make([]byte, tcp.BufferSize))
+		for _, part := range []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "he", "llo"} {
+			<-time.After(3 * pause)
+			_, _ = io.WriteString(c, part)
+		}
+	}()
+	p := tcp.NewPool(tcp.PoolConfig{Address: netip.MustParseAddrPort(ln.Addr().String()), Cap: 1, Idle: time.Minute, Head: pause})
+	defer p.Close()
+	resp, err := p.Exchange(context.Background(), header("GET"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "hello" {
+		t.Errorf("body %q, error %v", body, err)
+	}
+}
--- a/core/transport/tcp/exchange.go
+++ b/core/transport/tcp/exchange.go
@@ -60,7 +60,7 @@
 		return nil, err
 	}
 	resp := &Response{}
-	b, err := c.own(resp, req)
+	b, err := c.own(ctx, resp, req)
 	if err != nil {
 		return nil, err
 	}
@@ -72,13 +72,18 @@
 	return resp, nil
 }
 
-// maxStray bounds the responses to earlier requests that are dropped before the own one.
-const maxStray = 4
+// Bounds of what is dropped in an exchange: a faulty peer may send it without end.
+const (
+	maxStray     = 4        // responses to earlier requests before the own one
+	maxInterim   = 8        // interim responses (1xx) before a final one
+	strayBytes   = 1 << 20  // body of a response to an earlier request, in bytes
+	trailerBytes = 16 << 10 // trailer of a chunked body, in bytes
+)
 
 // own reads the header of the response to req; responses that belong to earlier requests are read and dropped.
-func (c *Conn) own(resp *Response, req *fasthttp.RequestHeader) (*body, error) {
+func (c *Conn) own(ctx context.Context, resp *Response, req *fasthttp.RequestHeader) (*body, error) {
 	for range maxStray {
-		if err := c.head(&resp.Header); err != nil {
+		if err := c.head(ctx, &resp.Header); err != nil {
 			return nil, err
 		}
 		b, err := c.body(resp, req.IsHead())
@@ -89,7 +94,7 @@
 			return nil, errStray
 		}
 		if b.r != nil {
-			if _, err := io.Copy(io.Discard, b.r); err != nil {
+			if err := discard(b.r); err != nil {
 				return nil, err
 			}
 		}
@@ -98,6 +103,15 @@
 	return nil, errStray
 }
 
+// discard reads r to its end.
+func discard(r io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r, strayBytes))
+	if err == nil && n == strayBytes {
+		return errStray
+	}
+	return err
+}
+
 // errStray reports a response that belongs to another request.
 var errStray = errors.New("response belongs to another request")
 
@@ -121,11 +135,11 @@
 }
 
 // head reads the final response header; interim ones are dropped.
-func (c *Conn) head(h *fasthttp.ResponseHeader) error {
-	for {
+func (c *Conn) head(ctx context.Context, h *fasthttp.ResponseHeader) error {
+	for range maxInterim + 1 {
 		h.Reset()
 		h.SetNoDefaultContentType(true)
-		block, err := peekBlock(c.r)
+		block, err := c.block(ctx)
 		if err != nil {
 			return err
 		}
@@ -135,14 +149,35 @@
 		if err := h.Read(c.r); err != nil {
 			return err
 		}
-		if code := h.StatusCode(); code == fasthttp.StatusSwitchingProtocols || code >= fasthttp.StatusOK {
-			break
+		switch code := h.StatusCode(); {
+		case code == fasthttp.StatusSwitchingProtocols:
+			return errors.New("response switches protocols")
+		case code >= fasthttp.StatusOK:
+			return nil
+		}
+	}
+	return errors.New("too many interim responses")
+}
+
+// block waits for a header block; after its first byte the rest must come within the time of the pool.
+func (c *Conn) block(ctx context.Context) ([]byte, error) {
+	if c.pool.cfg.Head > 0 {
+		if _, err := c.r.Peek(1); err != nil {
+			return nil, err
 		}
+		c.limit(ctx, time.Now().Add(c.pool.cfg.Head))
+		defer c.limit(ctx, time.Time{})
 	}
-	if h.StatusCode() == fasthttp.StatusSwitchingProtocols {
-		return errors.New("response switches protocols")
+	return peekBlock(c.r)
+}
+
+// limit sets the deadline for reading without undoing an interruption by ctx.
+func (c *Conn) limit(ctx context.Context, deadline time.Time) {
+	_ = c.net.SetReadDeadline(deadline)
+	if ctx.Err() != nil {
+		// The interruption may have come just before the new deadline.
+		_ = c.net.SetReadDeadline(time.Unix(1, 0))
 	}
-	return nil
 }
 
 func (c *Conn) body(resp *Response, head bool) (*body, error) {
@@ -206,7 +241,7 @@
 }
 
 func (k *chunks) trailer() error {
-	for {
+	for left := trailerBytes; left > 0; {
 		line, err := k.c.r.ReadSlice('\n')
 		if errors.Is(err, io.EOF) {
 			return io.ErrUnexpectedEOF
@@ -217,7 +252,9 @@
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return nil
 		}
+		left -= len(line)
 	}
+	return ErrHeader
 }
 
 // body ends the exchange when it has been read or closed.
@@ -234,11 +271,7 @@
 		return 0, io.EOF
 	}
 	if stall := b.c.pool.cfg.Stall; stall > 0 {
-		_ = b.c.net.SetReadDeadline(time.Now().Add(stall))
-		if b.ctx.Err() != nil {
-			// The interruption by ctx may have come just before the new deadline.
-			_ = b.c.net.SetReadDeadline(time.Unix(1, 0))
-		}
+		b.c.limit(b.ctx, time.Now().Add(stall))
 	}
 	n, err := b.r.Read(p)
 	switch {
--- a/core/transport/tcp/listen.go
+++ b/core/transport/tcp/listen.go
@@ -4,19 +4,71 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
-// Listen opens a listener on exactly the given address.
-func Listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+// Listen opens a listener on exactly the given address. Accept goes on after errors that pass, such as too many open
+// files, and tells failed, which may be nil, of each.
+func Listen(ctx context.Context, address netip.AddrPort, failed func(error)) (net.Listener, error) {
 	var lc net.ListenConfig
 	ln, err := lc.Listen(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
-	return ln, nil
+	return Persist(ln, failed), nil
+}
+
+// Persist wraps ln as Listen does.
+func Persist(ln net.Listener, failed func(error)) net.Listener {
+	if failed == nil {
+		failed = func(error) {}
+	}
+	return &listener{Listener: ln, failed: failed, closed: make(chan struct{})}
+}
+
+type listener struct {
+	net.Listener
+	failed func(error)
+	once   sync.Once
+	closed chan struct{}
+}
+
+// Pauses after an error of Accept: each is twice as long as the one before.
+const (
+	firstPause = 5 * time.Millisecond
+	maxPause   = time.Second
+)
+
+// passing are the errors of Accept after which the listener still works.
+var passing = []error{
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+	syscall.ECONNABORTED, syscall.ECONNRESET, syscall.EINTR, syscall.EAGAIN, syscall.EPROTO, syscall.EPERM,
+}
+
+// Accept returns the next connection; an error means that the listener is closed or broken.
+func (l *listener) Accept() (net.Conn, error) {
+	for pause := firstPause; ; pause = min(2*pause, maxPause) {
+		c, err := l.Listener.Accept()
+		if err == nil || !errors.IsAny(err, passing...) {
+			return c, err
+		}
+		l.failed(err)
+		select {
+		case <-time.After(pause):
+		case <-l.closed:
+			return nil, net.ErrClosed
+		}
+	}
+}
+
+// Close closes the listener and ends a pause of Accept.
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
 }
 
 // Dialer opens connections from one local IP address.
--- a/core/transport/tcp/listen_test.go
+++ b/core/transport/tcp/listen_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/netip"
+	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,3 +52,54 @@
 		})
 	}
 }
+
+// failing is a listener whose first Accepts fail.
+type failing struct {
+	net.Listener
+	errs []error
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	if len(f.errs) == 0 {
+		c, _ := net.Pipe()
+		return c, nil
+	}
+	err := f.errs[0]
+	f.errs = f.errs[1:]
+	return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", err)}
+}
+
+func (f *failing) Close() error { return nil }
+
+// Guards against a process that ends because one connection could not be accepted, for example with all descriptors in use.
+func TestAcceptGoesOnAfterErrorsThatPass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		told := 0
+		ln := tcp.Persist(&failing{errs: []error{syscall.EMFILE, syscall.ECONNABORTED, syscall.ENFILE}}, func(error) { told++ })
+		if _, err := ln.Accept(); err != nil {
+			t.Errorf("error %v", err)
+		}
+		if told != 3 {
+			t.Errorf("%d errors were told, want 3", told)
+		}
+		broken := tcp.Persist(&failing{errs: []error{syscall.EINVAL}}, nil)
+		if _, err := broken.Accept(); !errors.Is(err, syscall.EINVAL) {
+			t.Errorf("error %v of a broken listener", err)
+		}
+	})
+}
+
+// Guards against a listener that cannot be closed while it waits after an error.
+func TestCloseEndsThePauseOfAccept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		errs := make([]error, 1000)
+		for i := range errs {
+			errs[i] = syscall.EMFILE
+		}
+		ln := tcp.Persist(&failing{errs: errs}, nil)
+		time.AfterFunc(3*time.Second, func() { _ = ln.Close() })
+		if _, err := ln.Accept(); !errors.Is(err, net.ErrClosed) {
+			t.Errorf("error %v", err)
+		}
+	})
+}
--- a/core/transport/tcp/pool.go
+++ b/core/transport/tcp/pool.go
@@ -27,6 +27,7 @@
 	Dialer  Dialer
 	Cap     int                    // connections that may be open at once
 	Idle    time.Duration          // an idle connection that is older is not used again
+	Head    time.Duration          // longest wait for the rest of a response header after its first byte, 0 for none
 	Stall   time.Duration          // longest wait for the next byte of a response body, 0 for none
 	Reap    time.Duration          // longest wait for the other side to end an exchange given up before its response, 0 for none
 	Echo    string                 // request header that responses repeat: one with another value answers an earlier request and is dropped; empty: none
--- a/node/program/program.go
+++ b/node/program/program.go
@@ -108,7 +108,7 @@
 		addresses = append(addresses, p.cfg.Ready)
 	}
 	for _, address := range addresses {
-		ln, err := tcp.Listen(ctx, address)
+		ln, err := tcp.Listen(ctx, address, func(err error) { p.unaccepted(address, err) })
 		if err != nil {
 			for _, ln := range open {
 				_ = ln.Close()
@@ -120,6 +120,11 @@
 	return open, nil
 }
 
+// unaccepted logs a connection that could not be accepted; the listener goes on after a pause.
+func (p *Program) unaccepted(address netip.AddrPort, err error) {
+	p.events.Emit(event.AcceptFailed, zap.Stringer("listener", address), zap.Error(err))
+}
+
 // serve starts the three servers in the order of listen.
 func (p *Program) serve(listeners []net.Listener) <-chan error {
 	failed := make(chan error, len(listeners))
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -28,6 +28,10 @@
 // flight. Without it, a cold back end got one request above its limit each time a hedge was cancelled.
 const reap = 10 * time.Second
 
+// headTime is how long a back end may take for the rest of a response header after its first byte: bytes that are no
+// answer may also come one by one.
+const headTime = time.Second
+
 // Backend is the local back end of a node; it is safe for concurrent use.
 type Backend struct {
 	cfg    Config
@@ -153,6 +157,7 @@
 		Dialer:  b.cfg.Dialer,
 		Cap:     cmp.Or(a.Connections, rule.DefaultConnections),
 		Idle:    b.cfg.Idle,
+		Head:    headTime,
 		Stall:   b.cfg.Stall,
 		Reap:    lo.Ternary(b.cfg.Hangup, 0, reap),
 		Echo:    b.cfg.Headers.Request,
--- a/node/transport/peer/bench_test.go
+++ b/node/transport/peer/bench_test.go
@@ -37,7 +37,7 @@
 // serve starts a destination node's peer server and returns its address.
 func serve(b *testing.B, source *mtls.Source, size int) netip.AddrPort {
 	b.Helper()
-	ln, err := tcp.Listen(b.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	ln, err := tcp.Listen(b.Context(), netip.MustParseAddrPort("127.0.0.1:0"), nil)
 	if err != nil {
 		b.Fatal(err)
 	}
