Start requests behind others on a connection at once

Cause: fasthttp's server, and fiber on it, start the next request of a connection after the answer to the one before. Ruled out: a demultiplexer before fasthttp's server (parses twice), another server library (net/http has the same order). One path for all requests: our own read loop on fasthttp's messages in node/transport/pipeline. Change: repeatable requests run side by side, one that must not run twice runs alone, since callers take an answer that closes the connection as proof that what stands behind did not run. Answers go out in order; read-ahead is bounded per connection (limits.depth) and node (limits.ahead). A connection that ends says so on the last answer it sends and drops unread bytes before it closes, so that the answer is not lost in a reset.

--- a/node/program/path_test.go
+++ b/node/program/path_test.go
@@ -1,10 +1,13 @@
 package program_test
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // pair starts an entry node without a back end and a destination node with one.
@@ -72,3 +75,39 @@
 		t.Errorf("%d runs, want 2", got)
 	}
 }
+
+// Guards against a request that waits for the answer to the one before it on its connection, and against answers that
+// then come in another order.
+func TestRequestBehindAnotherIsStartedAtOnce(t *testing.T) {
+	first := make(chan struct{})
+	f := newFake(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/first":
+			<-first
+		case "/second":
+			close(first)
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	entry, _ := pair(t, newGroup(), f)
+	c, err := net.Dial("tcp", entry.settings.Caller.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	const host = " HTTP/1.1\r\nHost: desk.example\r\n\r\n"
+	if _, err := io.WriteString(c, "GET /first"+host+"GET /second"+host); err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReader(c)
+	for _, want := range []string{"/first", "/second"} {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(resp.Body); err != nil || string(body) != want {
+			t.Errorf("body %q, error %v, want %q", body, err, want)
+		}
+	}
+}
--- a/node/program/settings.go
+++ b/node/program/settings.go
@@ -54,6 +54,8 @@
 	Body     int               `json:"body" validate:"gte=0"`        // bytes of a request body
 	Memory   int               `json:"memory" validate:"gte=0"`      // bytes of all request bodies at once
 	Inflight int               `json:"inflight" validate:"gte=0"`    // calls at once
+	Depth    int               `json:"depth" validate:"gte=0"`       // requests of one connection that are read and not answered
+	Ahead    int               `json:"ahead" validate:"gte=0"`       // requests of all connections that were read while an earlier one was not answered
 	Peers    int               `json:"peers" validate:"gte=0"`       // connections to one other node
 	Idle     settings.Duration `json:"idle" validate:"gte=0"`        // until an unused connection is closed
 	Read     settings.Duration `json:"read" validate:"gte=0"`        // for receiving a request
@@ -74,6 +76,8 @@
 	defaultBody     = 1 << 20
 	defaultMemory   = 64 << 20 // leaves three quarters of the 256 MB of a node
 	defaultInflight = 4096
+	defaultDepth    = 32
+	defaultAhead    = 1024 // with the largest header and 16 KiB of body each, half of defaultMemory
 	defaultPeers    = 256
 	defaultIdle     = 30 * time.Second
 	defaultRead     = 10 * time.Second
@@ -91,6 +95,8 @@
 		Body:     cmp.Or(l.Body, defaultBody),
 		Memory:   cmp.Or(l.Memory, defaultMemory),
 		Inflight: cmp.Or(l.Inflight, defaultInflight),
+		Depth:    cmp.Or(l.Depth, defaultDepth),
+		Ahead:    cmp.Or(l.Ahead, defaultAhead),
 		Peers:    cmp.Or(l.Peers, defaultPeers),
 		Idle:     cmp.Or(l.Idle, settings.Duration(defaultIdle)),
 		Read:     cmp.Or(l.Read, settings.Duration(defaultRead)),
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -231,6 +231,8 @@
 		Events:   p.events,
 		Called:   p.called,
 		Inflight: p.cfg.Limits.Inflight,
+		Depth:    p.cfg.Limits.Depth,
+		Ahead:    p.cfg.Limits.Ahead,
 		Header:   p.cfg.Limits.Header,
 		Body:     p.cfg.Limits.Body,
 		Memory:   do.MustInvoke[*semaphore.Weighted](i),
--- a/node/protocol/message/message.go
+++ b/node/protocol/message/message.go
@@ -23,6 +23,7 @@
 	Idempotent bool
 	Level      rule.Level
 	Arrived    time.Time     // at the entry node
+	Behind     int           // requests of the same connection that were not answered then
 	Deadline   time.Time     // for the response header
 	Depth      int           // of the attempts for this request
 	Route      string        // empty for a request that a service line led here
--- a/node/transport/caller/calllog.go
+++ b/node/transport/caller/calllog.go
@@ -137,6 +137,9 @@
 		zap.Stringer("outcome", reply.Outcome), zap.Duration("took", took), zap.Duration("given", r.req.Deadline.Sub(r.req.Arrived)),
 		zap.Duration("waited", r.req.Arrived.Sub(r.req.First)),
 		zap.Array("attempts", order))
+	if r.req.Behind > 0 {
+		fields = append(fields, zap.Int("behind", r.req.Behind))
+	}
 	if left {
 		fields = append(fields, zap.Bool("left", true)) // the caller; it gets no answer
 	} else if reply.Refusal.Reason != refusal.None {
--- a/node/transport/caller/request.go
+++ b/node/transport/caller/request.go
@@ -27,8 +27,9 @@
 const maxKey = 255
 
 // request routes a received request by the rules in force.
-func (s *Server) request(in inbound.Request, now time.Time) (*message.Request, refusal.Reason) {
-	req := &message.Request{Body: in.Body, Arrived: now, First: now}
+func (s *Server) request(in inbound.Request) (*message.Request, refusal.Reason) {
+	now := in.Arrived
+	req := &message.Request{Body: in.Body, Arrived: now, First: now, Behind: in.Behind}
 	in.Header.CopyTo(&req.Header)
 	if !origin(&req.Header) {
 		return nil, refusal.Malformed
@@ -58,6 +59,18 @@
 	return req, refusal.None
 }
 
+// alone reports whether a request must not run beside others of its connection: one that must not run twice cannot be
+// taken back when an answer before it ends the connection.
+func (s *Server) alone(h *fasthttp.RequestHeader) bool {
+	set := s.cfg.Rules()
+	host, path := string(h.Host()), string(h.RequestURI())
+	if r, ok := set.Lookup(host, path); ok {
+		return !r.Kind.Repeatable()
+	}
+	service, ok := set.Route(host, path)
+	return !ok || !set.Idempotent(service.Name, string(h.Method()), path)
+}
+
 // measured states the length of a body that was received whole.
 func (s *Server) measured(req *message.Request) {
 	if len(req.Body) > 0 || !req.Header.IsGet() && !req.Header.IsHead() {
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/gofiber/fiber/v3"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/semaphore"
 
@@ -25,6 +23,7 @@
 	"pollenhill.example/node/coordination/engine"
 	"pollenhill.example/node/protocol/message"
 	"pollenhill.example/node/transport/inbound"
+	"pollenhill.example/node/transport/pipeline"
 )
 
 // Sender makes attempts at destination nodes.
@@ -43,14 +42,12 @@
 // Server serves callers; it is safe for concurrent use.
 type Server struct {
 	cfg      Config
-	in       *inbound.Handler
-	app      *fiber.App
+	http     *pipeline.Server
 	split    Splitter
 	sizes    sizes
 	returns  returning
 	log      callLog
 	inflight atomic.Int64
-	leaving  atomic.Bool
 	work     sync.WaitGroup // calls and claims that outlive their reply
 }
 
@@ -66,6 +63,8 @@
 	Events   *event.Log           // nil: calls are not logged
 	Called   func(service string) // told of every call; may be nil
 	Inflight int                  // calls at once
+	Depth    int                  // requests of one connection that are read and not answered
+	Ahead    int                  // requests of all connections that were read while an earlier one was not answered
 	Header   int                  // largest header, in bytes
 	Body     int                  // largest request body, in bytes
 	Memory   *semaphore.Weighted
@@ -91,72 +90,34 @@
 // New returns a Server.
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg, log: newCallLog(cfg)}
-	s.in = inbound.New(inbound.Config{Body: cfg.Body, Memory: cfg.Memory, Refuse: s.refuse, Serve: s.serve})
-	s.app = fiber.New(fiber.Config{
-		ErrorHandler:                 s.malformed,
-		ReadBufferSize:               cfg.Header,
-		BodyLimit:                    cfg.Body,
-		StreamRequestBody:            true,
-		DisablePreParseMultipartForm: true,
-		ReadTimeout:                  cfg.Read,
-		IdleTimeout:                  cfg.Idle,
-		DisableDefaultDate:           true,
-		DisableDefaultContentType:    true,
-		Immutable:                    true,
+	in := inbound.New(inbound.Config{Body: cfg.Body, Memory: cfg.Memory, Refuse: s.refuse, Serve: s.serve})
+	s.http = pipeline.New(pipeline.Config{
+		Handler: in,
+		Alone:   s.alone,
+		Header:  cfg.Header,
+		Body:    cfg.Body,
+		Depth:   cfg.Depth,
+		Ahead:   cfg.Ahead,
+		Read:    cfg.Read,
+		Idle:    cfg.Idle,
+		Stall:   cfg.Stall,
 	})
-	// Not Use: fiber runs its Use handlers for requests that it could not parse, too.
-	s.app.All("/*", s.handle)
-	s.app.Server().ExpectHandler = s.expect
 	return s
 }
 
-func (s *Server) handle(c fiber.Ctx) error {
-	rc := c.RequestCtx()
-	s.in.Handle(rc)
-	if s.leaving.Load() {
-		rc.SetConnectionClose()
-	}
-	return nil
-}
-
-// expect refuses a body that is too large before the caller sends it.
-func (s *Server) expect(rc *fasthttp.RequestCtx) int {
-	if rc.Request.Header.ContentLength() <= s.cfg.Body {
-		return fasthttp.StatusContinue
-	}
-	s.in.Reject(rc, refusal.Large)
-	return rc.Response.StatusCode()
-}
-
-// malformed answers requests that fasthttp or fiber could not read.
-func (s *Server) malformed(c fiber.Ctx, err error) error {
-	reason := refusal.Malformed
-	var status *fiber.Error
-	if errors.As(err, &status) {
-		switch status.Code {
-		case fiber.StatusRequestHeaderFieldsTooLarge:
-			reason = refusal.Header
-		case fiber.StatusRequestEntityTooLarge:
-			reason = refusal.Large
-		}
-	}
-	s.in.Reject(c.RequestCtx(), reason)
-	return nil
-}
-
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.app.Listener(inbound.Listen(ln, s.cfg.Stall), fiber.ListenConfig{DisableStartupMessage: true})
+	return s.http.Serve(ln)
 }
 
 // Leave makes every reply close its connection, so that callers move to other nodes.
 func (s *Server) Leave() {
-	s.leaving.Store(true)
+	s.http.Leave()
 }
 
 // Shutdown stops accepting and waits for the calls in flight and their claims.
 func (s *Server) Shutdown(ctx context.Context) error {
-	err := s.app.ShutdownWithContext(ctx)
+	err := s.http.Shutdown(ctx)
 	s.work.Wait()
 	return err
 }
@@ -194,8 +155,8 @@
 	if s.inflight.Add(1) > int64(s.cfg.Inflight) {
 		return s.refuse(in.Header, refusal.Full)
 	}
-	began := time.Now()
-	req, reason := s.request(in, began)
+	began := in.Arrived
+	req, reason := s.request(in)
 	if reason != refusal.None {
 		reply := s.refuse(in.Header, reason)
 		s.log.refused(in.Header, reply)
--- a/node/transport/inbound/handler.go
+++ b/node/transport/inbound/handler.go
@@ -1,8 +1,10 @@
 package inbound
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -23,8 +25,10 @@
 
 // Request is a completely received request; Header belongs to the listener until Serve returns.
 type Request struct {
-	Header *fasthttp.RequestHeader
-	Body   []byte
+	Header  *fasthttp.RequestHeader
+	Body    []byte
+	Arrived time.Time // when the header was read
+	Behind  int       // requests of the same connection that were not answered then
 }
 
 // Handler turns requests of fasthttp into calls of Serve.
@@ -37,19 +41,20 @@
 
 // Handle receives the request in rc, serves it and leaves the reply in rc.
 func (h *Handler) Handle(rc *fasthttp.RequestCtx) {
+	arrived := time.Now()
 	if reason := check(&rc.Request.Header); reason != refusal.None {
 		h.Reject(rc, reason)
 		return
 	}
-	body, reason := h.receive(rc)
-	defer h.cfg.Memory.Release(int64(cap(body)))
+	body, reason := h.receive(&rc.Request)
+	defer h.Release(body)
 	if reason != refusal.None {
 		h.Reject(rc, reason)
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	stop := watch(rc.Conn(), cancel)
-	reply := h.cfg.Serve(ctx, Request{Header: &rc.Request.Header, Body: body})
+	reply := h.cfg.Serve(ctx, Request{Header: &rc.Request.Header, Body: body, Arrived: arrived})
 	end := func() {
 		stop()
 		cancel()
@@ -57,17 +62,44 @@
 	if reply.Body == nil {
 		end()
 	}
-	Write(rc, reply, end)
+	Fill(&rc.Response, rc.IsHead(), reply, end)
+}
+
+// Run carries out a request that was received; the caller of Run writes the reply.
+func (h *Handler) Run(ctx context.Context, in Request) *message.Reply {
+	return h.cfg.Serve(ctx, in)
+}
+
+// Refuse returns the reply to a request that is not passed on.
+func (h *Handler) Refuse(header *fasthttp.RequestHeader, reason refusal.Reason) *message.Reply {
+	return h.cfg.Refuse(header, reason)
+}
+
+// Release gives back the memory of a body.
+func (h *Handler) Release(body []byte) {
+	h.cfg.Memory.Release(int64(cap(body)))
 }
 
 // Reject refuses a request and closes its connection, where the next request may not begin at a known byte.
 func (h *Handler) Reject(rc *fasthttp.RequestCtx, reason refusal.Reason) {
 	rc.Response.Reset()
-	Write(rc, h.cfg.Refuse(&rc.Request.Header, reason), func() {})
+	Fill(&rc.Response, rc.IsHead(), h.cfg.Refuse(&rc.Request.Header, reason), nil)
 	rc.SetConnectionClose()
 }
 
-// check refuses requests that could be read differently elsewhere.
+// Check refuses requests whose header could be read differently elsewhere.
+func Check(req *fasthttp.Request) refusal.Reason {
+	if reason := check(&req.Header); reason != refusal.None {
+		return reason
+	}
+	uri := fasthttp.AcquireURI()
+	defer fasthttp.ReleaseURI(uri)
+	if uri.Parse(req.Header.Host(), req.Header.RequestURI()) != nil {
+		return refusal.Malformed
+	}
+	return refusal.None
+}
+
 func check(h *fasthttp.RequestHeader) refusal.Reason {
 	switch {
 	case string(h.Protocol()) != "HTTP/1.1":
@@ -82,18 +114,29 @@
 	return refusal.None
 }
 
+// Receive reads the body that follows the header of req in r; Release gives its memory back.
+func (h *Handler) Receive(req *fasthttp.Request, r *bufio.Reader) ([]byte, refusal.Reason) {
+	if req.Header.ContentLength() > h.cfg.Body {
+		return nil, refusal.Large
+	}
+	if err := req.ContinueReadBodyStream(r, h.cfg.Body, false); err != nil {
+		return nil, refusal.Malformed
+	}
+	return h.receive(req)
+}
+
 // receive reads the whole body within the memory that is left.
-func (h *Handler) receive(rc *fasthttp.RequestCtx) ([]byte, refusal.Reason) {
-	length := rc.Request.Header.ContentLength()
+func (h *Handler) receive(req *fasthttp.Request) ([]byte, refusal.Reason) {
+	length := req.Header.ContentLength()
 	if length > h.cfg.Body {
 		return nil, refusal.Large
 	}
-	stream := rc.RequestBodyStream()
+	stream := req.BodyStream()
 	if length == 0 || stream == nil && length < 0 {
 		return nil, refusal.None
 	}
 	if stream == nil {
-		return h.copied(rc.Request.Body())
+		return h.copied(req.Body())
 	}
 	body, reason := h.read(stream, length)
 	switch {
@@ -101,7 +144,7 @@
 		return body, reason
 	case length > 0 && len(body) != length:
 		return body, refusal.Malformed
-	case len(body) > 0 && (rc.IsGet() || rc.IsHead()):
+	case len(body) > 0 && (req.Header.IsGet() || req.Header.IsHead()):
 		// Servers disagree on whether such a request has a body at all.
 		return body, refusal.Malformed
 	}
--- a/node/transport/inbound/write.go
+++ b/node/transport/inbound/write.go
@@ -9,14 +9,14 @@
 	"pollenhill.example/node/protocol/message"
 )
 
-// Write leaves reply in rc; end runs after the body was written or could not be.
-// A body that fails makes fasthttp close the connection without the last chunk or byte, so a cut is visible.
-func Write(rc *fasthttp.RequestCtx, reply *message.Reply, end func()) {
-	reply.Header.CopyTo(&rc.Response.Header)
-	rc.Response.Header.SetNoDefaultContentType(true)
+// Fill puts reply into resp; end, if not nil, runs after the body was written or could not be.
+// A body that fails makes the write of resp fail without the last chunk or byte, so a cut is visible.
+func Fill(resp *fasthttp.Response, head bool, reply *message.Reply, end func()) {
+	reply.Header.CopyTo(&resp.Header)
+	resp.Header.SetNoDefaultContentType(true)
 	if reply.Body == nil {
 		// fasthttp keeps the length of a response to HEAD and writes none for 204 and 304.
-		rc.Response.SkipBody = rc.IsHead()
+		resp.SkipBody = head
 		return
 	}
 	length := reply.Length
@@ -24,8 +24,12 @@
 		length = tcp.Chunked
 	}
 	// A small body is complete already; the header of any other must not wait for it.
-	rc.Response.ImmediateHeaderFlush = length < 0 || length > message.SmallBody
-	rc.Response.SetBodyStream(&stream{ReadCloser: reply.Body, end: end}, length)
+	resp.ImmediateHeaderFlush = length < 0 || length > message.SmallBody
+	body := reply.Body
+	if end != nil {
+		body = &stream{ReadCloser: body, end: end}
+	}
+	resp.SetBodyStream(body, length)
 }
 
 // stream ends the watch of the connection with the body.
--- /dev/null
+++ b/node/transport/pipeline/server_test.go
@@ -0,0 +1,579 @@
+package pipeline_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
+	"pgregory.net/rapid"
+
+	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/node/protocol/message"
+	"pollenhill.example/node/transport/inbound"
+	"pollenhill.example/node/transport/pipeline"
+)
+
+// patience bounds what must happen; nothing is asserted to take less.
+const patience = 20 * time.Second
+
+// fatal is what tests and property checks have in common.
+type fatal interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+// run is one request that the handler carries out.
+type run struct {
+	path  string
+	ctx   context.Context
+	reply chan *message.Reply
+}
+
+// rig is a server whose requests are answered by the test.
+type rig struct {
+	t      fatal
+	server *pipeline.Server
+	ln     net.Listener
+	memory *semaphore.Weighted
+	mu     sync.Mutex
+	cond   *sync.Cond
+	runs   map[string]*run
+	closed bool
+}
+
+// memory is what the bodies of all requests may take, in bytes.
+const memory = 1 << 20
+
+func newRig(t fatal, change func(*pipeline.Config)) *rig {
+	t.Helper()
+	r := &rig{t: t, runs: map[string]*run{}, memory: semaphore.NewWeighted(memory)}
+	r.cond = sync.NewCond(&r.mu)
+	cfg := pipeline.Config{
+		Handler: inbound.New(inbound.Config{
+			Body:   64 << 10,
+			Memory: r.memory,
+			Refuse: func(_ *fasthttp.RequestHeader, reason refusal.Reason) *message.Reply {
+				return message.Refuse(refusal.Refusal{Reason: reason, Outcome: attempt.NotRun, Node: "n"})
+			},
+			Serve: r.serve,
+		}),
+		Alone:  func(h *fasthttp.RequestHeader) bool { return !h.IsGet() },
+		Header: 4 << 10, Body: 64 << 10, Depth: 8, Ahead: 100,
+		Read: patience, Idle: patience, Stall: patience,
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	r.server = pipeline.New(cfg)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	r.ln = ln
+	go func() { _ = r.server.Serve(ln) }()
+	return r
+}
+
+func (r *rig) serve(ctx context.Context, in inbound.Request) *message.Reply {
+	one := &run{path: string(in.Header.RequestURI()), ctx: ctx, reply: make(chan *message.Reply, 1)}
+	r.mu.Lock()
+	r.runs[one.path] = one
+	r.cond.Broadcast()
+	r.mu.Unlock()
+	select {
+	case reply := <-one.reply:
+		return reply
+	case <-ctx.Done():
+		return message.Refuse(refusal.Refusal{Reason: refusal.Broken, Outcome: attempt.Unknown, Node: "n"})
+	}
+}
+
+// started waits for a request to be carried out.
+func (r *rig) started(path string) *run {
+	r.t.Helper()
+	timer := time.AfterFunc(patience, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.closed = true
+		r.cond.Broadcast()
+	})
+	defer timer.Stop()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.runs[path] == nil && !r.closed {
+		r.cond.Wait()
+	}
+	one := r.runs[path]
+	if one == nil {
+		r.t.Fatalf("%s was not started", path)
+	}
+	return one
+}
+
+// count returns how many requests were carried out.
+func (r *rig) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.runs)
+}
+
+// answer ends a request with its own path as the body.
+func (r *rig) answer(path string) {
+	r.t.Helper()
+	r.started(path).reply <- text(path)
+}
+
+func text(body string) *message.Reply {
+	reply := &message.Reply{Outcome: attempt.Answered, Length: len(body), Body: io.NopCloser(strings.NewReader(body))}
+	reply.Header.SetStatusCode(http.StatusOK)
+	return reply
+}
+
+func (r *rig) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := r.server.Shutdown(ctx); err != nil {
+		r.t.Fatalf("shutdown: %v", err)
+	}
+	if !r.memory.TryAcquire(memory) {
+		r.t.Fatalf("the memory of some body was not given back")
+	}
+}
+
+// caller is one connection.
+type caller struct {
+	t fatal
+	net.Conn
+	r *bufio.Reader
+}
+
+func (r *rig) call() *caller {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.ln.Addr().String())
+	if err != nil {
+		r.t.Fatalf("dial: %v", err)
+	}
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return &caller{t: r.t, Conn: c, r: bufio.NewReader(c)}
+}
+
+func (c *caller) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Fatalf("send: %v", err)
+	}
+}
+
+func get(path string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: desk.example\r\n\r\n"
+}
+
+func post(path, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: desk.example\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+}
+
+// expect reads the next answer, which must have the path of its request as the body.
+func (c *caller) expect(path string) *http.Response {
+	c.t.Helper()
+	resp, body := c.read()
+	if resp.StatusCode != http.StatusOK || body != path {
+		c.t.Fatalf("status %d, body %q, want the answer to %s", resp.StatusCode, body, path)
+	}
+	return resp
+}
+
+func (c *caller) read() (*http.Response, string) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		c.t.Fatalf("response: %v", err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.t.Fatalf("body: %v", err)
+	}
+	return resp, string(body)
+}
+
+// ends fails if anything but the end of the connection follows.
+func (c *caller) ends() {
+	c.t.Helper()
+	if rest, err := io.ReadAll(c.r); err != nil || len(rest) > 0 {
+		c.t.Fatalf("after the last answer: %q, error %v", rest, err)
+	}
+	_ = c.Close()
+}
+
+func path(i int) string {
+	return fmt.Sprintf("/%d", i)
+}
+
+// Guards against answers that reach callers in the order in which they were ready, or with the body of another request,
+// and against requests that are started only after the answer to the one before.
+func TestAnswersKeepTheOrderOfRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		depth := rapid.IntRange(1, 8).Draw(t, "depth")
+		count := rapid.IntRange(1, depth).Draw(t, "requests")
+		done := rapid.Permutation(indices(count)).Draw(t, "order of completion")
+		pieces := rapid.IntRange(1, 3).Draw(t, "writes")
+		r := newRig(t, func(cfg *pipeline.Config) { cfg.Depth = depth })
+		c := r.call()
+		defer c.Close()
+		var all bytes.Buffer
+		for i := range count {
+			all.WriteString(get(path(i)))
+		}
+		for b := all.Bytes(); len(b) > 0; {
+			n := min(len(b), all.Cap()/pieces+1)
+			c.send(string(b[:n]))
+			b = b[n:]
+		}
+		for i := range count {
+			r.started(path(i))
+		}
+		for _, i := range done {
+			r.answer(path(i))
+		}
+		for i := range count {
+			c.expect(path(i))
+		}
+		r.stop()
+	})
+}
+
+func indices(n int) []int {
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+// Guards against an answer that waits for a slower one behind it.
+func TestFirstAnswerDoesNotWaitForLaterOnes(t *testing.T) {
+	r := newRig(t, nil)
+	c := r.call()
+	defer c.Close()
+	c.send(get("/a") + get("/b"))
+	r.started("/b")
+	r.answer("/a")
+	c.expect("/a")
+	r.answer("/b")
+	c.expect("/b")
+	r.stop()
+}
+
+// Guards against a reservation that runs although an answer before it may end the connection, which callers take as
+// the proof that it did not run, and against requests that overtake a reservation.
+func TestUnrepeatableRequestRunsAlone(t *testing.T) {
+	r := newRig(t, nil)
+	c := r.call()
+	defer c.Close()
+	c.send(get("/a") + get("/b") + post("/c", "x") + get("/d"))
+	r.started("/b")
+	r.answer("/b")
+	if got := r.count(); got != 2 {
+		t.Fatalf("%d requests were started beside an unrepeatable one", got)
+	}
+	r.answer("/a")
+	c.expect("/a")
+	c.expect("/b")
+	r.started("/c")
+	if got := r.count(); got != 3 {
+		t.Fatalf("%d requests were started, /c must be alone", got)
+	}
+	r.answer("/c")
+	c.expect("/c")
+	r.answer("/d")
+	c.expect("/d")
+	r.stop()
+}
+
+// Guards against work that goes on for a caller that has left, however many of its requests were read.
+func TestCallerThatLeavesEndsAllItsRequests(t *testing.T) {
+	for name, test := range map[string]struct{ text, last string }{
+		"one request":            {get("/a"), "/a"},
+		"several":                {get("/a") + get("/b") + get("/c"), "/c"},
+		"behind an unrepeatable": {post("/a", "x") + get("/b"), "/a"},
+		"at the depth limit":     {get("/a") + get("/b") + get("/c") + get("/d") + get("/e"), "/c"},
+		"within a request":       {get("/a") + "GET /b HTT", "/a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, func(cfg *pipeline.Config) { cfg.Depth = 3 })
+			c := r.call()
+			c.send(test.text)
+			first, last := r.started("/a"), r.started(test.last)
+			_ = c.Close()
+			for _, one := range []*run{first, last} {
+				select {
+				case <-one.ctx.Done():
+				case <-time.After(patience):
+					t.Fatalf("%s goes on", one.path)
+				}
+			}
+			r.stop()
+		})
+	}
+}
+
+// Guards against a caller that fills a node with requests that it has not been answered.
+func TestRequestsReadAheadAreBounded(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(*pipeline.Config)
+		most   int
+	}{
+		"by connection": {func(cfg *pipeline.Config) { cfg.Depth = 3 }, 3},
+		"by node":       {func(cfg *pipeline.Config) { cfg.Ahead = 2 }, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const count = 40
+			r := newRig(t, test.change)
+			c := r.call()
+			defer c.Close()
+			for i := range count {
+				c.send(get(path(i)))
+			}
+			for i := range count {
+				r.started(path(i))
+				if got := r.count(); got > i+test.most {
+					t.Fatalf("%d requests were started with %d answered", got, i)
+				}
+				r.answer(path(i))
+				c.expect(path(i))
+			}
+			r.stop()
+		})
+	}
+}
+
+// Guards against one connection that uses up what is read ahead for all and thereby stops another.
+func TestBoundOfTheNodeStopsNoConnection(t *testing.T) {
+	r := newRig(t, func(cfg *pipeline.Config) { cfg.Ahead = 1 })
+	greedy, other := r.call(), r.call()
+	defer greedy.Close()
+	defer other.Close()
+	greedy.send(get("/g1") + get("/g2") + get("/g3"))
+	r.started("/g2")
+	other.send(get("/o1") + get("/o2"))
+	r.answer("/o1")
+	other.expect("/o1")
+	r.answer("/o2")
+	other.expect("/o2")
+	for _, p := range []string{"/g1", "/g2", "/g3"} {
+		r.answer(p)
+		greedy.expect(p)
+	}
+	r.stop()
+}
+
+// Guards against bytes that are no request spoiling the answers to those before, and against anything behind them that runs.
+func TestBytesBehindGoodRequests(t *testing.T) {
+	for name, bad := range map[string]string{
+		"no request line": "nonsense\r\n\r\n",
+		"two lengths":     "POST /x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy",
+		"no host":         "GET /x HTTP/1.1\r\n\r\n",
+		"large header":    "GET /x HTTP/1.1\r\nHost: desk.example\r\nX-A: " + strings.Repeat("a", 8<<10) + "\r\n\r\n",
+		"large body":      "POST /x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 100000),
+		"bad chunk":       "POST /x HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, nil)
+			c := r.call()
+			c.send(get("/a") + get("/b") + bad + get("/smuggled"))
+			r.answer("/b")
+			r.answer("/a")
+			c.expect("/a")
+			c.expect("/b")
+			resp, _ := c.read()
+			if resp.StatusCode < 400 || resp.StatusCode >= 500 || !resp.Close {
+				t.Errorf("status %d, close %v", resp.StatusCode, resp.Close)
+			}
+			c.ends()
+			if got := r.count(); got != 2 {
+				t.Errorf("%d requests were carried out", got)
+			}
+			r.stop()
+		})
+	}
+}
+
+// Guards against a shutdown that cuts requests that were read, or that says on an answer that the connection closes
+// although a later request has been started.
+func TestLeavingAnswersWhatWasRead(t *testing.T) {
+	r := newRig(t, nil)
+	c := r.call()
+	c.send(get("/a") + get("/b") + get("/c") + post("/d", "x"))
+	r.started("/c")
+	r.server.Leave()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		r.stop()
+	}()
+	for _, p := range []string{"/c", "/a", "/b"} {
+		r.answer(p)
+	}
+	for _, p := range []string{"/a", "/b"} {
+		if c.expect(p).Close {
+			t.Errorf("the answer to %s closes the connection before that to /c", p)
+		}
+	}
+	if !c.expect("/c").Close {
+		t.Error("the last answer does not close the connection")
+	}
+	c.ends()
+	<-stopped
+	if got := r.count(); got != 3 {
+		t.Errorf("%d requests were carried out, the unrepeatable one must not be", got)
+	}
+}
+
+// Guards against requests that were accepted just before a shutdown and are cut off without an answer after they began to run.
+func TestShutdownAnswersWhatRuns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		callers := rapid.IntRange(1, 8).Draw(t, "callers")
+		r := newRig(t, nil)
+		var sent, done sync.WaitGroup
+		answered := make([]bool, callers)
+		for i := range callers {
+			c := r.call()
+			sent.Add(1)
+			done.Go(func() {
+				defer c.Close()
+				_, _ = io.WriteString(c, get(path(i)))
+				sent.Done()
+				resp, err := http.ReadResponse(c.r, nil)
+				answered[i] = err == nil && resp.StatusCode == http.StatusOK
+			})
+		}
+		if rapid.Bool().Draw(t, "after the send") {
+			sent.Wait()
+		}
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			r.stop()
+		}()
+		for over := false; !over; {
+			select {
+			case <-stopped:
+				over = true
+			case <-time.After(time.Millisecond):
+			}
+			r.mu.Lock()
+			for _, one := range r.runs {
+				select {
+				case one.reply <- text(one.path):
+				default:
+				}
+			}
+			r.mu.Unlock()
+		}
+		done.Wait()
+		for i := range callers {
+			r.mu.Lock()
+			ran := r.runs[path(i)] != nil
+			r.mu.Unlock()
+			if ran && !answered[i] {
+				t.Fatalf("request %d of %d ran and got no answer", i, callers)
+			}
+		}
+	})
+}
+
+// Guards against unread bytes that reset the connection before the caller has read the last answer.
+func TestUnreadBytesDoNotCutTheLastAnswer(t *testing.T) {
+	r := newRig(t, nil)
+	c := r.call()
+	c.send("GET /a HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n\r\n" + strings.Repeat(get("/late"), 500))
+	r.answer("/a")
+	if !c.expect("/a").Close {
+		t.Error("the answer does not close the connection")
+	}
+	c.ends()
+	if got := r.count(); got != 1 {
+		t.Errorf("%d requests were carried out", got)
+	}
+	r.stop()
+}
+
+// broken is a body that ends early.
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+func (broken) Close() error             { return nil }
+
+// Guards against an answer that was cut and looks whole, or that is followed by the answer to the next request.
+func TestAnswerThatBreaksEndsTheConnection(t *testing.T) {
+	for name, length := range map[string]int{"with a length": 100, "in chunks": -1} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, nil)
+			c := r.call()
+			defer c.Close()
+			c.send(get("/a") + get("/b"))
+			next := r.started("/b")
+			cut := &message.Reply{Outcome: attempt.Answered, Length: length, Body: broken{}}
+			cut.Header.SetStatusCode(http.StatusOK)
+			r.started("/a").reply <- cut
+			resp, err := http.ReadResponse(c.r, nil)
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+			}
+			if err == nil {
+				t.Error("the cut answer looks whole")
+			}
+			select {
+			case <-next.ctx.Done():
+			case <-time.After(patience):
+				t.Error("the request behind the cut answer goes on")
+			}
+			r.stop()
+		})
+	}
+}
+
+// Guards against unused connections that stay open for ever, and against used ones that are closed as unused.
+func TestUnusedConnectionIsClosed(t *testing.T) {
+	r := newRig(t, func(cfg *pipeline.Config) { cfg.Idle = 20 * time.Millisecond })
+	c := r.call()
+	c.send(get("/a"))
+	one := r.started("/a")
+	select {
+	case <-one.ctx.Done():
+		t.Error("a connection with a request in flight was closed as unused")
+	case <-time.After(10 * 20 * time.Millisecond):
+	}
+	r.answer("/a")
+	c.expect("/a")
+	c.ends()
+	r.stop()
+}
+
+// Guards against a body that is asked for while an earlier answer is due: the caller would read the interim answer in its place.
+func TestContinueKeepsTheOrder(t *testing.T) {
+	r := newRig(t, nil)
+	c := r.call()
+	defer c.Close()
+	c.send(get("/a") + "POST /b HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 1\r\nExpect: 100-continue\r\n\r\n")
+	r.answer("/a")
+	c.expect("/a")
+	if line, err := c.r.ReadString('\n'); err != nil || line != "HTTP/1.1 100 Continue\r\n" {
+		t.Fatalf("line %q, error %v", line, err)
+	}
+	_, _ = c.r.ReadString('\n')
+	c.send("x")
+	r.answer("/b")
+	c.expect("/b")
+	r.stop()
+}
