Look at the speed of a back end right before a start; a run keeps the speed at which it begins

Cause: choice, admission and hedges took a run to speed up and slow down with the reports. Ruled out: spells that end within a run (the integral of the reported speed is below the measured time); load (fast starts at all loads). Change: before work that a change since the last reading could cost more than a check does, the destination checks the speed; in a slow spell it refuses unstarted, as slow, what the entry node can send to a fast back end, and holds the rest while waiting is shorter than a slow run. Expected times are work times the speed at the start; reports fade; hedges go to runs that take half as long again as usual.

--- a/core/coordination/admission/model.go
+++ b/core/coordination/admission/model.go
@@ -30,7 +30,7 @@
 	warmer  warmer
 	starts  starts
 	faults  float64 // share of recent requests that failed
-	speed   float64 // how long work takes now over its usual time, as the back end says; 0 if it does not
+	tempo   tempo
 }
 
 // begun is a request at the back end.
@@ -38,6 +38,7 @@
 	at    time.Time
 	route string
 	speed float64 // of the back end at the start
+	sure  bool    // a reading right before the start told the speed
 	busy  int     // requests at the back end after the start
 	rerun bool
 }
@@ -71,7 +72,7 @@
 	case Closed:
 		m.closed(now, msg)
 	case Speed:
-		m.speed = msg.Factor
+		m.tempo.read(now, msg.Factor)
 	case Opened:
 		m.warmer.opened(msg.Count)
 	case Limits:
@@ -140,7 +141,10 @@
 }
 
 func (m *Model) start(now time.Time, msg Arrive) Cmd {
-	m.started[msg.ID] = begun{at: now, route: msg.Route, speed: m.speed, busy: len(m.started) + 1, rerun: msg.Rerun}
+	m.started[msg.ID] = begun{
+		at: now, route: msg.Route, speed: m.tempo.factor, busy: len(m.started) + 1, rerun: msg.Rerun,
+		sure: !m.tempo.doubtful(now, m.least(msg)),
+	}
 	m.starts.note(now)
 	m.memory.set(now, msg.ID, ran)
 	return Start{ID: msg.ID}
@@ -255,7 +259,7 @@
 	failed := 0.0
 	switch msg.Result {
 	case Aborted:
-		usual := time.Duration(float64(m.works[b.route]) * max(b.speed, m.speed, pace.Usual))
+		usual := time.Duration(float64(m.works[b.route]) * max(b.speed, pace.Usual))
 		if usual == 0 || msg.Latency < hungFactor*usual {
 			return // given up for reasons of the entry node
 		}
@@ -274,8 +278,12 @@
 	if b.route == "" {
 		return
 	}
-	at := time.Duration(float64(took) / ((max(b.speed, 1) + max(m.speed, 1)) / 2))
-	if usual, known := m.works[b.route]; known && m.state == Ready {
+	at := time.Duration(float64(took) / max(b.speed, 1))
+	usual, known := m.works[b.route]
+	if known && !b.sure {
+		return
+	}
+	if known && m.state == Ready {
 		m.knee.learn(now, float64(at)/float64(max(usual, 1)), b.busy, m.limits.Slots)
 	}
 	m.works.Learn(b.route, at)
@@ -362,7 +370,7 @@
 			Queued:   len(m.queue) + len(m.late),
 			Limit:    m.cap(),
 			Latency:  m.window.mean(),
-			Pace:     m.speed,
+			Pace:     m.tempo.factor,
 			Faults:   m.faults,
 		},
 		State: m.state,
--- a/core/coordination/admission/msg.go
+++ b/core/coordination/admission/msg.go
@@ -21,6 +21,7 @@
 	Aim      time.Time     // until then an answer is of full use
 	AimIn    time.Duration // the whole time of the route until Aim
 	Rerun    bool          // an earlier attempt of the same request may run or have run
+	Movable  bool          // the entry node knows a faster back end with room
 
 	since time.Time // start of the wait
 }
@@ -117,10 +118,14 @@
 // Running answers a Cancel: the attempt has started.
 type Running struct{ ID attempt.ID }
 
+// Measure asks for the speed of the back end at once; the result is Speed.
+type Measure struct{}
+
 // Warm asks for new connections to the back end before they are needed.
 type Warm struct{ Count int }
 
 func (Warm) cmd()      {}
+func (Measure) cmd()   {}
 func (Start) cmd()     {}
 func (Refuse) cmd()    {}
 func (Cancelled) cmd() {}
--- a/core/coordination/admission/prompt.go
+++ b/core/coordination/admission/prompt.go
@@ -2,9 +2,9 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
-	"pollenhill.example/core/coordination/pace"
 	"pollenhill.example/core/protocol/refusal"
 	"pollenhill.example/core/state/rule"
 )
@@ -30,11 +30,6 @@
 	return time.Duration(firstWork * float64(a.AimIn))
 }
 
-// span is the expected time of a request that starts now.
-func (m *Model) span(a Arrive) time.Duration {
-	return pace.Span(m.least(a), m.speed)
-}
-
 // wait is the expected time until a slot is free behind a number of waiting requests.
 func (m *Model) wait(ahead int) time.Duration {
 	return time.Duration(float64(m.window.mean()) * float64(ahead+1) / float64(max(1, m.cap())))
@@ -45,10 +40,17 @@
 	if now.Add(m.least(msg)).After(msg.Deadline) {
 		return []Cmd{Refuse{ID: msg.ID, Reason: refusal.Late, After: busyWait}}
 	}
-	if len(m.queue) == 0 && m.free(now) {
-		return []Cmd{m.start(now, msg)}
-	}
 	msg.since = now
+	if m.moves(now, msg) {
+		return []Cmd{Refuse{ID: msg.ID, Reason: refusal.Slow, After: busyWait}}
+	}
+	if m.free(now) && m.first(now) {
+		if !m.holds(now, msg) {
+			return []Cmd{m.start(now, msg)}
+		}
+		m.queue.push(msg, urgency)
+		return nil
+	}
 	if now.Add(m.wait(m.queue.ahead(msg, urgency)) + m.span(msg)).Before(msg.until()) {
 		m.queue.push(msg, urgency)
 		return nil
@@ -56,6 +58,11 @@
 	return m.defers(now, msg)
 }
 
+// first says whether no waiting request could start.
+func (m *Model) first(now time.Time) bool {
+	return !slices.ContainsFunc(m.queue, func(a Arrive) bool { return !m.holds(now, a) })
+}
+
 // defers puts a request behind those that can meet their aim, or refuses it.
 func (m *Model) defers(now time.Time, msg Arrive) []Cmd {
 	if now.Add(m.span(msg)).Before(msg.Deadline) && len(m.late) < max(1, int(lateShare*float64(m.cap()))) && now.Sub(msg.since) < lateWait {
@@ -72,8 +79,9 @@
 	for _, a := range missed {
 		cmds = append(cmds, m.defers(now, a)...)
 	}
+	free := m.free(now)
 	over := m.late.remove(func(a Arrive) bool {
-		return now.Sub(a.since) >= lateWait || now.Add(m.span(a)).After(a.Deadline)
+		return !free && now.Sub(a.since) >= lateWait || now.Add(m.span(a)).After(a.Deadline)
 	})
 	for _, a := range over {
 		cmds = append(cmds, Refuse{ID: a.ID, Reason: refusal.Late, After: busyWait})
@@ -83,18 +91,18 @@
 
 // pumpPrompt starts waiting requests, those that can meet their aim first.
 func (m *Model) pumpPrompt(now time.Time) []Cmd {
-	var cmds []Cmd
+	cmds := m.move(now)
 	for m.free(now) {
-		switch {
-		case len(m.queue) > 0:
-			cmds = append(cmds, m.start(now, m.queue.pop()))
-		case len(m.late) > 0:
-			cmds = append(cmds, m.start(now, m.late.pop()))
-		default:
-			return cmds
+		next, ok := m.queue.take(func(a Arrive) bool { return !m.holds(now, a) })
+		if !ok {
+			next, ok = m.late.take(func(a Arrive) bool { return now.Sub(a.since) >= lateWait || !m.holds(now, a) })
+		}
+		if !ok {
+			break
 		}
+		cmds = append(cmds, m.start(now, next))
 	}
-	return cmds
+	return append(cmds, m.check(now)...)
 }
 
 // until is the time by which a waiting request must end to keep its place. The most urgent ones keep it up to their
--- a/core/coordination/admission/queue.go
+++ b/core/coordination/admission/queue.go
@@ -38,6 +38,17 @@
 	return first
 }
 
+// take removes and returns the first attempt that matches, false if none does.
+func (q *queue) take(match func(Arrive) bool) (Arrive, bool) {
+	i := slices.IndexFunc(*q, match)
+	if i < 0 {
+		return Arrive{}, false
+	}
+	found := (*q)[i]
+	*q = slices.Delete(*q, i, i+1)
+	return found, true
+}
+
 // remove takes out and returns the attempts that match.
 func (q *queue) remove(match func(Arrive) bool) []Arrive {
 	var out []Arrive
--- a/core/coordination/choice/load.go
+++ b/core/coordination/choice/load.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"pollenhill.example/core/coordination/admission"
-	"pollenhill.example/core/coordination/pace"
 	"pollenhill.example/core/protocol/hint"
 	"pollenhill.example/core/state/rule"
 )
@@ -42,7 +41,6 @@
 	own      float64   // average latency of good attempts from here, seconds
 	samples  int
 	bounced  time.Time // last refusal or failure seen here
-	spell    spell
 }
 
 // reported stores a hint that was true at the given time; what it says about others' requests excludes
@@ -65,8 +63,6 @@
 	use   float64 // usual load of others per slot
 	total float64 // usual load of all per slot
 	speed float64 // usual service time, seconds
-
-	spells pace.Spells // of being fast, of all back ends
 }
 
 func (s *service) learn(l *load) {
--- a/core/coordination/choice/model.go
+++ b/core/coordination/choice/model.go
@@ -180,7 +180,6 @@
 	}
 	at := now.Add(-msg.Age)
 	s := m.service(m.names[msg.Backend])
-	s.spell(l, at, msg.Hint.Pace)
 	l.reported(at, msg.Hint)
 	s.learn(l)
 }
--- a/core/coordination/choice/msg.go
+++ b/core/coordination/choice/msg.go
@@ -25,10 +25,10 @@
 
 // Seen is what an entry node knew of a back end when it chose it.
 type Seen struct {
-	Age  time.Duration // of the report, 0 without one
-	Pace float64       // how long work took over its usual time
-	Load float64       // requests there
-	Fast time.Duration // since it turned fast, 0 if that is not known or it is slow
+	Age    time.Duration // of the report, 0 without one
+	Pace   float64       // how long work took over its usual time
+	Load   float64       // requests there
+	Others int           // other back ends that were fast and had room
 }
 
 // Msg is an input of Model.Update.
@@ -67,8 +67,7 @@
 // Query asks for a target.
 type Query struct {
 	Service string
-	Avoid   []string      // back ends already tried
-	Work    time.Duration // usual time of the request on a fast back end, 0 if not known
-	Size    int           // usual bytes of the response, which cost more between zones
-	Spare   bool          // only back ends with free slots, as for a hedge
+	Avoid   []string // back ends already tried
+	Size    int      // usual bytes of the response, which cost more between zones
+	Spare   bool     // only back ends with free slots, as for a hedge
 }
--- a/core/coordination/choice/quick.go
+++ b/core/coordination/choice/quick.go
@@ -4,16 +4,15 @@
 	"time"
 
 	"pollenhill.example/core/coordination/admission"
+	"pollenhill.example/core/coordination/pace"
 )
 
 // Weights of the expected time at a back end whose speed changes many times a second.
 const (
-	// paceMemory is how long a report of speed is believed: machines change their speed every 100 to 200 ms, and
-	// nodes report a change at once.
+	// paceMemory is how long a report of speed tells anything: the older it is, the more likely a change is on its way.
 	paceMemory = 400 * time.Millisecond
-	// usualPace is the speed assumed without a report: a back end at its usual speed three quarters of the time and
-	// five times slower otherwise takes twice as long on average.
-	usualPace = 2.0
+	// fastPace is the speed up to which a back end counts as fast.
+	fastPace = 2.0
 	// silence is the age of a report after which the node may be down; its node reports ten times a second.
 	silence     = 600 * time.Millisecond
 	silentCost  = 4.0
@@ -33,12 +32,16 @@
 func (m *Model) quickest(now time.Time, open []candidate, q Query) (Target, bool) {
 	best := -1
 	least := 0.0
+	others := 0
 	for i, c := range open {
 		l := m.loads[c.Backend]
 		if q.Spare && !l.spare(now, c) {
 			continue
 		}
-		cost := m.service(q.Service).slowing(now, l, q.Work) + l.expected(now, c)*(1+randomCost*m.cfg.Rand.Float64())
+		if l.fast(now, c) {
+			others++
+		}
+		cost := l.expected(now, c) * (1 + randomCost*m.cfg.Rand.Float64())
 		if c.Zone != m.cfg.Zone {
 			cost += farCost + float64(q.Size)/farBytes
 		}
@@ -55,9 +58,10 @@
 	if !l.at.IsZero() {
 		t.Seen.Age = now.Sub(l.at)
 	}
-	if l.spell.fast && !l.spell.since.IsZero() {
-		t.Seen.Fast = now.Sub(l.spell.since)
+	if l.fast(now, open[best]) {
+		others--
 	}
+	t.Seen.Others = others
 	return t, true
 }
 
@@ -65,17 +69,26 @@
 func (m *Model) Pace(now time.Time, backend string) float64 {
 	l, ok := m.loads[backend]
 	if !ok {
-		return usualPace
+		return pace.Usual
 	}
 	return l.pace(now)
 }
 
-// pace is how long work takes now over its usual time, as far as a report tells.
+// pace is how long work that starts now takes over its usual time: what the newest report says, and the usual average
+// the more the older it is.
 func (l *load) pace(now time.Time) float64 {
-	if l.at.IsZero() || l.hint.Pace <= 0 || now.Sub(l.at) > paceMemory {
-		return usualPace
+	if l.at.IsZero() || l.hint.Pace <= 0 {
+		return pace.Usual
 	}
-	return l.hint.Pace
+	old := min(1, now.Sub(l.at).Seconds()/paceMemory.Seconds())
+	return l.hint.Pace + old*(pace.Usual-l.hint.Pace)
+}
+
+// fast says whether a back end is fast and has room for a request that another one refuses.
+func (l *load) fast(now time.Time, c candidate) bool {
+	load := l.others + float64(l.inflight)
+	return !l.at.IsZero() && l.pace(now) <= fastPace && load < float64(max(l.hint.Limit, 1)) &&
+		c.State == admission.Ready && now.Sub(l.at) <= silence
 }
 
 // expected is the expected time of one more request, over its usual time on an idle back end.
--- a/core/coordination/choice/quick_test.go
+++ b/core/coordination/choice/quick_test.go
@@ -115,3 +115,37 @@
 		t.Errorf("hedge to %+v", target)
 	}
 }
+
+// Guards against a report that is believed without doubt until it is dropped: the older it is, the more likely the back
+// end has changed its speed.
+func TestOldReportsOfSpeedFade(t *testing.T) {
+	m := pooled(t, func(i int, _ *choice.Target, h *hint.Hint) {
+		if i == 0 {
+			h.Pace = 5
+		}
+	})
+	before := m.Pace(epoch, "b0")
+	for age := 50 * time.Millisecond; age <= 400*time.Millisecond; age += 50 * time.Millisecond {
+		now := m.Pace(epoch.Add(age), "b0")
+		if now >= before || m.Pace(epoch.Add(age), "b1") <= 1 {
+			t.Errorf("pace %v after %v, %v before", now, age, before)
+		}
+		before = now
+	}
+}
+
+// Guards against a back end that refuses a request as slow although no other one is fast and has room.
+func TestOthersAreFastAndHaveRoom(t *testing.T) {
+	m := pooled(t, func(i int, _ *choice.Target, h *hint.Hint) {
+		switch i {
+		case 1:
+			h.Pace = 5
+		case 2:
+			h.Inflight = 12
+		}
+	})
+	target, _ := m.Pick(epoch, choice.Query{Service: "s"})
+	if target.Seen.Others != 1 {
+		t.Errorf("%d others of %s, want 1", target.Seen.Others, target.Backend)
+	}
+}
--- a/core/coordination/pace/works.go
+++ b/core/coordination/pace/works.go
@@ -3,10 +3,11 @@
 import "time"
 
 const (
-	// swing is how long a speed lasts on average; after it, work goes on at the usual speed.
-	swing = 150 * time.Millisecond
-	// Usual is the average of the factor by which work is slower than at best.
-	Usual = 1.6
+	// Swing is how long a back end on a shared machine keeps a speed.
+	Swing = 150 * time.Millisecond
+	// Usual is the factor by which work is slower than at best on average: a back end at its usual speed three quarters
+	// of the time and five times slower otherwise.
+	Usual = 2.0
 	// workWeight is the part of one completion in the usual time of its route.
 	workWeight = 0.05
 )
@@ -24,12 +25,8 @@
 	w[route] = old + time.Duration(workWeight*float64(took-old))
 }
 
-// Span is the expected time of work that starts at a speed, given as the factor by which it is slower than at best.
+// Span is the expected time of work that starts at a speed, given as the factor by which it is slower than at best: work
+// keeps the speed at which it starts.
 func Span(work time.Duration, speed float64) time.Duration {
-	speed = max(speed, 1)
-	if slow := time.Duration(float64(work) * speed); slow <= swing {
-		return slow
-	}
-	done := time.Duration(float64(swing) / speed)
-	return swing + time.Duration(Usual*float64(work-done))
+	return time.Duration(float64(work) * max(speed, 1))
 }
--- a/core/protocol/attempt/header.go
+++ b/core/protocol/attempt/header.go
@@ -10,8 +10,9 @@
 	HeaderPriority    = "Pollenhill-Priority"
 	HeaderService     = "Pollenhill-Service"
 	HeaderRoute       = "Pollenhill-Route"
-	HeaderAim         = "Pollenhill-Aim"   // milliseconds, may be negative
-	HeaderRerun       = "Pollenhill-Rerun" // present if an earlier attempt of the request may run or have run
+	HeaderAim         = "Pollenhill-Aim"     // milliseconds, may be negative
+	HeaderMovable     = "Pollenhill-Movable" // present if the entry node knows a faster back end with room
+	HeaderRerun       = "Pollenhill-Rerun"   // present if an earlier attempt of the request may run or have run
 	HeaderOutcome     = "Pollenhill-Outcome"
 	HeaderHint        = "Pollenhill-Hint"
 	HeaderClock       = "Pollenhill-Clock" // hybrid logical clock of the sender
--- a/core/protocol/refusal/reason.go
+++ b/core/protocol/refusal/reason.go
@@ -33,4 +33,5 @@
 	Mismatch                  // mismatch
 	Upgrade                   // upgrade
 	Internal                  // internal
+	Slow                      // slow
 )
--- a/core/protocol/refusal/reason_string.go
+++ b/core/protocol/refusal/reason_string.go
@@ -34,11 +34,12 @@
 	_ = x[Mismatch-23]
 	_ = x[Upgrade-24]
 	_ = x[Internal-25]
+	_ = x[Slow-26]
 }
 
-const _Reason_name = "nonefulllatecolddrainingleavingzone-outbackend-outabsentincarnationcancelledduplicatedeepshedbudgetno-quorumroutebrokentimeoutlargeheadermalformedheldmismatchupgradeinternal"
+const _Reason_name = "nonefulllatecolddrainingleavingzone-outbackend-outabsentincarnationcancelledduplicatedeepshedbudgetno-quorumroutebrokentimeoutlargeheadermalformedheldmismatchupgradeinternalslow"
 
-var _Reason_index = [...]uint8{0, 4, 8, 12, 16, 24, 31, 39, 50, 56, 67, 76, 85, 89, 93, 99, 108, 113, 119, 126, 131, 137, 146, 150, 158, 165, 173}
+var _Reason_index = [...]uint8{0, 4, 8, 12, 16, 24, 31, 39, 50, 56, 67, 76, 85, 89, 93, 99, 108, 113, 119, 126, 131, 137, 146, 150, 158, 165, 173, 177}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/core/protocol/refusal/refusal.go
+++ b/core/protocol/refusal/refusal.go
@@ -83,7 +83,7 @@
 	if err != nil || level < 0 {
 		return Refusal{}, false
 	}
-	for reason := None; reason <= Internal; reason++ {
+	for reason := None; reason <= Slow; reason++ {
 		if reason.String() == details {
 			return Refusal{Reason: reason, Node: parts[0], Level: level}, true
 		}
--- a/node/coordination/arrival/model.go
+++ b/node/coordination/arrival/model.go
@@ -92,7 +92,7 @@
 	}
 	return m.admit(now, admission.Arrive{
 		ID: msg.ID, Deadline: msg.Deadline, Priority: msg.Level,
-		Route: msg.Route, Aim: now.Add(msg.Aim), AimIn: max(0, msg.Aim), Rerun: msg.Rerun,
+		Route: msg.Route, Aim: now.Add(msg.Aim), AimIn: max(0, msg.Aim), Rerun: msg.Rerun, Movable: msg.Movable,
 	}, false)
 }
 
@@ -157,6 +157,8 @@
 			}
 		case admission.Warm:
 			cmds = append(cmds, Warm(cmd))
+		case admission.Measure:
+			cmds = append(cmds, Measure{})
 		}
 	}
 	return cmds
--- a/node/coordination/arrival/msg.go
+++ b/node/coordination/arrival/msg.go
@@ -23,6 +23,7 @@
 	Route       string        // empty for a request that a service line led here
 	Rerun       bool          // an earlier attempt of the same request may run or have run
 	Aim         time.Duration // left until an answer is not of full use any more
+	Movable     bool          // the entry node knows a faster back end with room
 }
 
 // Cancel reports that the entry node gave up an attempt; the answer is Verdict.
@@ -99,10 +100,14 @@
 	Answer Answer
 }
 
+// Measure asks for the speed of the back end at once; the result is Pace.
+type Measure struct{}
+
 // Warm asks for new connections to the back end before they are needed.
 type Warm struct{ Count int }
 
 func (Warm) cmd()    {}
+func (Measure) cmd() {}
 func (Start) cmd()   {}
 func (Refuse) cmd()  {}
 func (Abort) cmd()   {}
--- a/node/coordination/call/hedge.go
+++ b/node/coordination/call/hedge.go
@@ -10,23 +10,30 @@
 	"pollenhill.example/core/coordination/retry"
 )
 
-// Pattern: a back end slows down while it works on a request. Its node reports the change at once, so that the entry
-// node knows how far the request should be, and sends it to a fast back end while that one can still meet the aim.
+// Pattern: a request keeps the speed that its back end had when it began, and nodes seldom learn that it began slow. One
+// that takes longer than its route usually does was probably slow from the start, and is sent to a fast back end while
+// that one can still meet the aim.
 
 const (
-	// hedgeShare is the part of the aim after which a call is looked at without news, and hedged if the usual time of its
-	// route is not known: by then a request of usual length has ended, and a hedge can still meet the aim.
+	// hedgeShare is the part of the aim before which no call is hedged, and at which it is if the usual time of its route
+	// is not known.
 	hedgeShare = 0.5
 	// checkShare is the part of the aim between two looks at a request that has taken longer than that.
 	checkShare = 0.125
+	// doubt is the part of the usual time after which a request counts as begun slow.
+	doubt = 1.5
 	// leastLeft is the part of the usual time that a request has left at least while it has no answer.
 	leastLeft = 0.25
 	// overdue is the part of the usual time after which a request counts as stuck.
 	overdue = 3
 	// hedgeDoubt is the factor on the expected rest that makes a miss likely enough for a hedge.
-	hedgeDoubt = 1.3
+	hedgeDoubt = 1.2
 	// spareSpan is the factor on the usual time at a fast back end, for the way there and its other work.
 	spareSpan = 1.15
+	// startDoubt is how long after the start of an attempt a report of another speed may tell that of its start.
+	startDoubt = 20 * time.Millisecond
+	// odd is the factor over the usual time above which an answer says nothing about it.
+	odd = 3
 )
 
 // hedgeAt returns when a call that starts now is looked at for a hedge first, zero for never.
@@ -35,7 +42,7 @@
 		return time.Time{}
 	}
 	if s.Aim > 0 {
-		return now.Add(time.Duration(hedgeShare * float64(s.Aim)))
+		return now.Add(max(time.Duration(hedgeShare*float64(s.Aim)), time.Duration(doubt*float64(m.works[s.Route]))))
 	}
 	if d, ok := m.budget(s.Service).Delay(now); ok {
 		return now.Add(d)
@@ -75,15 +82,14 @@
 	return m.sendTo(now, s, target)
 }
 
-// Report takes a hint that came without a response; calls whose back end slowed down may start a hedge.
+// Report takes a hint that came without a response; calls whose back end was slow at their start may start a hedge.
 func (m *Model) Report(now time.Time, msg choice.Report) []Cmd {
 	m.cfg.Choice.Update(now, msg)
 	speed := m.cfg.Choice.Pace(now, msg.Backend)
 	var cmds []Cmd
 	for _, t := range m.running[msg.Backend] {
-		slower := speed > t.pace
-		t.move(now, speed)
-		if slower {
+		if speed > t.pace && now.Sub(t.begun) <= startDoubt {
+			t.pace = speed
 			cmds = append(cmds, m.slowed(now, m.owners[t.id], t)...)
 		}
 	}
@@ -122,29 +128,24 @@
 	if !known {
 		return false
 	}
-	t.move(now, t.pace)
 	goal := s.begun.Add(s.Aim - s.Waited)
 	other := now.Add(time.Duration(spareSpan * float64(pace.Span(usual, 1))))
-	if float64(t.done) > overdue*float64(usual) {
+	took := now.Sub(t.begun)
+	if float64(took) > overdue*float64(usual) {
 		return !other.After(s.Deadline)
 	}
 	if other.After(goal) {
 		return false
 	}
-	left := max(usual-t.done, time.Duration(leastLeft*float64(usual)))
-	return now.Add(time.Duration(hedgeDoubt * float64(pace.Span(left, t.pace)))).After(goal)
-}
-
-// move counts the work that an attempt should have done since the last report of speed.
-func (t *try) move(now time.Time, speed float64) {
-	t.done += time.Duration(float64(now.Sub(t.moved)) / max(t.pace, 1))
-	t.moved = now
-	t.pace = speed
+	if float64(took) >= doubt*float64(usual) {
+		return true
+	}
+	left := max(pace.Span(usual, t.pace)-took, time.Duration(leastLeft*float64(usual)))
+	return now.Add(time.Duration(hedgeDoubt * float64(left))).After(goal)
 }
 
 // track adds an attempt to those that follow the speed of its back end.
 func (m *Model) track(now time.Time, t *try) {
-	t.moved = now
 	t.pace = m.cfg.Choice.Pace(now, t.target.Backend)
 	m.running[t.target.Backend] = append(m.running[t.target.Backend], t)
 }
--- a/node/coordination/call/hedge_test.go
+++ b/node/coordination/call/hedge_test.go
@@ -15,7 +15,7 @@
 	"pollenhill.example/node/coordination/call"
 )
 
-// Pattern: a fast back end slows down while it works on a request, which then takes five times as long as planned.
+// Pattern: a back end slows down just before a request begins there, which then takes five times as long as planned.
 
 const (
 	lookAim  = 200 * time.Millisecond
@@ -71,7 +71,7 @@
 }
 
 // Guards against hedges that come too late for the aim, because they wait for a fixed time instead of the news that the
-// back end has slowed down, and against those that are not needed or can't help.
+// back end was slow at the start, and against those that are not needed or can't help: a run that began fast stays fast.
 func TestSlowedAttemptIsHedged(t *testing.T) {
 	for name, c := range map[string]struct {
 		after  time.Duration // from the start to the change of speed
@@ -81,6 +81,7 @@
 		want   int
 	}{
 		"early":        {after: 10 * time.Millisecond, others: 1, want: 1},
+		"slowed later": {after: 50 * time.Millisecond, others: 1, want: 0},
 		"a bit slower": {after: 10 * time.Millisecond, speed: 2, others: 1, want: 0},
 		"no fast one":  {after: 10 * time.Millisecond, others: 5, want: 0},
 		"out of reach": {after: 150 * time.Millisecond, others: 1, want: 0},
@@ -106,6 +107,27 @@
 	}
 }
 
+// Guards against a request that began slow, without any report that says so, and gets no hedge while one can still meet
+// the aim: played days lost idempotent lookups with one attempt at their deadline.
+func TestOvertimeIsHedged(t *testing.T) {
+	m := poolModel(t)
+	begin := look(1, epoch)
+	begin.Aim = 300 * time.Millisecond
+	m.Update(epoch, begin)
+	at := epoch
+	for range 3 {
+		at = at.Add(begin.Aim / 4)
+		paces(m, at, map[string]float64{"a": 1, "b": 1})
+		if ids := sends(m.Update(at, call.Timer{Call: 1})); len(ids) > 0 {
+			if took := at.Sub(epoch); took < 3*lookWork/2 || took > begin.Aim-lookWork {
+				t.Errorf("hedged after %v", took)
+			}
+			return
+		}
+	}
+	t.Error("no hedge before the aim is out of reach")
+}
+
 // Guards against a retry budget that ends while back ends shed at random: their nodes keep them within their slots, so
 // that a refusal of theirs is a fault and another back end probably takes the request.
 func TestShedRequestsKeepTheBudgetOfPools(t *testing.T) {
--- a/node/coordination/call/model.go
+++ b/node/coordination/call/model.go
@@ -15,6 +15,9 @@
 // MaxAttempts bounds the attempts of one call, hedges included.
 const MaxAttempts = 4
 
+// maxMoves is how many attempts of a call back ends may refuse because they are slow.
+const maxMoves = 2
+
 // Grace is how long past its deadline a call waits for a proof that it did not run.
 const Grace = 100 * time.Millisecond
 
@@ -70,11 +73,8 @@
 	ended   bool
 	asked   bool
 	aim     time.Duration
-	spared  bool // refused before it reached the back end
-
-	done  time.Duration // work at the best speed that the back end should have done
-	moved time.Time     // until when done counts
-	pace  float64       // of the back end since then
+	spared  bool    // refused before it reached the back end
+	pace    float64 // of the back end at the start, as far as a report tells
 }
 
 // New returns a Model without calls.
@@ -219,7 +219,7 @@
 	if len(s.attempts) >= MaxAttempts || s.Tries > 0 && s.reached() >= s.Tries {
 		return choice.Target{}, false
 	}
-	return m.cfg.Choice.Pick(now, choice.Query{Service: s.Service, Avoid: s.tried, Spare: spare, Work: m.works[s.Route], Size: s.Size})
+	return m.cfg.Choice.Pick(now, choice.Query{Service: s.Service, Avoid: s.tried, Spare: spare, Size: s.Size})
 }
 
 // pickSpare picks for a hedge; with an aim that is a back end that can still meet it.
@@ -237,7 +237,8 @@
 	s.tried = append(s.tried, target.Backend)
 	m.owners[id] = s
 	m.cfg.Choice.Update(now, choice.Begin{Backend: target.Backend})
-	return []Cmd{Send{Call: s.Call, Attempt: id, Target: target, Rerun: rerun}}
+	movable := target.Seen.Others > 0 && len(s.attempts) <= maxMoves
+	return []Cmd{Send{Call: s.Call, Attempt: id, Target: target, Rerun: rerun, Movable: movable}}
 }
 
 // reached counts the attempts that reached a back end or may have.
--- a/node/coordination/call/msg.go
+++ b/node/coordination/call/msg.go
@@ -102,6 +102,7 @@
 	Attempt attempt.ID
 	Target  choice.Target
 	Rerun   bool // an earlier attempt of the call may run or have run
+	Movable bool // the back end may refuse it in a slow spell, since another one is fast
 }
 
 // Abort abandons an attempt: its connection is closed and its destination told.
--- a/node/coordination/call/service.go
+++ b/node/coordination/call/service.go
@@ -31,6 +31,9 @@
 	return poolBurst / 4
 }
 
+// fastPace is the speed up to which the time of an answer counts as usual.
+const fastPace = 2.0
+
 // service is what is learned about one service.
 type service struct {
 	cfg    retry.Config
@@ -80,11 +83,14 @@
 	b.Answer(now, msg.Outcome == attempt.NotRun && retry.Overloaded(msg.Refusal.Reason))
 }
 
-// learnWork takes the time of a good answer, less what the back end's slowness added to it.
+// learnWork takes the time of a good answer of a back end that was fast at its start.
 func (m *Model) learnWork(now time.Time, s *state, t *try, msg Head) {
 	if s.Route == "" || msg.Fault {
 		return
 	}
-	t.move(now, t.pace)
-	m.works.Learn(s.Route, t.done)
+	took := now.Sub(t.begun)
+	if usual, known := m.works[s.Route]; known && (t.pace > fastPace || took > odd*usual) {
+		return
+	}
+	m.works.Learn(s.Route, took)
 }
--- a/node/coordination/engine/engine.go
+++ b/node/coordination/engine/engine.go
@@ -37,6 +37,7 @@
 	Call    *call.Model
 	Arrival *arrival.Model
 	Warm    func(count int)     // opens connections to the back end without waiting; may be nil
+	Measure func()              // asks for the speed of the back end without waiting; may be nil
 	Probe   func(arrival.Probe) // checks the back end without waiting; may be nil
 	Paced   func()              // tells that the view shows another speed of the back end, without waiting; may be nil
 }
@@ -245,6 +246,10 @@
 			if e.cfg.Warm != nil {
 				e.cfg.Warm(cmd.Count)
 			}
+		case arrival.Measure:
+			if e.cfg.Measure != nil {
+				e.cfg.Measure()
+			}
 		case arrival.Probe:
 			if e.cfg.Probe != nil {
 				e.cfg.Probe(cmd)
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -135,6 +135,7 @@
 		}),
 		Arrival: arrival.New(arrival.Config{Zone: p.cfg.Zone, Incarnation: p.incarnation}),
 		Warm:    func(count int) { p.backend.Warm(count) },
+		Measure: func() { p.backend.MeasureNow() },
 		Probe:   func(cmd arrival.Probe) { p.backend.Probe(cmd) },
 		Paced:   p.paced,
 	}), nil
--- a/node/protocol/message/attempt.go
+++ b/node/protocol/message/attempt.go
@@ -25,6 +25,7 @@
 	Route       string        // empty for a request that a service line led here
 	Rerun       bool          // an earlier attempt of the same request may run or have run
 	Aim         time.Duration // left until an answer is not of full use any more; 0 if that is not known
+	Movable     bool          // the entry node knows a faster back end with room
 }
 
 // Write sets the headers of a on h; now turns the deadline into remaining milliseconds.
@@ -37,7 +38,10 @@
 	h.Set(attempt.HeaderPriority, a.Level.String())
 	h.Set(attempt.HeaderService, a.Service)
 	if a.Rerun {
-		h.Set(attempt.HeaderRerun, rerun)
+		h.Set(attempt.HeaderRerun, present)
+	}
+	if a.Movable {
+		h.Set(attempt.HeaderMovable, present)
 	}
 	if a.Route != "" {
 		h.Set(attempt.HeaderRoute, a.Route)
@@ -71,6 +75,7 @@
 	a.Level = level(string(h.Peek(attempt.HeaderPriority)))
 	a.Service = string(h.Peek(attempt.HeaderService))
 	a.Rerun = len(h.Peek(attempt.HeaderRerun)) > 0
+	a.Movable = len(h.Peek(attempt.HeaderMovable)) > 0
 	a.Route = string(h.Peek(attempt.HeaderRoute))
 	if a.Route != "" {
 		aim, err := strconv.ParseInt(string(h.Peek(attempt.HeaderAim)), 10, 64)
@@ -99,8 +104,8 @@
 	return rule.Normal
 }
 
-// rerun is the value of HeaderRerun, which is absent otherwise.
-const rerun = "1"
+// present is the value of headers that are absent otherwise.
+const present = "1"
 
 // Remaining returns the value of HeaderDeadline at the time now.
 func Remaining(deadline, now time.Time) string {
--- a/node/protocol/message/message.go
+++ b/node/protocol/message/message.go
@@ -107,7 +107,7 @@
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
 	"TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 	attempt.HeaderAttempt, attempt.HeaderIncarnation, attempt.HeaderDeadline, attempt.HeaderDepth,
-	attempt.HeaderRevision, attempt.HeaderPriority, attempt.HeaderService, attempt.HeaderRoute, attempt.HeaderAim, attempt.HeaderRerun, attempt.HeaderHint, attempt.HeaderClock,
+	attempt.HeaderRevision, attempt.HeaderPriority, attempt.HeaderService, attempt.HeaderRoute, attempt.HeaderAim, attempt.HeaderRerun, attempt.HeaderMovable, attempt.HeaderHint, attempt.HeaderClock,
 }
 
 // fields is what request and response headers of fasthttp have in common here.
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -42,6 +42,7 @@
 	beats  *presence.Model
 	warm   *time.Timer // end of the cold time of the instance that beats describe
 	load   atomic.Pointer[Load]
+	hurry  chan struct{} // asks for a measurement at once
 
 	logged *event.Limit // of refusals, which overload makes too many of to log each
 }
@@ -74,7 +75,7 @@
 // New returns a Backend that is absent.
 func New(cfg Config) *Backend {
 	beats := presence.New(presence.Config{Service: cfg.Service, Address: cfg.Address})
-	return &Backend{cfg: cfg, beats: beats, logged: event.NewLimit(refusalRate, refusalBurst)}
+	return &Backend{cfg: cfg, beats: beats, hurry: make(chan struct{}, 1), logged: event.NewLimit(refusalRate, refusalBurst)}
 }
 
 // Announcement is the body of POST /announce.
--- a/node/transport/backend/measure.go
+++ b/node/transport/backend/measure.go
@@ -32,6 +32,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-b.hurry:
+			m.ask(ctx)
 		case now := <-ticker.C:
 			if now.Sub(b.Load().At) >= measureEvery {
 				m.ask(ctx)
@@ -40,6 +42,14 @@
 	}
 }
 
+// MeasureNow asks the back end for its load without waiting for the answer.
+func (b *Backend) MeasureNow() {
+	select {
+	case b.hurry <- struct{}{}:
+	default: // a question is on its way already
+	}
+}
+
 // meter holds the connection on which the load is asked for.
 type meter struct {
 	b       *Backend
--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -34,6 +34,7 @@
 		Route:       a.Route,
 		Aim:         a.Aim,
 		Rerun:       a.Rerun,
+		Movable:     a.Movable,
 	})
 	var cmd arrival.Cmd
 	select {
--- a/node/transport/caller/calllog.go
+++ b/node/transport/caller/calllog.go
@@ -82,8 +82,8 @@
 	enc.AddDuration("age", s.target.Seen.Age)
 	enc.AddFloat64("pace", s.target.Seen.Pace)
 	enc.AddFloat64("load", s.target.Seen.Load)
-	if s.target.Seen.Fast > 0 {
-		enc.AddDuration("fast", s.target.Seen.Fast)
+	if s.target.Seen.Others > 0 {
+		enc.AddInt("others", s.target.Seen.Others)
 	}
 	if s.rerun {
 		enc.AddBool("rerun", true)
--- a/node/transport/caller/run.go
+++ b/node/transport/caller/run.go
@@ -156,6 +156,7 @@
 		Service:     r.req.Service,
 		Route:       r.req.Route,
 		Rerun:       cmd.Rerun,
+		Movable:     cmd.Movable,
 		Aim:         time.Until(r.req.First.Add(r.req.Aim)),
 	}
 	go func() {
--- a/pollenhill/protocol/advice/list.go
+++ b/pollenhill/protocol/advice/list.go
@@ -85,4 +85,5 @@
 	{"mismatch", "The Idempotency-Key belongs to a different request. Nothing ran.", "The caller has to use a new key for every new reservation."},
 	{"upgrade", "The request asks for another protocol, which nodes do not pass on. Nothing ran.", "The caller has to use plain HTTP/1.1."},
 	{"internal", "The node itself failed.", "Look at the log of the node named in Proxy-Status and report the fault."},
+	{"slow", "The back end was in a slow moment and the entry node knew a faster one. Nothing ran.", "Usually nothing: the request went elsewhere at once. If callers see it, look at the speed of all back ends of the service (pace in the log)."},
 }
--- a/pollenhill/state/cause/walk.go
+++ b/pollenhill/state/cause/walk.go
@@ -40,9 +40,10 @@
 	Age     float64 `json:"age"` // seconds, of the report that chose the back end
 	Pace    float64 `json:"pace"`
 	Load    float64 `json:"load"`
-	Fast    float64 `json:"fast"`  // seconds since the back end turned fast, 0 if not known
-	Rerun   bool    `json:"rerun"` // an earlier attempt could still run or have run
-	Took    float64 `json:"took"`  // seconds
+	Fast    float64 `json:"fast"`   // seconds since the back end turned fast, in logs of earlier versions
+	Others  float64 `json:"others"` // other back ends that were fast and had room
+	Rerun   bool    `json:"rerun"`  // an earlier attempt could still run or have run
+	Took    float64 `json:"took"`   // seconds
 	Outcome string  `json:"outcome"`
 	Reason  string  `json:"reason"`
 	Status  int     `json:"status"`
@@ -129,7 +130,7 @@
 			c.Node, c.Status, c.Outcome, c.Took.Round(time.Millisecond), c.Given.Round(time.Millisecond), c.Route, c.Service, c.Revision)
 		for i, a := range c.Attempts {
 			fmt.Fprintf(&b, "  %d. %s at %s, chosen by a report %s old (pace %.2f, load %.0f%s)%s: %s\n",
-				i+1, a.Backend, a.Node, seconds(a.Age).Round(time.Millisecond), a.Pace, a.Load, a.spell(), a.again(), a.end())
+				i+1, a.Backend, a.Node, seconds(a.Age).Round(time.Millisecond), a.Pace, a.Load, a.seen(), a.again(), a.end())
 			for _, n := range a.Notes {
 				fmt.Fprintf(&b, "     %s\n", n)
 			}
@@ -139,12 +140,15 @@
 	return b.String()
 }
 
-// spell says how long the back end had been fast.
-func (a Attempt) spell() string {
-	if a.Fast == 0 {
-		return ""
+// seen tells what else was known when the back end was chosen.
+func (a Attempt) seen() string {
+	switch {
+	case a.Fast > 0:
+		return fmt.Sprintf(", fast for %s", seconds(a.Fast).Round(time.Millisecond))
+	case a.Others > 0:
+		return fmt.Sprintf(", %.0f others fast", a.Others)
 	}
-	return fmt.Sprintf(", fast for %s", seconds(a.Fast).Round(time.Millisecond))
+	return ""
 }
 
 // again marks an attempt beside or after one that may have run: a hedge, or a retry after a failure.
