Serve attempts of other nodes with the same connection code as callers

Cause: two ways to serve a connection stood beside each other: fasthttp's server with a watch for peers, package pipeline for callers. The first holds a read buffer of 17 KiB for every idle connection. Change: peer.Server runs on package pipeline, one request at a time; Handler.Handle, Reject and the watch are removed.

--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -100,14 +100,13 @@
 		Ahead:   cfg.Ahead,
 		Read:    cfg.Read,
 		Idle:    cfg.Idle,
-		Stall:   cfg.Stall,
 	})
 	return s
 }
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(ln)
+	return s.http.Serve(inbound.Listen(ln, s.cfg.Stall))
 }
 
 // Leave makes every reply close its connection, so that callers move to other nodes.
--- a/node/transport/inbound/doc.go
+++ b/node/transport/inbound/doc.go
@@ -1,2 +1,2 @@
-// Package inbound receives whole requests, watches their connections and writes replies for every HTTP listener of a node.
+// Package inbound receives whole requests and writes replies for the listeners of a node to callers and other nodes.
 package inbound
--- a/node/transport/inbound/handler.go
+++ b/node/transport/inbound/handler.go
@@ -39,32 +39,6 @@
 	return &Handler{cfg: cfg}
 }
 
-// Handle receives the request in rc, serves it and leaves the reply in rc.
-func (h *Handler) Handle(rc *fasthttp.RequestCtx) {
-	arrived := time.Now()
-	if reason := check(&rc.Request.Header); reason != refusal.None {
-		h.Reject(rc, reason)
-		return
-	}
-	body, reason := h.receive(&rc.Request)
-	defer h.Release(body)
-	if reason != refusal.None {
-		h.Reject(rc, reason)
-		return
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	stop := watch(rc.Conn(), cancel)
-	reply := h.cfg.Serve(ctx, Request{Header: &rc.Request.Header, Body: body, Arrived: arrived})
-	end := func() {
-		stop()
-		cancel()
-	}
-	if reply.Body == nil {
-		end()
-	}
-	Fill(&rc.Response, rc.IsHead(), reply, end)
-}
-
 // Run carries out a request that was received; the caller of Run writes the reply.
 func (h *Handler) Run(ctx context.Context, in Request) *message.Reply {
 	return h.cfg.Serve(ctx, in)
@@ -80,13 +54,6 @@
 	h.cfg.Memory.Release(int64(cap(body)))
 }
 
-// Reject refuses a request and closes its connection, where the next request may not begin at a known byte.
-func (h *Handler) Reject(rc *fasthttp.RequestCtx, reason refusal.Reason) {
-	rc.Response.Reset()
-	Fill(&rc.Response, rc.IsHead(), h.cfg.Refuse(&rc.Request.Header, reason), nil)
-	rc.SetConnectionClose()
-}
-
 // Check refuses requests whose header could be read differently elsewhere.
 func Check(req *fasthttp.Request) refusal.Reason {
 	if reason := check(&req.Header); reason != refusal.None {
--- a/node/transport/inbound/write.go
+++ b/node/transport/inbound/write.go
@@ -1,17 +1,14 @@
 package inbound
 
 import (
-	"io"
-
 	"github.com/valyala/fasthttp"
 
 	"pollenhill.example/core/transport/tcp"
 	"pollenhill.example/node/protocol/message"
 )
 
-// Fill puts reply into resp; end, if not nil, runs after the body was written or could not be.
-// A body that fails makes the write of resp fail without the last chunk or byte, so a cut is visible.
-func Fill(resp *fasthttp.Response, head bool, reply *message.Reply, end func()) {
+// Fill puts reply into resp. A body that fails makes the write of resp fail without the last chunk or byte, so a cut is visible.
+func Fill(resp *fasthttp.Response, head bool, reply *message.Reply) {
 	reply.Header.CopyTo(&resp.Header)
 	resp.Header.SetNoDefaultContentType(true)
 	if reply.Body == nil {
@@ -25,22 +22,5 @@
 	}
 	// A small body is complete already; the header of any other must not wait for it.
 	resp.ImmediateHeaderFlush = length < 0 || length > message.SmallBody
-	body := reply.Body
-	if end != nil {
-		body = &stream{ReadCloser: body, end: end}
-	}
-	resp.SetBodyStream(body, length)
-}
-
-// stream ends the watch of the connection with the body.
-type stream struct {
-	io.ReadCloser
-	end func()
-}
-
-// Close closes the body; closed early, it abandons the connection it came from.
-func (s *stream) Close() error {
-	err := s.ReadCloser.Close()
-	s.end()
-	return err
+	resp.SetBodyStream(reply.Body, length)
 }
--- a/node/transport/peer/server.go
+++ b/node/transport/peer/server.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
+	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -19,6 +22,7 @@
 	"pollenhill.example/node/coordination/arrival"
 	"pollenhill.example/node/protocol/message"
 	"pollenhill.example/node/transport/inbound"
+	"pollenhill.example/node/transport/pipeline"
 )
 
 // Paths of the peer port besides attempts, and the header of the answer to a cancel.
@@ -31,8 +35,7 @@
 // Server serves attempts, cancels and rules to other nodes.
 type Server struct {
 	cfg  ServerConfig
-	in   *inbound.Handler
-	http *fasthttp.Server
+	http *pipeline.Server
 }
 
 // ServerConfig connects a Server with the rest of the node.
@@ -55,30 +58,19 @@
 // NewServer returns a Server.
 func NewServer(cfg ServerConfig) *Server {
 	s := &Server{cfg: cfg}
-	s.in = inbound.New(inbound.Config{Body: cfg.Body, Memory: cfg.Memory, Refuse: s.reject, Serve: s.attempt})
-	s.http = &fasthttp.Server{
-		Handler:                      s.handle,
-		ErrorHandler:                 func(rc *fasthttp.RequestCtx, _ error) { s.in.Reject(rc, refusal.Malformed) },
-		ReadBufferSize:               cfg.Header,
-		MaxRequestBodySize:           cfg.Body,
-		StreamRequestBody:            true,
-		DisablePreParseMultipartForm: true,
-		ReadTimeout:                  cfg.Read,
-		IdleTimeout:                  cfg.Idle,
-		NoDefaultServerHeader:        true,
-		NoDefaultDate:                true,
-		NoDefaultContentType:         true,
-		CloseOnShutdown:              true,
-		Logger:                       silent{},
-	}
+	s.http = pipeline.New(pipeline.Config{
+		Handler: inbound.New(inbound.Config{Body: cfg.Body, Memory: cfg.Memory, Refuse: s.reject, Serve: s.serve}),
+		// Nodes send one attempt at a time on a connection.
+		Alone:  func(*fasthttp.RequestHeader) bool { return true },
+		Header: cfg.Header,
+		Body:   cfg.Body,
+		Depth:  1,
+		Read:   cfg.Read,
+		Idle:   cfg.Idle,
+	})
 	return s
 }
 
-// silent drops the lines of fasthttp about single connections; refusals are counted instead.
-type silent struct{}
-
-func (silent) Printf(string, ...any) {}
-
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
 	return s.http.Serve(s.cfg.TLS.Listen(inbound.Listen(ln, s.cfg.Stall), mtls.HTTP1))
@@ -86,40 +78,39 @@
 
 // Shutdown stops accepting and waits for the requests in flight.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return s.http.ShutdownWithContext(ctx)
+	return s.http.Shutdown(ctx)
 }
 
-// handle separates attempts, which carry an attempt ID to any path, from the node's own paths.
-func (s *Server) handle(rc *fasthttp.RequestCtx) {
-	id := rc.Request.Header.Peek(attempt.HeaderAttempt)
-	service := rc.Request.Header.Peek(attempt.HeaderService)
-	switch path := string(rc.Path()); {
-	case len(service) > 0:
-		s.in.Handle(rc)
-		// A refusal before the headers were read must still name the attempt that it answers.
-		rc.Response.Header.SetBytesV(attempt.HeaderAttempt, id)
-	case path == pathCancel && len(id) > 0:
-		s.cancel(rc)
+// serve separates attempts, which carry an attempt ID to any path, from the node's own paths.
+func (s *Server) serve(ctx context.Context, in inbound.Request) *message.Reply {
+	path, query, _ := strings.Cut(string(in.Header.RequestURI()), "?")
+	switch {
+	case len(in.Header.Peek(attempt.HeaderService)) > 0:
+		return s.attempt(ctx, in)
+	case path == pathCancel:
+		return s.cancel(ctx, in.Header)
 	case path == pathRules:
-		s.rules(rc)
-	default:
-		s.in.Reject(rc, refusal.Malformed)
+		return s.rules(query)
 	}
+	return s.refuse(refusal.Malformed)
 }
 
 func (s *Server) refuse(reason refusal.Reason) *message.Reply {
 	return message.Refuse(refusal.Refusal{Reason: reason, Outcome: attempt.NotRun, After: time.Second, Node: s.cfg.Node})
 }
 
-func (s *Server) reject(_ *fasthttp.RequestHeader, reason refusal.Reason) *message.Reply {
-	return s.refuse(reason)
+// reject refuses a request that was not received; the refusal must still name the attempt that it answers.
+func (s *Server) reject(h *fasthttp.RequestHeader, reason refusal.Reason) *message.Reply {
+	reply := s.refuse(reason)
+	reply.Header.SetBytesV(attempt.HeaderAttempt, h.Peek(attempt.HeaderAttempt))
+	return reply
 }
 
 // attempt serves one attempt. A request that was not received completely never gets here.
 func (s *Server) attempt(ctx context.Context, in inbound.Request) *message.Reply {
 	a, err := message.ReadAttempt(in.Header, time.Now())
 	if err != nil {
-		return s.refuse(refusal.Malformed)
+		return s.reject(in.Header, refusal.Malformed)
 	}
 	merge(s.cfg.Clock, in.Header)
 	s.cfg.Seen(a.ID.Node, a.Revision)
@@ -139,35 +130,41 @@
 // cancelTimeout bounds the wait for the control goroutine.
 const cancelTimeout = time.Second
 
-func (s *Server) cancel(rc *fasthttp.RequestCtx) {
-	h := &rc.Request.Header
+func (s *Server) cancel(ctx context.Context, h *fasthttp.RequestHeader) *message.Reply {
 	id, err := attempt.Parse(string(h.Peek(attempt.HeaderAttempt)))
 	incarnation, err2 := strconv.ParseUint(string(h.Peek(attempt.HeaderIncarnation)), 10, 64)
 	if err != nil || err2 != nil {
-		s.in.Reject(rc, refusal.Malformed)
-		return
+		return s.refuse(refusal.Malformed)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	answer := s.cfg.Local.Cancel(ctx, arrival.Cancel{ID: id, Incarnation: incarnation})
-	rc.Response.Header.Set(attempt.HeaderAttempt, id.String())
-	rc.Response.Header.Set(headerAnswer, answer.String())
+	reply := &message.Reply{Outcome: attempt.Answered}
+	reply.Header.Set(attempt.HeaderAttempt, id.String())
+	reply.Header.Set(headerAnswer, answer.String())
+	return reply
 }
 
 // rules answers 204 if there are none newer than the revision that the peer names.
-func (s *Server) rules(rc *fasthttp.RequestCtx) {
-	after, err := strconv.ParseUint(string(rc.QueryArgs().Peek("after")), 10, 64)
+func (s *Server) rules(query string) *message.Reply {
+	values, err := url.ParseQuery(query)
 	if err != nil {
-		s.in.Reject(rc, refusal.Malformed)
-		return
+		return s.refuse(refusal.Malformed)
+	}
+	after, err := strconv.ParseUint(values.Get("after"), 10, 64)
+	if err != nil {
+		return s.refuse(refusal.Malformed)
 	}
+	reply := &message.Reply{Outcome: attempt.Answered}
 	revision, text := s.cfg.Rules()
 	if revision <= after {
-		rc.SetStatusCode(fasthttp.StatusNoContent)
-		return
+		reply.Header.SetStatusCode(fasthttp.StatusNoContent)
+		return reply
 	}
-	rc.Response.Header.Set(attempt.HeaderRevision, strconv.FormatUint(revision, 10))
-	rc.SetBodyString(text)
+	reply.Header.Set(attempt.HeaderRevision, strconv.FormatUint(revision, 10))
+	reply.Length = len(text)
+	reply.Body = io.NopCloser(strings.NewReader(text))
+	return reply
 }
 
 // Address finds the peer address of a node among targets.
--- a/node/transport/pipeline/exchange.go
+++ b/node/transport/pipeline/exchange.go
@@ -177,7 +177,7 @@
 	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	inbound.Fill(resp, x.req.Header.IsHead(), reply, nil)
+	inbound.Fill(resp, x.req.Header.IsHead(), reply)
 	if c.ends(x) {
 		resp.SetConnectionClose()
 	}
--- a/node/transport/pipeline/server.go
+++ b/node/transport/pipeline/server.go
@@ -39,7 +39,6 @@
 	Ahead   int                                // requests of all connections that were read while an earlier one was not answered
 	Read    time.Duration                      // longest time for receiving a request
 	Idle    time.Duration                      // after which an unused connection is closed
-	Stall   time.Duration                      // longest time for one write
 }
 
 // New returns a Server.
@@ -51,7 +50,6 @@
 
 // Serve accepts connections until Shutdown; an error means that the listener has failed.
 func (s *Server) Serve(ln net.Listener) error {
-	ln = inbound.Listen(ln, s.cfg.Stall)
 	if !s.open(ln) {
 		return ln.Close()
 	}
--- a/node/transport/pipeline/server_test.go
+++ b/node/transport/pipeline/server_test.go
@@ -70,7 +70,7 @@
 		}),
 		Alone:  func(h *fasthttp.RequestHeader) bool { return !h.IsGet() },
 		Header: 4 << 10, Body: 64 << 10, Depth: 8, Ahead: 100,
-		Read: patience, Idle: patience, Stall: patience,
+		Read: patience, Idle: patience,
 	}
 	if change != nil {
 		change(&cfg)
@@ -81,7 +81,7 @@
 		t.Fatalf("listen: %v", err)
 	}
 	r.ln = ln
-	go func() { _ = r.server.Serve(ln) }()
+	go func() { _ = r.server.Serve(inbound.Listen(ln, patience)) }()
 	return r
 }
 
