Hold buffers only while a connection carries an exchange, and collect earlier

Every pooled connection held 32 KiB of buffers, every idle connection of another node 21 KiB. Ruled out: file pages (25 MB, not billed), stacks. A test failed once (TestBackendFaults/TLS/late: CloseIdleConnections called): httptest.Server.Close closes the idle connections of the default transport, which parallel tests share. The tests of program use a transport of their own.

--- a/core/transport/tcp/conn.go
+++ b/core/transport/tcp/conn.go
@@ -11,12 +11,21 @@
 // BufferSize bounds a response header and the memory of one connection per direction, in bytes.
 const BufferSize = 16 << 10
 
+// writeSize is the buffer for a request, in bytes: enough for most headers; longer parts are written past it.
+const writeSize = 4 << 10
+
+// Buffers of connections that carry an exchange; an idle connection holds none.
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, BufferSize) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeSize) }}
+)
+
 // Conn is one pooled connection; it carries one exchange at a time.
 type Conn struct {
 	net   net.Conn
 	pool  *Pool
-	r     *bufio.Reader
-	w     *bufio.Writer
+	r     *bufio.Reader // nil while the connection is idle
+	w     *bufio.Writer // as r
 	out   *counter
 	since time.Time // when it became idle
 	once  *sync.Once
@@ -47,21 +56,38 @@
 }
 
 func newConn(raw net.Conn, p *Pool) *Conn {
-	out := &counter{Conn: raw}
-	return &Conn{
+	c := &Conn{
 		net:  raw,
 		pool: p,
-		r:    bufio.NewReaderSize(raw, BufferSize),
-		w:    bufio.NewWriterSize(out, BufferSize),
-		out:  out,
+		out:  &counter{Conn: raw},
 		once: &sync.Once{},
 
 		ended: make(chan struct{}),
 	}
+	c.equip()
+	return c
+}
+
+// equip takes buffers for an exchange.
+func (c *Conn) equip() {
+	c.r, _ = readers.Get().(*bufio.Reader)
+	c.r.Reset(c.net)
+	c.w, _ = writers.Get().(*bufio.Writer)
+	c.w.Reset(c.out)
+}
+
+// strip gives the buffers back.
+func (c *Conn) strip() {
+	c.r.Reset(nil)
+	readers.Put(c.r)
+	c.w.Reset(nil)
+	writers.Put(c.w)
+	c.r, c.w = nil, nil
 }
 
+// quiet says whether an idle connection looks open, with nothing to read.
 func (c *Conn) quiet() bool {
-	return c.r.Buffered() == 0 && Peek(c.net) == Quiet
+	return Peek(c.net) == Quiet
 }
 
 // watch interrupts the exchange when ctx ends; the returned function stops that and reports whether ctx was later.
@@ -108,6 +134,7 @@
 		}
 		c.out.n = 0
 		next := *c
+		next.strip()
 		next.once = &sync.Once{}
 		next.ended = make(chan struct{})
 		c.end(func(*Conn) { c.pool.put(&next) })
--- a/core/transport/tcp/pool.go
+++ b/core/transport/tcp/pool.go
@@ -122,6 +122,7 @@
 		p.idle = p.idle[:last]
 		old := p.cfg.Now().Sub(c.since) > p.cfg.Idle
 		if !old && c.quiet() {
+			c.equip()
 			return c, closed, nil
 		}
 		if !old {
--- a/node/program/fault_test.go
+++ b/node/program/fault_test.go
@@ -128,7 +128,7 @@
 	req.Host = "desk.example"
 	done := make(chan error, 1)
 	go func() {
-		_, err := http.DefaultTransport.RoundTrip(req)
+		_, err := callers.RoundTrip(req)
 		done <- err
 	}()
 	<-started
--- a/node/program/path_test.go
+++ b/node/program/path_test.go
@@ -23,6 +23,10 @@
 	return entry, destination
 }
 
+// callers carries the requests of tests. The default transport is not used: the end of any fake back end of a parallel
+// test closes its idle connections, even one that has just been taken for a request.
+var callers = http.DefaultTransport.(*http.Transport).Clone()
+
 type answer struct {
 	*http.Response
 	body string
@@ -39,7 +43,7 @@
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := callers.RoundTrip(req)
 	if err != nil {
 		t.Fatalf("%s %s: %v", method, path, err)
 	}
--- a/node/program/peer_test.go
+++ b/node/program/peer_test.go
@@ -22,7 +22,7 @@
 		req.Header.Set("Pollenhill-Depth", "3")
 		req.Header.Set("Pollenhill-Revision", "0")
 	}
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := callers.RoundTrip(req)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/node/program/program.go
+++ b/node/program/program.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,6 +73,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(p.cfg.Limits.Collect)
 	engineCtx, stopEngine := context.WithCancel(context.Background())
 	var engineDone, controlDone sync.WaitGroup
 	engineDone.Go(func() { p.engine.Run(engineCtx) })
--- a/node/program/settings.go
+++ b/node/program/settings.go
@@ -50,24 +50,25 @@
 
 // Limits bounds what a node accepts and how long it waits; zero values mean the defaults.
 type Limits struct {
-	Header   int               `json:"header" validate:"gte=0"`      // bytes of a request header
-	Body     int               `json:"body" validate:"gte=0"`        // bytes of a request body
-	Memory   int               `json:"memory" validate:"gte=0"`      // bytes of all request bodies at once
-	Inflight int               `json:"inflight" validate:"gte=0"`    // calls at once
-	Depth    int               `json:"depth" validate:"gte=0"`       // requests of one connection that are read and not answered
-	Ahead    int               `json:"ahead" validate:"gte=0"`       // requests of all connections that were read while an earlier one was not answered
-	Peers    int               `json:"peers" validate:"gte=0"`       // connections to one other node
-	Idle     settings.Duration `json:"idle" validate:"gte=0"`        // until an unused connection is closed
-	Read     settings.Duration `json:"read" validate:"gte=0"`        // for receiving a request
-	Stall    settings.Duration `json:"stall" validate:"gte=0"`       // without progress of a response
-	Linger   settings.Duration `json:"linger" validate:"gte=0"`      // after SIGTERM until listeners close
-	Serving  settings.Duration `json:"serving" validate:"gte=0"`     // part of Linger in which other nodes may still send work to the back end
-	Grace    settings.Duration `json:"grace" validate:"gte=0"`       // after SIGTERM until the process ends with requests in flight; 0: it waits for all
-	Kill     settings.Duration `json:"kill" validate:"gte=0"`        // after SIGTERM until the process is killed, from which Grace follows; 0: not known
-	Keep     settings.Duration `json:"keep" validate:"gte=0"`        // until a connection to the back end or another node is not used again
-	Whole    int               `json:"whole" validate:"gte=0"`       // bytes up to which a response is received before it is passed on
-	Extra    float64           `json:"extra" validate:"gte=0,lte=1"` // extra attempts over calls that all nodes together may send to a pool; 0: by the rules
-	Promise  bool              `json:"promise"`                      // callers take 503 as the promise that a request did not run, and a Retry-After in fractions of a second
+	Header   int               `json:"header" validate:"gte=0"`           // bytes of a request header
+	Body     int               `json:"body" validate:"gte=0"`             // bytes of a request body
+	Memory   int               `json:"memory" validate:"gte=0"`           // bytes of all request bodies at once
+	Inflight int               `json:"inflight" validate:"gte=0"`         // calls at once
+	Depth    int               `json:"depth" validate:"gte=0"`            // requests of one connection that are read and not answered
+	Ahead    int               `json:"ahead" validate:"gte=0"`            // requests of all connections that were read while an earlier one was not answered
+	Peers    int               `json:"peers" validate:"gte=0"`            // connections to one other node
+	Idle     settings.Duration `json:"idle" validate:"gte=0"`             // until an unused connection is closed
+	Read     settings.Duration `json:"read" validate:"gte=0"`             // for receiving a request
+	Stall    settings.Duration `json:"stall" validate:"gte=0"`            // without progress of a response
+	Linger   settings.Duration `json:"linger" validate:"gte=0"`           // after SIGTERM until listeners close
+	Serving  settings.Duration `json:"serving" validate:"gte=0"`          // part of Linger in which other nodes may still send work to the back end
+	Grace    settings.Duration `json:"grace" validate:"gte=0"`            // after SIGTERM until the process ends with requests in flight; 0: it waits for all
+	Kill     settings.Duration `json:"kill" validate:"gte=0"`             // after SIGTERM until the process is killed, from which Grace follows; 0: not known
+	Keep     settings.Duration `json:"keep" validate:"gte=0"`             // until a connection to the back end or another node is not used again
+	Whole    int               `json:"whole" validate:"gte=0"`            // bytes up to which a response is received before it is passed on
+	Collect  int               `json:"collect" validate:"gte=0,lte=1000"` // growth of the heap between two runs of the collector, in percent
+	Extra    float64           `json:"extra" validate:"gte=0,lte=1"`      // extra attempts over calls that all nodes together may send to a pool; 0: by the rules
+	Promise  bool              `json:"promise"`                           // callers take 503 as the promise that a request did not run, and a Retry-After in fractions of a second
 }
 
 // Defaults of Limits.
@@ -82,6 +83,7 @@
 	defaultIdle     = 30 * time.Second
 	defaultRead     = 10 * time.Second
 	defaultStall    = 30 * time.Second
+	defaultCollect  = 50          // a node works little, and its VM belongs to the back end
 	defaultLinger   = time.Second // other nodes learn of the leaving within a few hundred milliseconds
 )
 
@@ -106,6 +108,7 @@
 		Whole:    cmp.Or(l.Whole, message.SmallBody),
 		Grace:    cmp.Or(l.Grace, l.Kill/killShares*(killShares-1)),
 		Serving:  min(l.Serving, cmp.Or(l.Linger, settings.Duration(defaultLinger))),
+		Collect:  cmp.Or(l.Collect, defaultCollect),
 		Extra:    l.Extra,
 		Promise:  l.Promise,
 	}
