End one request, not the process, when its handling panics

Cause: fasthttp and our own connection code let a panic in the handling of one request end the node, with all requests in flight; operators of similar systems were hit by that. The control goroutine is left out on purpose: after a panic there its state cannot be trusted. Before: TestPanicEndsOneRequest ends the test process. After: the requests before and behind it on the connection are answered.

--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -20,6 +20,7 @@
 	HintsFailed                         // exchange of hints failed
 	CallFailed                          // call failed
 	AttemptLost                         // attempt lost
+	RequestPanicked                     // request ended by a fault of the node
 )
 
 // Kinds of control events.
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -208,6 +208,7 @@
 			return r.set.Revision, r.text
 		},
 		Seen:   p.seen,
+		Events: p.events,
 		Clock:  p.events.Clock(),
 		Header: p.cfg.Limits.Header + message.AttemptSize,
 		Body:   p.cfg.Limits.Body,
--- a/node/transport/caller/calllog.go
+++ b/node/transport/caller/calllog.go
@@ -160,6 +160,13 @@
 	}
 }
 
+// panicked logs a fault of this node that ended a request; it is not limited, since it must never happen.
+func (s *callLog) panicked(h *fasthttp.RequestHeader, fault any) {
+	if s.cfg.Events != nil {
+		s.cfg.Events.Emit(event.RequestPanicked, zap.String("request", s.request(h)), zap.Any("fault", fault), zap.Stack("stack"))
+	}
+}
+
 // request returns the ID that the caller gave its request, empty if callers give none.
 func (s *callLog) request(h *fasthttp.RequestHeader) string {
 	if s.cfg.Headers.Request == "" {
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -90,7 +90,7 @@
 // New returns a Server.
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg, log: newCallLog(cfg)}
-	in := inbound.New(inbound.Config{Body: cfg.Body, Memory: cfg.Memory, Refuse: s.refuse, Serve: s.serve})
+	in := inbound.New(inbound.Config{Body: cfg.Body, Memory: cfg.Memory, Refuse: s.refuse, Serve: s.serve, Failed: s.failed})
 	s.http = pipeline.New(pipeline.Config{
 		Handler: in,
 		Alone:   s.alone,
@@ -128,6 +128,13 @@
 	return message.Refuse(s.waited(f, nil))
 }
 
+// failed answers a request that a fault of this node ended: it may have run.
+func (s *Server) failed(h *fasthttp.RequestHeader, fault any) *message.Reply {
+	s.log.panicked(h, fault)
+	f := refusal.Refusal{Reason: refusal.Internal, Outcome: attempt.Unknown, Node: s.cfg.Node, Promise: s.cfg.Promise}
+	return message.Refuse(f)
+}
+
 // Waits told to callers that take a fraction of a second: short enough to come back within the time that most
 // requests have left, spread so that refused callers do not return together.
 const (
--- a/node/transport/inbound/handler.go
+++ b/node/transport/inbound/handler.go
@@ -21,6 +21,7 @@
 	Memory *semaphore.Weighted                                          // bytes for the request bodies of all listeners
 	Refuse func(*fasthttp.RequestHeader, refusal.Reason) *message.Reply // reply to a request that is not passed on
 	Serve  func(context.Context, Request) *message.Reply                // carries out a request; ctx ends when the other side disconnects
+	Failed func(*fasthttp.RequestHeader, any) *message.Reply            // reply to a request whose Serve panicked with the given value
 }
 
 // Request is a completely received request; Header belongs to the listener until Serve returns.
@@ -39,8 +40,13 @@
 	return &Handler{cfg: cfg}
 }
 
-// Run carries out a request that was received; the caller of Run writes the reply.
-func (h *Handler) Run(ctx context.Context, in Request) *message.Reply {
+// Run carries out a request that was received; the caller of Run writes the reply. A panic ends this request only.
+func (h *Handler) Run(ctx context.Context, in Request) (reply *message.Reply) {
+	defer func() {
+		if v := recover(); v != nil {
+			reply = h.cfg.Failed(in.Header, v)
+		}
+	}()
 	return h.cfg.Serve(ctx, in)
 }
 
--- a/node/transport/peer/server.go
+++ b/node/transport/peer/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
 	"golang.org/x/sync/semaphore"
 
 	"pollenhill.example/core/coordination/choice"
@@ -51,6 +52,7 @@
 	Read   time.Duration // longest time for receiving a request
 	Idle   time.Duration // after which an unused connection is closed
 	Stall  time.Duration // longest time for one write
+	Events *event.Log    // nil: faults are not logged
 	Clock  *event.Clock  // nil: messages carry no stamp
 	TLS    *mtls.Source  // nil: plain connections
 }
@@ -59,7 +61,7 @@
 func NewServer(cfg ServerConfig) *Server {
 	s := &Server{cfg: cfg}
 	s.http = pipeline.New(pipeline.Config{
-		Handler: inbound.New(inbound.Config{Body: cfg.Body, Memory: cfg.Memory, Refuse: s.reject, Serve: s.serve}),
+		Handler: inbound.New(inbound.Config{Body: cfg.Body, Memory: cfg.Memory, Refuse: s.reject, Serve: s.serve, Failed: s.failed}),
 		// Nodes send one attempt at a time on a connection.
 		Alone:  func(*fasthttp.RequestHeader) bool { return true },
 		Header: cfg.Header,
@@ -106,6 +108,17 @@
 	return reply
 }
 
+// failed answers an attempt that a fault of this node ended: it may have run.
+func (s *Server) failed(h *fasthttp.RequestHeader, fault any) *message.Reply {
+	id := h.Peek(attempt.HeaderAttempt)
+	if s.cfg.Events != nil {
+		s.cfg.Events.Emit(event.RequestPanicked, zap.ByteString("attempt", id), zap.Any("fault", fault), zap.Stack("stack"))
+	}
+	reply := message.Refuse(refusal.Refusal{Reason: refusal.Internal, Outcome: attempt.Unknown, Node: s.cfg.Node})
+	reply.Header.SetBytesV(attempt.HeaderAttempt, id)
+	return reply
+}
+
 // attempt serves one attempt. A request that was not received completely never gets here.
 func (s *Server) attempt(ctx context.Context, in inbound.Request) *message.Reply {
 	a, err := message.ReadAttempt(in.Header, time.Now())
--- a/node/transport/pipeline/server_test.go
+++ b/node/transport/pipeline/server_test.go
@@ -67,6 +67,9 @@
 				return message.Refuse(refusal.Refusal{Reason: reason, Outcome: attempt.NotRun, Node: "n"})
 			},
 			Serve: r.serve,
+			Failed: func(*fasthttp.RequestHeader, any) *message.Reply {
+				return message.Refuse(refusal.Refusal{Reason: refusal.Internal, Outcome: attempt.Unknown, Node: "n"})
+			},
 		}),
 		Alone:  func(h *fasthttp.RequestHeader) bool { return !h.IsGet() },
 		Header: 4 << 10, Body: 64 << 10, Depth: 8, Ahead: 100,
@@ -86,6 +89,9 @@
 }
 
 func (r *rig) serve(ctx context.Context, in inbound.Request) *message.Reply {
+	if string(in.Header.RequestURI()) == "/panic" {
+		panic("fault")
+	}
 	one := &run{path: string(in.Header.RequestURI()), ctx: ctx, reply: make(chan *message.Reply, 1)}
 	r.mu.Lock()
 	r.runs[one.path] = one
@@ -543,6 +549,23 @@
 	}
 }
 
+// Guards against one request that takes a whole process down, or that is said not to have run.
+func TestPanicEndsOneRequest(t *testing.T) {
+	r := newRig(t, nil)
+	c := r.call()
+	defer c.Close()
+	c.send(get("/a") + get("/panic") + get("/b"))
+	r.answer("/a")
+	r.answer("/b")
+	c.expect("/a")
+	resp, _ := c.read()
+	if got := resp.Header.Get("Pollenhill-Outcome"); resp.StatusCode < 500 || got != attempt.Unknown.String() {
+		t.Errorf("status %d, outcome %q", resp.StatusCode, got)
+	}
+	c.expect("/b")
+	r.stop()
+}
+
 // Guards against unused connections that stay open for ever, and against used ones that are closed as unused.
 func TestUnusedConnectionIsClosed(t *testing.T) {
 	r := newRig(t, func(cfg *pipeline.Config) { cfg.Idle = 20 * time.Millisecond })
