Keep requests in zones that have a choice of their own; check the speed only of back ends that change it

Cause: another zone cost 0.08 of a request's time whatever the own one had to offer. A back end whose speed never changes was checked before long work, too. Change: the cost is 0.25 where the own zone has three back ends or more, and in proportion below; how often the speed changes is learned, and a check must save more than it costs.

--- a/core/coordination/admission/tempo.go
+++ b/core/coordination/admission/tempo.go
@@ -15,6 +15,16 @@
 const (
 	// checkCost is the time that a check of the speed adds to a request.
 	checkCost = 6 * time.Millisecond
+	// changeLoss is the time that a start after an unnoticed change of speed costs on average, over the usual time of the
+	// work: about half of the changes are for the worse.
+	changeLoss = 2.5
+	// Changes of speed assumed before any reading, as many as on machines whose time slices change each Swing.
+	firstChanges = 5.0
+	firstSeen    = 2.0 // seconds
+	// seenLimit is the time after which older changes count half, in seconds.
+	seenLimit = 20.0
+	// longestGap is the longest time between two readings that says how often the speed changes.
+	longestGap = 200 * time.Millisecond
 	// checkLimit is the longest wait for the result of a check.
 	checkLimit = 40 * time.Millisecond
 	// slowRatio is how many times slower than at its best of late a back end counts as slow.
@@ -40,10 +50,14 @@
 	turn   time.Time  // start of this bestMemory
 	asked  time.Time  // when a check was asked for that has no result yet; zero for none
 	slowed time.Time  // start of the slow spell, zero outside of one
+
+	changes float64 // noticed in seen
+	seen    float64 // seconds between readings
 }
 
 // read takes a reading.
 func (t *tempo) read(now time.Time, factor float64) {
+	t.count(now, factor)
 	t.factor, t.at, t.asked = factor, now, time.Time{}
 	if now.Sub(t.turn) >= bestMemory {
 		t.best = [2]float64{0, t.best[0]}
@@ -59,6 +73,24 @@
 	}
 }
 
+// count learns how often the speed changes.
+func (t *tempo) count(now time.Time, factor float64) {
+	if t.seen == 0 {
+		t.changes, t.seen = firstChanges, firstSeen
+	}
+	gap := now.Sub(t.at)
+	if t.factor == 0 || gap > longestGap {
+		return
+	}
+	t.seen += gap.Seconds()
+	if factor >= slowRatio*t.factor || t.factor >= slowRatio*factor {
+		t.changes++
+	}
+	if t.seen > seenLimit {
+		t.changes, t.seen = t.changes/2, t.seen/2
+	}
+}
+
 // silent says that the check which was asked for last has no result in time.
 func (t *tempo) silent(now time.Time) bool {
 	return !t.asked.IsZero() && now.Sub(t.asked) >= checkLimit
@@ -83,8 +115,8 @@
 	if t.factor == 0 {
 		return false
 	}
-	changed := float64(now.Sub(t.at)) / float64(pace.Swing)
-	return changed*float64(work) > float64(checkCost)
+	changed := now.Sub(t.at).Seconds() * t.changes / t.seen
+	return changed*changeLoss*float64(work) > float64(checkCost)
 }
 
 // slower is the expected time of work that starts in a slow spell, and later that of work that waits for its end.
--- a/core/coordination/admission/tempo_test.go
+++ b/core/coordination/admission/tempo_test.go
@@ -222,3 +222,17 @@
 		t.Errorf("after it: %v", fast)
 	}
 }
+
+// Guards against checks, and the time that they add to each request, at a back end whose speed does not change.
+func TestSteadyBackendIsNotChecked(t *testing.T) {
+	m, now := paced(t, 200*time.Millisecond)
+	for range 2000 {
+		now = now.Add(40 * time.Millisecond)
+		m.Update(now, admission.Speed{Factor: 1})
+	}
+	now = now.Add(40 * time.Millisecond)
+	cmds := m.Update(now, arrives(now, 100, rule.Normal, time.Second))
+	if measures(cmds) > 0 || len(cmds) != 1 {
+		t.Errorf("effects %+v, want a start", cmds)
+	}
+}
--- a/core/coordination/choice/quick.go
+++ b/core/coordination/choice/quick.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
+
 	"pollenhill.example/core/coordination/admission"
 	"pollenhill.example/core/coordination/pace"
 )
@@ -18,9 +20,10 @@
 	silentCost  = 4.0
 	bounceTime  = 50 * time.Millisecond // after a refusal, for which the report that explains it may be late
 	bounceCost  = 1.0
-	faultCost   = 6.0 // a failed attempt costs its time, that of the next one, and a part of the retry budget
-	loadCost    = 0.5 // of a full back end over an empty one
-	farCost     = 0.08
+	faultCost   = 6.0  // a failed attempt costs its time, that of the next one, and a part of the retry budget
+	loadCost    = 0.5  // of a full back end over an empty one
+	farCost     = 0.25 // of another zone, if the own one has nearChoice back ends or more; in proportion if it has fewer
+	nearChoice  = 3
 	farBytes    = 80_000.0 // bytes between zones that cost as much as the usual time of a request
 	randomCost  = 0.25
 	coldCost    = 2.0 // a cold back end takes about twice as long
@@ -33,6 +36,7 @@
 	best := -1
 	least := 0.0
 	others := 0
+	far := m.far(open)
 	for i, c := range open {
 		l := m.loads[c.Backend]
 		if q.Spare && !l.spare(now, c) {
@@ -43,7 +47,7 @@
 		}
 		cost := l.expected(now, c) * (1 + randomCost*m.cfg.Rand.Float64())
 		if c.Zone != m.cfg.Zone {
-			cost += farCost + float64(q.Size)/farBytes
+			cost += far + float64(q.Size)/farBytes
 		}
 		if best < 0 || cost < least {
 			best, least = i, cost
@@ -65,6 +69,13 @@
 	return t, true
 }
 
+// far is the cost of another zone. With few back ends in the own zone a choice among all serves requests sooner; with
+// several the own zone has a fast one with room nearly always.
+func (m *Model) far(open []candidate) float64 {
+	near := lo.CountBy(open, func(c candidate) bool { return c.Zone == m.cfg.Zone })
+	return farCost * float64(min(near, nearChoice)) / nearChoice
+}
+
 // Pace returns how long work takes at a back end now over its usual time, as far as a report tells.
 func (m *Model) Pace(now time.Time, backend string) float64 {
 	l, ok := m.loads[backend]
--- a/core/coordination/choice/quick_test.go
+++ b/core/coordination/choice/quick_test.go
@@ -85,6 +85,32 @@
 	}
 }
 
+// Pattern: many back ends in each zone under load. Guards against requests that leave a zone with a choice of its own,
+// for which a played day paid with a third more late requests, and against a zone with one back end that keeps all.
+func TestZoneWithAChoiceKeepsItsRequests(t *testing.T) {
+	far := func(near int) int {
+		m := pooled(t, func(i int, target *choice.Target, _ *hint.Hint) {
+			target.Zone = "a"
+			if i >= near {
+				target.Zone = "b"
+			}
+		})
+		n := 0
+		for range 1000 {
+			if target, _ := m.Pick(epoch, choice.Query{Service: "s"}); target.Zone == "b" {
+				n++
+			}
+		}
+		return n
+	}
+	if got := far(3); got > 50 {
+		t.Errorf("%d of 1000 picks leave a zone with three equal back ends", got)
+	}
+	if got := far(1); got < 200 {
+		t.Errorf("%d of 1000 picks leave a zone with one of four equal back ends", got)
+	}
+}
+
 // Guards against a silent node that keeps its share until every request to it has failed.
 func TestSilentNodeIsLeft(t *testing.T) {
 	m := pooled(t, func(int, *choice.Target, *hint.Hint) {})
--- a/node/transport/pipeline/conn.go
+++ b/node/transport/pipeline/conn.go
@@ -42,7 +42,8 @@
 	defer c.s.forget(c)
 	defer c.cancel()
 	defer func() { _ = c.net.Close() }()
-	for c.arrived() && c.room() && c.next() {
+	for open := true; open; {
+		open = c.arrived() && c.room() && c.next()
 	}
 	c.release()
 	if last := c.newest(); last != nil {
