Remove what the move to package pipeline left dead in package inbound

Cause: Receive called receive, its only caller left, which checked the length again, and copied served requests whose body fasthttp had read already. ContinueReadBodyStream gives every body as a stream, so copied was not reached. Change: one function Receive; behaviour is the same.

--- a/node/transport/inbound/handler.go
+++ b/node/transport/inbound/handler.go
@@ -87,7 +87,7 @@
 	return refusal.None
 }
 
-// Receive reads the body that follows the header of req in r; Release gives its memory back.
+// Receive reads the whole body that follows the header of req in r, within the memory that is left; Release gives that back.
 func (h *Handler) Receive(req *fasthttp.Request, r *bufio.Reader) ([]byte, refusal.Reason) {
 	if req.Header.ContentLength() > h.cfg.Body {
 		return nil, refusal.Large
@@ -95,22 +95,11 @@
 	if err := req.ContinueReadBodyStream(r, h.cfg.Body, false); err != nil {
 		return nil, refusal.Malformed
 	}
-	return h.receive(req)
-}
-
-// receive reads the whole body within the memory that is left.
-func (h *Handler) receive(req *fasthttp.Request) ([]byte, refusal.Reason) {
 	length := req.Header.ContentLength()
-	if length > h.cfg.Body {
-		return nil, refusal.Large
-	}
 	stream := req.BodyStream()
-	if length == 0 || stream == nil && length < 0 {
+	if length == 0 || stream == nil {
 		return nil, refusal.None
 	}
-	if stream == nil {
-		return h.copied(req.Body())
-	}
 	body, reason := h.read(stream, length)
 	switch {
 	case reason != refusal.None:
@@ -124,15 +113,6 @@
 	return body, refusal.None
 }
 
-func (h *Handler) copied(body []byte) ([]byte, refusal.Reason) {
-	if !h.cfg.Memory.TryAcquire(int64(len(body))) {
-		return nil, refusal.Budget
-	}
-	own := make([]byte, len(body))
-	copy(own, body)
-	return own, refusal.None
-}
-
 // grow is the first size of a buffer for a body of unknown length, in bytes.
 const grow = 4 << 10
 
