Wait for both repeatable requests before counting starts

TestExclusiveRequestRunsAlone counted the started requests as soon as /b had started; /a runs beside it and may start a moment later, so the count was 1 in a few of 3,000 runs. The test now waits for both and still fails if a third one starts, so it checks as much as before.

--- a/node/transport/httpserver/server_test.go
+++ b/node/transport/httpserver/server_test.go
@@ -70,6 +70,7 @@
 	c := s.dial()
 	defer c.Close()
 	c.send(get("/a") + get("/b") + post("/c", "x") + get("/d"))
+	s.awaitStarted("/a")
 	s.awaitStarted("/b")
 	s.reply("/b")
 	if got := s.startedCount(); got != 2 {
