Record what a back end says of itself and what is sent to it

The limit incident has three hypotheses that logs and metrics could not tell apart: nothing reads the limit, other requests than first attempts exceed it, or it is learned too late. No logic changes.

Nodes now read the headers of the request limit and of leaving from every response of their back end, checks included, and log a change of the limit (1014), the requests sent under it each 4 s (1015) and a back end that says that it leaves (1016), each with the attempts and checks of the last 4 s. Metrics: backend_limit, backend_sent_total by kind.

--- a/core/protocol/header/names.go
+++ b/core/protocol/header/names.go
@@ -10,5 +10,7 @@
 	LoadReport         string `json:"load"`     // from back ends: requests running, requests waiting, slots, and service time in percent of normal
 	InstanceID         string `json:"instance"` // from back ends, in responses to health checks: the instance that answers
 	RemainingColdStart string `json:"cold"`     // from back ends, in responses to health checks: milliseconds until the cold start ends
+	RequestLimit       string `json:"limit"`    // from back ends: requests per second that the instance takes from all nodes together; absent for no limit
+	Leaving            string `json:"leaving"`  // from back ends: present if the instance is about to end and must get no new requests
 	CallerService      string `json:"caller"`   // to back ends: service of the node where the request entered
 }
--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -21,6 +21,9 @@
 	CallFailed                                   // call failed
 	AttemptLost                                  // attempt lost
 	RequestPanicked                              // request ended by a fault of the node
+	BackendLimitChanged                          // request limit of the back end changed
+	BackendLimitUse                              // requests sent under the limit of the back end
+	BackendSaysLeaving                           // back end says that it leaves
 )
 
 // Kinds of events of control processes.
--- a/node/program/metrics.go
+++ b/node/program/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -12,6 +13,7 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/node/transport/backend"
 	"pollenhill.example/node/transport/caller"
 )
 
@@ -78,6 +80,9 @@
 	{"admission.inflight", "requests at the back end", func(n *Node) int64 { return int64(n.engine.View().Admission.Hint.Inflight) }},
 	{"admission.queued", "requests waiting here", func(n *Node) int64 { return int64(n.engine.View().Admission.Hint.Queued) }},
 	{"admission.limit", "requests let through at once", func(n *Node) int64 { return int64(n.engine.View().Admission.Hint.Limit) }},
+	{"backend.limit", "requests per second that the back end takes by its own word, 0 for no limit", func(n *Node) int64 {
+		return int64(math.Round(n.backend.RequestLimit()))
+	}},
 	{"calls.open", "calls in progress", func(n *Node) int64 { return int64(n.engine.View().Calls) }},
 	{"rules.revision", "revision of the rules in force", func(n *Node) int64 { return int64(n.rulesRevision()) }},
 	{"rules.age", "seconds since the rules came into force here", func(n *Node) int64 {
@@ -99,7 +104,19 @@
 			return err
 		}
 	}
-	return nil
+	return registerSentCounter(meter, n)
+}
+
+// registerSentCounter counts what the node sends to its back end.
+func registerSentCounter(meter metric.Meter, n *Node) error {
+	_, err := meter.Int64ObservableCounter("backend.sent", metric.WithDescription("requests to the back end by kind"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			attempts, checks := n.backend.SentRequests()
+			o.Observe(attempts, metric.WithAttributes(attribute.Stringer("kind", backend.AttemptRequest)))
+			o.Observe(checks, metric.WithAttributes(attribute.Stringer("kind", backend.CheckRequest)))
+			return nil
+		}))
+	return err
 }
 
 func (m *metrics) recordCall(o caller.CallMetrics) {
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -44,6 +44,8 @@
 	loadReport atomic.Pointer[LoadReport]
 	pollNow    chan struct{} // requests a load report before the next tick of PollLoad
 	logLimiter *event.RateLimiter
+	sent       sentRequests
+	conditions conditionLog
 
 	mu             sync.Mutex // guards the fields below
 	announced      Announcement
--- a/node/transport/backend/instance.go
+++ b/node/transport/backend/instance.go
@@ -127,6 +127,7 @@
 	defer cancel()
 	pool := b.newPool(Announcement{Address: b.cfg.Address, Connections: 1})
 	defer pool.Close()
+	b.sent.record(time.Now(), CheckRequest)
 	resp, err := pool.Exchange(ctx, getRequestHeader(path, b.cfg.Address), nil)
 	if err != nil {
 		return // no back end listens yet
--- a/node/transport/backend/load.go
+++ b/node/transport/backend/load.go
@@ -134,6 +134,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
+	p.backend.sent.record(time.Now(), CheckRequest)
 	resp, err := p.pool.Exchange(ctx, getRequestHeader(path, a.Address), nil)
 	if err != nil {
 		return
@@ -141,6 +142,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	if _, err := io.Copy(io.Discard, resp.Body); err == nil {
 		p.backend.readLoadHeader(&resp.Header)
+		p.backend.readCondition(&resp.Header, a.Name, CheckRequest)
 	}
 }
 
--- a/node/transport/backend/probe.go
+++ b/node/transport/backend/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -31,6 +32,7 @@
 	if pool == nil {
 		return destination.Inconclusive
 	}
+	b.sent.record(time.Now(), CheckRequest)
 	resp, err := pool.Exchange(ctx, getRequestHeader(path, pool.Address()), nil)
 	if err != nil {
 		var step *tcp.Error
--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -127,6 +127,7 @@
 		return b.refusalReply(a, refusal.Refusal{Reason: refusal.NoBackend, Outcome: attempt.NotRun}), admission.Aborted, nil
 	}
 	h := b.requestHeader(a, req, id)
+	b.sent.record(time.Now(), AttemptRequest)
 	resp, err := pool.Exchange(ctx, h, req.Body)
 	if err != nil {
 		b.reportExchangeError(ctx, err)
@@ -141,6 +142,7 @@
 		return b.failedExchangeReply(ctx, a, err)
 	}
 	b.readLoadHeader(&reply.Header)
+	b.readCondition(&reply.Header, id, AttemptRequest)
 	if err := b.setOutcome(reply, a); err != nil {
 		reply.Close()
 		return b.failedExchangeReply(ctx, a, err)
