--- a/node/program/harness_test.go
+++ b/node/program/harness_test.go
@@ -123,6 +123,7 @@
 // testNode is a node that runs in the test process.
 type testNode struct {
 	settings program.Settings
+	control  program.ControlClient
 	stop     context.CancelFunc
 	done     chan error // result of Run; it stays in the channel
 	backend  *fakeBackend
@@ -178,7 +179,7 @@
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	node := &testNode{settings: cfg, stop: stop, done: make(chan error, 1)}
+	node := &testNode{settings: cfg, control: ctl, stop: stop, done: make(chan error, 1)}
 	go func() { node.done <- n.Run(ctx) }()
 	t.Cleanup(func() { node.stopAndWait(t) })
 	eventually(t, cfg.Name+" serves its status", func() bool { return node.fetchStatus().Name == cfg.Name })
--- a/node/program/pool_test.go
+++ b/node/program/pool_test.go
@@ -25,6 +25,7 @@
 var testHeaders = header.Names{
 	RequestID: "Test-Request", Deadline: "Test-Deadline", TargetInstance: "Test-Target", BackendMarker: "Test-Seal", NotRun: "Test-Refused",
 	LoadReport: "Test-Load", InstanceID: "Test-Instance", RemainingColdStart: "Test-Cold", CallerService: "Test-Caller",
+	RequestLimit: "Test-Limit", Leaving: "Test-Leaving",
 }
 
 // rawBackend is a TCP back end that writes the bytes that a test sets, so that it can break the protocol in any way.
@@ -55,6 +56,8 @@
 	return b
 }
 
+func (b *rawBackend) address() netip.AddrPort { return b.ln.Addr().(*net.TCPAddr).AddrPort() }
+
 func (b *rawBackend) serve(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
@@ -110,7 +113,7 @@
 	cfg.Headers = testHeaders
 	cfg.Limits.Guarantee503 = true
 	cfg.Limits.MaxBufferedBytes = 1 << 20
-	cfg.Backend = program.BackendSettings{Service: "desk", Address: b.ln.Addr().(*net.TCPAddr).AddrPort(), CancelByClose: true}
+	cfg.Backend = program.BackendSettings{Service: "desk", Address: b.address(), CancelByClose: true}
 	node := startNode(t, ctl, cfg)
 	eventually(t, "the node takes callers", func() bool {
 		resp, err := http.Get("http://" + cfg.ReadyAddress.String() + "/ready")
