Hold the request limit of a back end at the node beside it

Callers saw nothing; a back end in need got two to three times the requests per second that it takes by its own word.

Cause: nothing read the limit. Admission bounds what is at the back end at once, its cold start and its slow periods, but not a rate, and the checks of the node are not admitted at all: at a limit of 13 a second they alone use up what it allows.

Change: all requests of a back end pass through the node beside it, so that node owns the count and no other node has to be asked. Checks take tokens, and a limited back end gets them only when its responses have stopped. What cannot start in time, or has a free back end elsewhere, is refused at once as not run, with the time at which the bucket has room for it.

--- a/core/coordination/admission/model.go
+++ b/core/coordination/admission/model.go
@@ -29,6 +29,7 @@
 	adaptive     adaptiveLimit
 	connections  connectionOpener
 	coldStarts   startRate
+	requestRate  requestRate
 	failureShare float64 // moving average, 0 to 1
 	slowdown     slowdownTracker
 }
@@ -73,6 +74,12 @@
 		m.connectionsClosed(now, msg)
 	case Slowdown:
 		m.slowdown.record(now, msg.Factor)
+	case RequestLimit:
+		m.requestRate.confirm(now, msg.Limit)
+	case CheckSent:
+		m.requestRate.record(now)
+	case NewInstance:
+		m.requestRate = requestRate{}
 	case ConnectionCount:
 		m.connections.setOpen(msg.Count)
 	case Limits:
@@ -96,6 +103,10 @@
 	if reason := m.unavailableReason(); reason != refusal.None {
 		return []Cmd{Refuse{ID: msg.ID, Reason: reason, RetryAfter: unavailableRetryAfter}}
 	}
+	m.requestRate.adopt(now, msg.KnownLimit)
+	if m.exceedsRequestLimit(now, msg) {
+		return []Cmd{m.refuseForLimit(now, msg)}
+	}
 	if m.limits.FixedLimit {
 		return m.arriveWithObjective(now, msg)
 	}
@@ -146,6 +157,7 @@
 		slowdownReliable: !m.slowdown.needsCheck(now, m.normalServiceTime(msg)),
 	}
 	m.coldStarts.record(now)
+	m.requestRate.record(now)
 	m.history.record(now, msg.ID, started)
 	return Start{ID: msg.ID}
 }
@@ -346,7 +358,30 @@
 
 // canStart reports whether one more request may start now.
 func (m *Model) canStart(now time.Time) bool {
-	return len(m.inflight) < m.limit() && (m.state != Cold || m.coldStarts.allowsStart(now))
+	return len(m.inflight) < m.limit() && (m.state != Cold || m.coldStarts.allowsStart(now)) && m.requestRate.allows(now)
+}
+
+// exceedsRequestLimit reports whether a request has to wait for the request limit and should not: another back end can
+// take it now, or it would end too late.
+func (m *Model) exceedsRequestLimit(now time.Time, a Arrive) bool {
+	if m.requestRate.allows(now) {
+		return false
+	}
+	if a.Movable {
+		return true
+	}
+	if !m.limits.FixedLimit {
+		start := now.Add(m.requestRate.wait(now, m.queue.ahead(a, byDeadline)))
+		return start.Add(m.adaptive.medianLatency()).After(a.Deadline)
+	}
+	start := now.Add(m.requestRate.wait(now, m.queue.ahead(a, byPriority)))
+	return start.Add(m.expectedCompletion(a)).After(a.finishBy())
+}
+
+// refuseForLimit refuses a request with the time until the back end takes another one.
+func (m *Model) refuseForLimit(now time.Time, a Arrive) Cmd {
+	wait := m.requestRate.wait(now, len(m.queue)+len(m.bestEffort))
+	return Refuse{ID: a.ID, Reason: refusal.RequestLimit, RetryAfter: wait}
 }
 
 // limit returns the current concurrency limit.
@@ -374,9 +409,10 @@
 			Slowdown:     m.slowdown.current,
 			FailureShare: m.failureShare,
 		},
-		State:      m.state,
-		Limit:      m.limit(),
-		RerunShare: m.rerunShare(),
+		State:        m.state,
+		Limit:        m.limit(),
+		RerunShare:   m.rerunShare(),
+		RequestLimit: m.requestRate.limit,
 	}
 }
 
--- a/core/coordination/admission/msg.go
+++ b/core/coordination/admission/msg.go
@@ -6,6 +6,7 @@
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/hint"
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/protocol/requestlimit"
 	"pollenhill.example/core/state/rule"
 )
 
@@ -17,11 +18,12 @@
 	ID               attempt.ID
 	Deadline         time.Time
 	Priority         rule.Priority
-	Route            string        // requests of one route have similar service times
-	ObjectiveAt      time.Time     // when LatencyObjective ends; a later answer loses part of its use
-	LatencyObjective time.Duration // time left for the request on its arrival, 0 if none is left
-	Rerun            bool          // an earlier attempt of the same request may run or have run
-	Movable          bool          // the entry node knows a faster back end with free slots
+	Route            string             // requests of one route have similar service times
+	ObjectiveAt      time.Time          // when LatencyObjective ends; a later answer loses part of its use
+	LatencyObjective time.Duration      // time left for the request on its arrival, 0 if none is left
+	Rerun            bool               // an earlier attempt of the same request may run or have run
+	Movable          bool               // the entry node knows a faster back end with free slots
+	KnownLimit       requestlimit.Limit // request limit of the back end as the entry node has heard it
 
 	arrivedAt time.Time // set by Model
 }
@@ -86,12 +88,24 @@
 // Slowdown reports the factor by which service time at the back end is above normal now.
 type Slowdown struct{ Factor float64 }
 
+// RequestLimit reports the request limit that the back end named in its newest response, none included.
+type RequestLimit struct{ Limit requestlimit.Limit }
+
+// CheckSent reports a health check or speed check, which the back end counts as a request.
+type CheckSent struct{}
+
+// NewInstance reports that another instance of the back end runs, whose request limit is unknown.
+type NewInstance struct{}
+
 // ConnectionCount reports the number of open connections to the back end.
 type ConnectionCount struct{ Count int }
 
 func (HealthCheck) msg()       {}
 func (ConnectionsClosed) msg() {}
 func (ConnectionCount) msg()   {}
+func (RequestLimit) msg()      {}
+func (CheckSent) msg()         {}
+func (NewInstance) msg()       {}
 func (Slowdown) msg()          {}
 func (Arrive) msg()            {}
 func (Cancel) msg()            {}
@@ -135,8 +149,9 @@
 
 // View is a snapshot of the admission state for hints and metrics.
 type View struct {
-	Hint       hint.Hint
-	State      State
-	Limit      int     // current concurrency limit
-	RerunShare float64 // share of the requests in flight that may run for the second time
+	Hint         hint.Hint
+	State        State
+	Limit        int                // current concurrency limit
+	RerunShare   float64            // share of the requests in flight that may run for the second time
+	RequestLimit requestlimit.Limit // as the back end named it, or another node has heard it
 }
--- a/core/coordination/admission/objective.go
+++ b/core/coordination/admission/objective.go
@@ -66,6 +66,9 @@
 
 // deferOrRefuse moves a request that can't meet its objective to the best-effort queue, or refuses it.
 func (m *Model) deferOrRefuse(now time.Time, msg Arrive) []Cmd {
+	if !m.requestRate.allows(now) {
+		return []Cmd{m.refuseForLimit(now, msg)}
+	}
 	capacity := max(1, int(bestEffortQueueShare*float64(m.limit())))
 	meetsDeadline := now.Add(m.expectedCompletion(msg)).Before(msg.Deadline)
 	if meetsDeadline && len(m.bestEffort) < capacity && now.Sub(msg.arrivedAt) < bestEffortMaxWait {
--- a/core/coordination/admission/slowdown.go
+++ b/core/coordination/admission/slowdown.go
@@ -144,9 +144,7 @@
 // period.
 func (m *Model) shouldHold(now time.Time, a Arrive) bool {
 	serviceTime := m.normalServiceTime(a)
-	// A cold back end gets no speed checks, since it can take only few requests per second. Its responses report its
-	// slowdown.
-	if m.state == Ready && m.slowdown.needsCheck(now, serviceTime) && !m.slowdown.checkTimedOut(now) {
+	if m.takesSpeedChecks() && m.slowdown.needsCheck(now, serviceTime) && !m.slowdown.checkTimedOut(now) {
 		return true
 	}
 	if !m.slowdown.isSlow() || now.Sub(m.slowdown.slowSince) >= maxSlowPeriodWait {
@@ -156,6 +154,13 @@
 	return float64(started) > minHoldGain*float64(held)
 }
 
+// takesSpeedChecks reports whether the back end gets speed checks. A cold one can take only few requests per second, and
+// one that names a request limit counts checks as requests; their responses report the slowdown.
+func (m *Model) takesSpeedChecks() bool {
+	_, limited := m.requestRate.limit.PerSecond()
+	return m.state == Ready && !limited
+}
+
 // shouldMove reports whether a request should be refused so that the entry node sends it to a faster back end: this one is
 // in a slow period, by a reading that needs no check.
 func (m *Model) shouldMove(now time.Time, a Arrive) bool {
@@ -173,7 +178,7 @@
 
 // requestSpeedCheck asks for a speed check if a request is held and the newest reading is too old, unless one is pending.
 func (m *Model) requestSpeedCheck(now time.Time) []Cmd {
-	if len(m.queue) == 0 || m.state != Ready || m.slowdown.current == 0 || !m.canStart(now) {
+	if len(m.queue) == 0 || !m.takesSpeedChecks() || m.slowdown.current == 0 || !m.canStart(now) {
 		return nil
 	}
 	if !m.slowdown.checkSentAt.IsZero() {
--- a/core/coordination/retry/decision.go
+++ b/core/coordination/retry/decision.go
@@ -33,7 +33,7 @@
 // IsOverload reports whether a refusal reason means that the destination has too many requests.
 func IsOverload(reason refusal.Reason) bool {
 	switch reason {
-	case refusal.AtCapacity, refusal.TooLate, refusal.Shed:
+	case refusal.AtCapacity, refusal.TooLate, refusal.Shed, refusal.RequestLimit:
 		return true
 	}
 	return false
--- a/core/protocol/refusal/reason.go
+++ b/core/protocol/refusal/reason.go
@@ -61,4 +61,8 @@
 	Internal // internal
 	// BackendSlow means that the back end is in a slow period and the entry node knows a faster one.
 	BackendSlow // slow
+	// RequestLimit means that the back end already gets as many requests per second as it takes by its own word.
+	RequestLimit // limit
+
+	reasonCount // number of reasons
 )
--- a/core/protocol/refusal/refusal.go
+++ b/core/protocol/refusal/refusal.go
@@ -86,7 +86,7 @@
 	if err != nil || depth < 0 {
 		return Refusal{}, false
 	}
-	for reason := None; reason <= BackendSlow; reason++ {
+	for reason := None; reason < reasonCount; reason++ {
 		if reason.String() == details {
 			return Refusal{Reason: reason, Node: parts[0], Depth: depth}, true
 		}
@@ -130,7 +130,7 @@
 		return "http_request_error"
 	case NoRoute:
 		return "destination_not_found"
-	case AtCapacity, Shed, MemoryBudget:
+	case AtCapacity, Shed, MemoryBudget, RequestLimit:
 		return "connection_limit_reached"
 	case Internal:
 		return "proxy_internal_error"
--- a/node/coordination/destination/model.go
+++ b/node/coordination/destination/model.go
@@ -17,6 +17,7 @@
 	admission *admission.Model
 	probe     *probe.Model
 	backend   Backend
+	instance  string // name of the newest back end, kept while it is absent
 	rules     *rule.Set
 	leaving   bool
 }
@@ -46,8 +47,8 @@
 	case Done:
 		return append(m.updateAdmission(now, admission.Done(msg), false), m.recordResult(now, msg.Result)...)
 	case Backend:
-		m.backend = msg
-		cmds := m.updateAdmission(now, m.limits(), false)
+		cmds := m.replaceBackend(now, msg)
+		cmds = append(cmds, m.updateAdmission(now, m.limits(), false)...)
 		cmds = append(cmds, m.updateAdmission(now, m.backendState(), false)...)
 		return append(cmds, m.configureProbes(now)...)
 	case Rules:
@@ -58,6 +59,10 @@
 		return append(m.updateAdmission(now, m.backendState(), false), m.configureProbes(now)...)
 	case Connections:
 		return m.updateConnections(now, msg)
+	case RequestLimit:
+		return m.requestLimit(now, msg)
+	case CheckSent:
+		return m.updateAdmission(now, admission.CheckSent{}, false)
 	case Slowdown:
 		return m.updateAdmission(now, admission.Slowdown(msg), false)
 	case ProbeDone:
@@ -68,6 +73,24 @@
 	return nil
 }
 
+// replaceBackend sets the announced back end. A back end that was absent for a while keeps its request limit.
+func (m *Model) replaceBackend(now time.Time, msg Backend) []Cmd {
+	m.backend = msg
+	if msg.Name == "" || msg.Name == m.instance {
+		return nil
+	}
+	m.instance = msg.Name
+	return m.updateAdmission(now, admission.NewInstance{}, false)
+}
+
+// requestLimit applies the request limit of a response, unless it came from an earlier instance.
+func (m *Model) requestLimit(now time.Time, msg RequestLimit) []Cmd {
+	if msg.Backend != m.instance {
+		return nil
+	}
+	return m.updateAdmission(now, admission.RequestLimit{Limit: msg.Limit}, false)
+}
+
 // View returns the state of admission.
 func (m *Model) View() admission.View {
 	return m.admission.View()
@@ -93,7 +116,7 @@
 	return m.updateAdmission(now, admission.Arrive{
 		ID: msg.ID, Deadline: msg.Deadline, Priority: msg.Priority,
 		Route: msg.Route, ObjectiveAt: now.Add(msg.Objective), LatencyObjective: max(0, msg.Objective),
-		Rerun: msg.Rerun, Movable: msg.Movable,
+		Rerun: msg.Rerun, Movable: msg.Movable, KnownLimit: msg.KnownLimit,
 	}, false)
 }
 
--- a/node/coordination/destination/msg.go
+++ b/node/coordination/destination/msg.go
@@ -6,6 +6,7 @@
 	"pollenhill.example/core/coordination/admission"
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/protocol/requestlimit"
 	"pollenhill.example/core/state/rule"
 )
 
@@ -20,10 +21,11 @@
 	Deadline    time.Time
 	Priority    rule.Priority
 	Depth       int
-	Route       string        // empty if a service line of the rules matched the request, not a route
-	Rerun       bool          // an earlier attempt of the same request may still be running or have run
-	Objective   time.Duration // time left to meet the latency objective, negative if it is missed
-	Movable     bool          // may be refused as slow: the entry node knows a faster back end with free slots
+	Route       string             // empty if a service line of the rules matched the request, not a route
+	Rerun       bool               // an earlier attempt of the same request may still be running or have run
+	Objective   time.Duration      // time left to meet the latency objective, negative if it is missed
+	Movable     bool               // may be refused as slow: the entry node knows a faster back end with free slots
+	KnownLimit  requestlimit.Limit // request limit of the back end as the entry node has heard it
 }
 
 // Cancel reports that the entry node gave up an attempt; the answer is CancelResult.
@@ -60,6 +62,15 @@
 // Slowdown reports the factor by which service time at the back end is above normal; 1 is normal, larger is slower.
 type Slowdown struct{ Factor float64 }
 
+// RequestLimit reports the request limit that a back end named in its newest response, none included.
+type RequestLimit struct {
+	Backend string
+	Limit   requestlimit.Limit
+}
+
+// CheckSent reports a health check or speed check that this node sent to the back end.
+type CheckSent struct{}
+
 // Leave makes the node refuse every new attempt because it is shutting down.
 type Leave struct{}
 
@@ -75,6 +86,8 @@
 func (Connections) msg()    {}
 func (Slowdown) msg()       {}
 func (Leave) msg()          {}
+func (RequestLimit) msg()   {}
+func (CheckSent) msg()      {}
 func (Tick) msg()           {}
 
 // Cmd is an effect that Model.Update asks for.
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -45,7 +45,7 @@
 	pollNow    chan struct{} // requests a load report before the next tick of PollLoad
 	logLimiter *event.RateLimiter
 	sent       sentRequests
-	conditions conditionLog
+	conditions conditionTracker
 
 	mu             sync.Mutex // guards the fields below
 	announced      Announcement
--- a/node/transport/backend/condition.go
+++ b/node/transport/backend/condition.go
@@ -1,52 +1,70 @@
 package backend
 
 import (
-	"math"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"pollenhill.example/core/protocol/requestlimit"
 	"pollenhill.example/core/state/event"
+	"pollenhill.example/node/coordination/destination"
 )
 
 // condition is what an instance of the back end last said of itself in a response.
 type condition struct {
 	instance string
-	limit    float64 // requests per second from all nodes together, 0 for no limit
+	limit    requestlimit.Limit
 	leaving  bool
 }
 
-// conditionLog logs changes of the condition of the back end; it is safe for concurrent use.
-type conditionLog struct {
+// conditionTracker keeps the newest condition of the back end; it is safe for concurrent use.
+type conditionTracker struct {
 	mu       sync.Mutex
 	last     condition
-	loggedAt time.Time // of the last line about the use of the limit
+	heardAt  time.Time // of the newest response
+	loggedAt time.Time // of the last line about the limit
 }
 
-// readCondition logs what the response to a request of the given kind says about the instance that it was sent to.
+// update stores the condition that a response stated and returns the one before it. logDue says that the limit changed or
+// its use was last logged sentWindow ago.
+func (t *conditionTracker) update(now time.Time, c condition) (last condition, logDue bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	last = t.last
+	t.last = c
+	t.heardAt = now
+	_, limited := c.limit.PerSecond()
+	if perSecond(c.limit) != perSecond(last.limit) || limited && now.Sub(t.loggedAt) >= sentWindow {
+		t.loggedAt = now
+		logDue = true
+	}
+	return last, logDue
+}
+
+// newest returns the newest condition and the time of its response.
+func (t *conditionTracker) newest() (condition, time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.last, t.heardAt
+}
+
+// readCondition applies what the response to a request of the given kind says about the instance that it was sent to.
 func (b *Backend) readCondition(h *fasthttp.ResponseHeader, instance string, kind RequestKind) {
+	now := time.Now()
+	last, _ := b.conditions.newest()
 	c := condition{
 		instance: instance,
-		limit:    parseRequestLimit(h.Peek(b.cfg.Headers.RequestLimit)),
+		limit:    parseRequestLimit(h.Peek(b.cfg.Headers.RequestLimit), last.limit),
 		leaving:  len(h.Peek(b.cfg.Headers.Leaving)) > 0,
 	}
-	now := time.Now()
-	b.conditions.mu.Lock()
-	last := b.conditions.last
-	useDue := c.limit > 0 && now.Sub(b.conditions.loggedAt) >= sentWindow
-	if c.limit != last.limit || useDue {
-		b.conditions.loggedAt = now
+	last, logDue := b.conditions.update(now, c)
+	if c.limit != last.limit || c.instance != last.instance {
+		b.cfg.Engine.UpdateDestination(destination.RequestLimit{Backend: instance, Limit: c.limit})
 	}
-	b.conditions.last = c
-	b.conditions.mu.Unlock()
-	switch {
-	case c.limit != last.limit:
-		b.logLimit(now, event.BackendLimitChanged, c, kind)
-	case useDue:
-		b.logLimit(now, event.BackendLimitUse, c, kind)
+	if logDue {
+		b.logLimit(now, c, perSecond(c.limit) != perSecond(last.limit), kind)
 	}
 	if c.leaving && (!last.leaving || c.instance != last.instance) {
 		b.cfg.Events.Emit(event.BackendSaysLeaving, zap.String("backend", instance), zap.Stringer("kind", kind))
@@ -54,21 +72,24 @@
 }
 
 // logLimit logs the limit of the back end with the requests sent to it within sentWindow.
-func (b *Backend) logLimit(now time.Time, kind event.Kind, c condition, answered RequestKind) {
+func (b *Backend) logLimit(now time.Time, c condition, changed bool, answered RequestKind) {
 	fields, ok := b.logLimiter.Allow()
 	if !ok {
 		return
 	}
-	b.cfg.Events.Emit(kind, append(fields, zap.String("backend", c.instance), zap.Float64("limit", c.limit),
+	kind := event.BackendLimitUse
+	if changed {
+		kind = event.BackendLimitChanged
+	}
+	b.cfg.Events.Emit(kind, append(fields, zap.String("backend", c.instance), zap.Float64("limit", perSecond(c.limit)),
 		zap.Stringer("kind", answered), zap.Int("attempts", b.sent.inWindow(now, AttemptRequest)),
 		zap.Int("checks", b.sent.inWindow(now, CheckRequest)))...)
 }
 
 // RequestLimit returns the requests per second that the back end takes by its newest response, 0 for no limit.
 func (b *Backend) RequestLimit() float64 {
-	b.conditions.mu.Lock()
-	defer b.conditions.mu.Unlock()
-	return b.conditions.last.limit
+	c, _ := b.conditions.newest()
+	return perSecond(c.limit)
 }
 
 // SentRequests returns how many requests of each kind were sent to the back end since the start of the node.
@@ -77,11 +98,27 @@
 	return totals[AttemptRequest], totals[CheckRequest]
 }
 
-// parseRequestLimit returns the limit in requests per second, or 0 for no limit if the value is absent or no number above 0.
-func parseRequestLimit(value []byte) float64 {
-	limit, err := strconv.ParseFloat(string(value), 64)
-	if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) {
-		return 0
+// recordCheck counts a check that is sent now, also against a request limit.
+func (b *Backend) recordCheck() {
+	b.sent.record(time.Now(), CheckRequest)
+	b.cfg.Engine.UpdateDestination(destination.CheckSent{})
+}
+
+// perSecond returns a limit in requests per second, 0 for none.
+func perSecond(limit requestlimit.Limit) float64 {
+	n, _ := limit.PerSecond()
+	return n
+}
+
+// parseRequestLimit returns the limit that a header value names, no limit if there is none, or the last limit if the value
+// cannot be read.
+func parseRequestLimit(value []byte, last requestlimit.Limit) requestlimit.Limit {
+	if len(value) == 0 {
+		return requestlimit.None()
+	}
+	limit, err := requestlimit.Parse(string(value))
+	if err != nil || !limit.Known() {
+		return last
 	}
-	return max(limit, 0)
+	return limit
 }
--- a/node/transport/backend/instance.go
+++ b/node/transport/backend/instance.go
@@ -127,7 +127,7 @@
 	defer cancel()
 	pool := b.newPool(Announcement{Address: b.cfg.Address, Connections: 1})
 	defer pool.Close()
-	b.sent.record(time.Now(), CheckRequest)
+	b.recordCheck()
 	resp, err := pool.Exchange(ctx, getRequestHeader(path, b.cfg.Address), nil)
 	if err != nil {
 		return // no back end listens yet
@@ -143,4 +143,5 @@
 	coldMillis, _ := strconv.ParseInt(string(resp.Header.Peek(b.cfg.Headers.RemainingColdStart)), 10, 64) // 0 (not cold) if the header is absent
 	b.cfg.Events.Emit(event.BackendFoundByHealthCheck, zap.String("backend", id), zap.Int64("cold", coldMillis))
 	b.updateInstance(instance.HealthCheckPassed{ID: id, Slots: parseSlots(resp.Header.Peek(b.cfg.Headers.LoadReport)), ColdStart: time.Duration(coldMillis) * time.Millisecond})
+	b.readCondition(&resp.Header, id, CheckRequest)
 }
--- a/node/transport/backend/load.go
+++ b/node/transport/backend/load.go
@@ -19,6 +19,9 @@
 const (
 	pollInterval = 40 * time.Millisecond  // age of the newest load report at which another one is requested
 	pollTimeout  = 300 * time.Millisecond // of one request
+
+	minLimitedPollInterval = time.Second     // least silence of a back end with a request limit before it is asked again
+	maxLimitedPollInterval = 2 * time.Second // most of it
 )
 
 // normalServiceTimePercent is the service time, in percent of the usual one, that a back end reports when it is not
@@ -92,13 +95,33 @@
 		case <-b.pollNow:
 			p.poll(ctx)
 		case now := <-ticker.C:
-			if now.Sub(b.LoadReport().ReceivedAt) >= pollInterval {
+			if b.loadReportDue(now) {
 				p.poll(ctx)
 			}
 		}
 	}
 }
 
+// loadReportDue reports whether the newest load report is old enough for another request. A back end that names a request
+// limit counts such requests, so that it gets them only while its responses do not show whether the limit still holds.
+func (b *Backend) loadReportDue(now time.Time) bool {
+	c, heardAt := b.conditions.newest()
+	if limit, limited := c.limit.PerSecond(); limited {
+		return now.Sub(heardAt) >= limitedPollInterval(limit)
+	}
+	return now.Sub(b.LoadReport().ReceivedAt) >= pollInterval
+}
+
+// limitedPollInterval returns the silence of a back end after which it is asked whether its request limit still holds. Such
+// requests take a quarter of the limit at most, unless that is below half a request per second.
+func limitedPollInterval(perSecond float64) time.Duration {
+	const share = 0.25
+	if perSecond*share*maxLimitedPollInterval.Seconds() <= 1 {
+		return maxLimitedPollInterval
+	}
+	return max(minLimitedPollInterval, time.Duration(float64(time.Second)/(perSecond*share)))
+}
+
 // CheckSpeed makes PollLoad request a load report at once; it does not wait for the report.
 func (b *Backend) CheckSpeed() {
 	select {
@@ -134,7 +157,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	p.backend.sent.record(time.Now(), CheckRequest)
+	p.backend.recordCheck()
 	resp, err := p.pool.Exchange(ctx, getRequestHeader(path, a.Address), nil)
 	if err != nil {
 		return
--- a/node/transport/backend/probe.go
+++ b/node/transport/backend/probe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -32,7 +31,7 @@
 	if pool == nil {
 		return destination.Inconclusive
 	}
-	b.sent.record(time.Now(), CheckRequest)
+	b.recordCheck()
 	resp, err := pool.Exchange(ctx, getRequestHeader(path, pool.Address()), nil)
 	if err != nil {
 		var step *tcp.Error
