Tell entry nodes the request limit of a back end and their share of it

Hints carry the limit and the share of each entry node, which is the limit over the entry nodes seen in the last second. An entry node uses one and a half times its share, since some need less, and then picks the back end last; hedges never go there. It also reads the limit from the answers that it passes on, keeps it while the back end is no target, and sends it with each attempt: a node that has restarted holds the lowest limit heard until its back end answers.

Limit lines have their own bound now: refused attempts had suppressed them.

--- a/core/coordination/admission/model.go
+++ b/core/coordination/admission/model.go
@@ -104,6 +104,7 @@
 		return []Cmd{Refuse{ID: msg.ID, Reason: reason, RetryAfter: unavailableRetryAfter}}
 	}
 	m.requestRate.adopt(now, msg.KnownLimit)
+	m.requestRate.users.record(now, msg.ID.Node)
 	if m.exceedsRequestLimit(now, msg) {
 		return []Cmd{m.refuseForLimit(now, msg)}
 	}
@@ -408,11 +409,12 @@
 			ServiceTime:  m.adaptive.meanLatency(),
 			Slowdown:     m.slowdown.current,
 			FailureShare: m.failureShare,
+			RequestLimit: m.requestRate.limit,
+			RequestShare: m.requestRate.share(),
 		},
-		State:        m.state,
-		Limit:        m.limit(),
-		RerunShare:   m.rerunShare(),
-		RequestLimit: m.requestRate.limit,
+		State:      m.state,
+		Limit:      m.limit(),
+		RerunShare: m.rerunShare(),
 	}
 }
 
--- a/core/coordination/admission/msg.go
+++ b/core/coordination/admission/msg.go
@@ -149,9 +149,8 @@
 
 // View is a snapshot of the admission state for hints and metrics.
 type View struct {
-	Hint         hint.Hint
-	State        State
-	Limit        int                // current concurrency limit
-	RerunShare   float64            // share of the requests in flight that may run for the second time
-	RequestLimit requestlimit.Limit // as the back end named it, or another node has heard it
+	Hint       hint.Hint
+	State      State
+	Limit      int     // current concurrency limit
+	RerunShare float64 // share of the requests in flight that may run for the second time
 }
--- a/core/coordination/admission/requestrate.go
+++ b/core/coordination/admission/requestrate.go
@@ -31,6 +31,13 @@
 	tokens     float64 // requests that may be sent now; below 0 after checks, which are not held back
 	refilledAt time.Time
 	sent       recentTimes
+	users      limitUsers
+}
+
+// share returns the part of the limit for each entry node that used it recently, in requests per second.
+func (r *requestRate) share() float64 {
+	perSecond, _ := r.limit.PerSecond()
+	return perSecond / float64(max(1, r.users.count))
 }
 
 // record counts a request that is sent now.
--- /dev/null
+++ b/core/coordination/balancer/condition_test.go
@@ -0,0 +1,97 @@
+package balancer_test
+
+import (
+	"testing"
+	"time"
+
+	"pollenhill.example/core/coordination/balancer"
+	"pollenhill.example/core/protocol/hint"
+	"pollenhill.example/core/protocol/requestlimit"
+)
+
+// hear reports a request limit and the share of this entry node as a hint of b0.
+func hear(m *balancer.Model, now time.Time, limit requestlimit.Limit, share float64) {
+	m.Update(now, balancer.LoadReport{Backend: "b0", Hint: hint.Hint{Limit: 12, Slowdown: 1, RequestLimit: limit, RequestShare: share}})
+}
+
+// sendAll picks a target for each of a number of attempts a second over 10 s, which end at once, and counts the targets.
+func sendAll(m *balancer.Model, perSecond int, q balancer.Query, each func(now time.Time)) map[string]int {
+	sent := map[string]int{}
+	for i := range 10 * perSecond {
+		now := epoch.Add(time.Duration(i) * time.Second / time.Duration(perSecond))
+		each(now)
+		target, ok := m.Pick(now, q)
+		if !ok {
+			continue
+		}
+		sent[target.Backend]++
+		m.Update(now, balancer.Begin{Backend: target.Backend})
+		m.Update(now, balancer.End{Backend: target.Backend, Latency: time.Millisecond})
+	}
+	return sent
+}
+
+// Guards against entry nodes that all send to a back end with a request limit because it looks idle, and have their
+// requests refused there while others have room.
+func TestLimitedBackendGetsItsShare(t *testing.T) {
+	m := newPoolModel(t, func(int, *balancer.Target, *hint.Hint) {})
+	got := sendAll(m, 100, balancer.Query{Service: "s"}, func(now time.Time) {
+		hear(m, now, requestlimit.New(20), 2)
+		for _, b := range []string{"b1", "b2", "b3"} {
+			m.Update(now, balancer.LoadReport{Backend: b, Hint: hint.Hint{Inflight: 8, Limit: 12, Slowdown: 1}})
+		}
+	})
+	if n := got["b0"]; n < 20 || n > 35 {
+		t.Errorf("%d of 1000 attempts in 10 s with a share of 2 a second", n)
+	}
+}
+
+// Guards against hedges that use up the request limit of a back end in need.
+func TestNoHedgeToLimitedBackend(t *testing.T) {
+	m := newPoolModel(t, func(int, *balancer.Target, *hint.Hint) {})
+	got := sendAll(m, 20, balancer.Query{Service: "s", SpareCapacityOnly: true}, func(now time.Time) {
+		hear(m, now, requestlimit.New(20), 20)
+	})
+	if got["b0"] > 0 {
+		t.Errorf("%d hedges", got["b0"])
+	}
+}
+
+// Guards against requests that find no back end because all of them name limits: the destination nodes decide then.
+func TestLimitedBackendsAreLastResort(t *testing.T) {
+	ts := newTargets("a")
+	m := newModel(ts)
+	hear(m, epoch, requestlimit.New(1), 0.1)
+	got := sendAll(m, 10, balancer.Query{Service: "s"}, func(time.Time) {})
+	if got["b0"] != 100 {
+		t.Errorf("%d of 100 attempts", got["b0"])
+	}
+}
+
+// Guards against a limit that an entry node forgets while the node beside the back end restarts, against one that outlasts
+// its end, and against limits of back ends that are gone for good.
+func TestKnownLimitOutlastsAbsence(t *testing.T) {
+	ts := newTargets("a")
+	m := newModel(ts)
+	known := func(now time.Time) bool {
+		m.Update(now, balancer.Targets{List: ts})
+		target, _ := m.Pick(now, balancer.Query{Service: "s"})
+		return target.KnownLimit == requestlimit.New(4)
+	}
+	m.Update(epoch, balancer.Condition{Backend: "b0", Limit: requestlimit.New(4)})
+	m.Update(epoch, balancer.Targets{})
+	m.Update(epoch, balancer.Condition{Backend: "b0"}) // a refusal by a node, which says nothing of the limit
+	if !known(epoch) {
+		t.Error("forgotten while the back end was no target")
+	}
+	m.Update(epoch, balancer.Condition{Backend: "b0", Limit: requestlimit.None()})
+	if known(epoch) {
+		t.Error("kept after a response without a limit")
+	}
+	m.Update(epoch, balancer.Condition{Backend: "b0", Limit: requestlimit.New(4)})
+	later := epoch.Add(time.Hour)
+	m.Update(later, balancer.Targets{})
+	if known(later) {
+		t.Error("kept for an hour without a word of the back end")
+	}
+}
--- a/core/coordination/balancer/model.go
+++ b/core/coordination/balancer/model.go
@@ -28,6 +28,8 @@
 	backends  map[string]*backendState  // by back end
 	services  map[string]*serviceState  // by service
 	outliers  map[string]*outlier.Model // by service
+
+	conditions map[string]*condition // by back end, only of those in need
 }
 
 // Config holds the location of the entry node and the parameters of a Model.
@@ -55,6 +57,8 @@
 		backends:  map[string]*backendState{},
 		services:  map[string]*serviceState{},
 		outliers:  map[string]*outlier.Model{},
+
+		conditions: map[string]*condition{},
 	}
 }
 
@@ -63,6 +67,7 @@
 	switch msg := msg.(type) {
 	case Targets:
 		m.setTargets(msg.List)
+		m.dropConditions(now)
 	case Rules:
 		m.rules = msg.Set
 	case Begin:
@@ -71,6 +76,8 @@
 		m.end(now, msg)
 	case LoadReport:
 		m.recordReport(now, msg)
+	case Condition:
+		m.hear(now, msg.Backend, msg.Limit, 0)
 	}
 }
 
@@ -131,6 +138,7 @@
 		return
 	}
 	b.inflight++
+	m.takeToken(now, msg.Backend)
 	o := m.outlierModel(m.serviceOf[msg.Backend])
 	if o.Ejected(msg.Backend) {
 		o.Update(now, outlier.TrialSent{Backend: msg.Backend})
@@ -186,6 +194,7 @@
 	at := now.Add(-msg.Age)
 	s := m.serviceState(m.serviceOf[msg.Backend])
 	b.recordHint(at, msg.Hint)
+	m.hear(now, msg.Backend, msg.Hint.RequestLimit, msg.Hint.RequestShare)
 	s.recordHint(b)
 }
 
@@ -201,6 +210,12 @@
 
 // Pick returns the target for one attempt, or false if no back end may get new work.
 func (m *Model) Pick(now time.Time, q Query) (Target, bool) {
+	t, ok := m.pick(now, q)
+	t.KnownLimit = m.knownLimit(t.Backend)
+	return t, ok
+}
+
+func (m *Model) pick(now time.Time, q Query) (Target, bool) {
 	candidates := m.candidates(now, q)
 	if len(candidates) == 0 {
 		return Target{}, false
@@ -276,7 +291,7 @@
 }
 
 // candidates returns the targets that may get the attempt: those of the own region if there are any, else those of other
-// regions. Ejected back ends and cold ones at their limit are the last resort.
+// regions. Ejected back ends, cold ones at their limit and those whose request limit is used up are the last resort.
 func (m *Model) candidates(now time.Time, q Query) []candidate {
 	service, rules, outliers := m.serviceState(q.Service), m.rules.Services[q.Service], m.outlierModel(q.Service)
 	var ownRegion, otherRegions, lastResort []candidate
@@ -284,12 +299,15 @@
 		if !m.acceptsWork(t) || slices.Contains(q.Exclude, t.Backend) {
 			continue
 		}
+		if q.SpareCapacityOnly && m.isLimited(t.Backend) {
+			continue
+		}
 		c := candidate{Target: t, estimate: service.estimate(now, t, m.backends[t.Backend], rules)}
 		if _, pool := m.rules.Pool(q.Service); q.SpareCapacityOnly && !pool && c.utilization() > m.spillThreshold(q.Service) {
 			continue
 		}
 		switch {
-		case !outliers.Available(now, t.Backend), m.coldAtLimit(c):
+		case !outliers.Available(now, t.Backend), m.coldAtLimit(c), m.usedUp(now, t.Backend):
 			lastResort = append(lastResort, c)
 		case t.Region != m.cfg.Region:
 			otherRegions = append(otherRegions, c)
--- a/core/coordination/balancer/msg.go
+++ b/core/coordination/balancer/msg.go
@@ -6,6 +6,7 @@
 
 	"pollenhill.example/core/coordination/admission"
 	"pollenhill.example/core/protocol/hint"
+	"pollenhill.example/core/protocol/requestlimit"
 	"pollenhill.example/core/state/rule"
 )
 
@@ -20,7 +21,8 @@
 	Incarnation uint64
 	Slots       int // announced concurrency limit, 0 for that of the rules
 	State       admission.State
-	Observed    Observation // set by Model.Pick for a pool
+	Observed    Observation        // set by Model.Pick for a pool
+	KnownLimit  requestlimit.Limit // request limit of the back end as this entry node has heard it, set by Model.Pick
 }
 
 // Observation is what an entry node knew of a back end when it picked it.
--- a/core/protocol/hint/hint.go
+++ b/core/protocol/hint/hint.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"pollenhill.example/core/protocol/requestlimit"
 )
 
 // Hint is the load of one back end as its destination node saw it when it wrote the response.
@@ -17,6 +19,9 @@
 	ServiceTime  time.Duration // mean of recent requests, sent in microseconds
 	Slowdown     float64       // current service time over its normal value, 0 if the back end does not report it
 	FailureShare float64       // 0 to 1: share of recent requests that the back end failed, aborted or did not answer in time
+
+	RequestLimit requestlimit.Limit // as the back end named it
+	RequestShare float64            // requests per second of RequestLimit for each of the entry nodes that used it recently
 }
 
 const (
@@ -24,14 +29,18 @@
 	percent = 100
 	// requiredFields is the number of fields that every hint has; Slowdown and FailureShare may be absent.
 	requiredFields = 4
-	// maxFields is the number of fields that Parse reads; further ones are ignored.
-	maxFields = requiredFields + 2
+	// numberFields is the number of fields that are whole numbers; RequestLimit and RequestShare follow them.
+	numberFields = requiredFields + 2
 )
 
 // String returns the form that Parse reads.
 func (h Hint) String() string {
-	return fmt.Sprintf("%d %d %d %d %d %d", h.Inflight, h.Queued, h.Limit, h.ServiceTime.Microseconds(),
+	numbers := fmt.Sprintf("%d %d %d %d %d %d", h.Inflight, h.Queued, h.Limit, h.ServiceTime.Microseconds(),
 		int(percent*h.Slowdown), int(percent*h.FailureShare))
+	if !h.RequestLimit.Known() {
+		return numbers
+	}
+	return fmt.Sprintf("%s %s %.3f", numbers, h.RequestLimit, h.RequestShare)
 }
 
 // Parse reads the form written by Hint.String and returns an error if a field is missing or not a number.
@@ -40,19 +49,35 @@
 	if len(fields) < requiredFields {
 		return Hint{}, errors.Newf("parse hint %q: %d fields, want at least %d", s, len(fields), requiredFields)
 	}
-	var n [maxFields]int
+	var n [numberFields]int
 	for i, field := range fields[:min(len(fields), len(n))] {
 		var err error
 		if n[i], err = strconv.Atoi(field); err != nil {
 			return Hint{}, errors.Wrapf(err, "parse hint %q", s)
 		}
 	}
-	return Hint{
+	h := Hint{
 		Inflight:     n[0],
 		Queued:       n[1],
 		Limit:        n[2],
 		ServiceTime:  time.Duration(n[3]) * time.Microsecond,
 		Slowdown:     float64(n[4]) / percent,
 		FailureShare: float64(n[5]) / percent,
-	}, nil
+	}
+	if len(fields) < numberFields+2 {
+		return h, nil
+	}
+	return h.withRequestLimit(fields[numberFields], fields[numberFields+1])
+}
+
+// withRequestLimit returns h with the last two fields, or an error if one of them is malformed.
+func (h Hint) withRequestLimit(limit, share string) (Hint, error) {
+	var err error
+	if h.RequestLimit, err = requestlimit.Parse(limit); err != nil {
+		return Hint{}, err
+	}
+	if h.RequestShare, err = strconv.ParseFloat(share, 64); err != nil || !(h.RequestShare >= 0) {
+		return Hint{}, errors.Newf("parse hint: share %q of the request limit is no number from 0", share)
+	}
+	return h, nil
 }
--- a/node/coordination/call/msg.go
+++ b/node/coordination/call/msg.go
@@ -7,6 +7,7 @@
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/hint"
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/protocol/requestlimit"
 )
 
 // ID identifies a call within one incarnation of the entry node.
@@ -58,10 +59,11 @@
 	Attempt     attempt.ID
 	Outcome     attempt.Outcome
 	Result      balancer.Result
-	Refusal     refusal.Refusal // set unless Outcome is Answered
-	Deliverable bool            // an HTTP response arrived, possibly a refusal by a node
-	ServerError bool            // the back end answered with a server error; another back end may succeed
-	Hint        *hint.Hint      // nil if the response has none
+	Refusal     refusal.Refusal    // set unless Outcome is Answered
+	Deliverable bool               // an HTTP response arrived, possibly a refusal by a node
+	ServerError bool               // the back end answered with a server error; another back end may succeed
+	Hint        *hint.Hint         // nil if the response has none
+	Limit       requestlimit.Limit // request limit that the back end named in its answer, unknown for a refusal by a node
 }
 
 // Ended reports the end of an attempt: its body was read or closed.
--- a/node/protocol/loadreport/datagram_test.go
+++ b/node/protocol/loadreport/datagram_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"pollenhill.example/core/protocol/hint"
+	"pollenhill.example/core/protocol/requestlimit"
 	"pollenhill.example/node/protocol/loadreport"
 )
 
@@ -19,6 +20,7 @@
 			Hint: hint.Hint{
 				Inflight: rapid.IntRange(0, 99).Draw(t, "inflight"), Queued: rapid.IntRange(0, 99).Draw(t, "queued"), Limit: 12,
 				ServiceTime: 5 * time.Millisecond, Slowdown: float64(rapid.IntRange(0, 40).Draw(t, "slowdown")) / 4, FailureShare: 0.25,
+				RequestLimit: requestlimit.New(float64(rapid.IntRange(0, 400).Draw(t, "limit")) / 4), RequestShare: 0.125,
 			},
 		}
 		got, err := loadreport.Decode(d.Encode())
--- a/node/protocol/message/attempt.go
+++ b/node/protocol/message/attempt.go
@@ -10,6 +10,7 @@
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/hint"
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/protocol/requestlimit"
 	"pollenhill.example/core/state/rule"
 )
 
@@ -22,10 +23,11 @@
 	Revision    uint64 // revision of the rules at the entry node
 	Priority    rule.Priority
 	Service     string
-	Route       string        // empty if a service line of the rules matched the request, not a route
-	Rerun       bool          // an earlier attempt of the same request may still be running or have run
-	Objective   time.Duration // time left to meet the latency objective, negative if it is missed; 0 if unknown
-	Movable     bool          // the destination may refuse it as slow: the entry node knows a faster back end with free slots
+	Route       string             // empty if a service line of the rules matched the request, not a route
+	Rerun       bool               // an earlier attempt of the same request may still be running or have run
+	Objective   time.Duration      // time left to meet the latency objective, negative if it is missed; 0 if unknown
+	Movable     bool               // the destination may refuse it as slow: the entry node knows a faster back end with free slots
+	KnownLimit  requestlimit.Limit // request limit of the back end as the entry node has heard it
 }
 
 // Write sets the headers of a on h; the deadline is written as the milliseconds that remain at the time now.
@@ -43,6 +45,9 @@
 	if a.Movable {
 		h.Set(attempt.HeaderMovable, presentValue)
 	}
+	if _, limited := a.KnownLimit.PerSecond(); limited {
+		h.Set(attempt.HeaderRequestLimit, a.KnownLimit.String())
+	}
 	if a.Route != "" {
 		h.Set(attempt.HeaderRoute, a.Route)
 		h.Set(attempt.HeaderObjective, strconv.FormatInt(a.Objective.Milliseconds(), 10))
@@ -77,6 +82,8 @@
 	a.Service = string(h.Peek(attempt.HeaderService))
 	a.Rerun = len(h.Peek(attempt.HeaderRerun)) > 0
 	a.Movable = len(h.Peek(attempt.HeaderMovable)) > 0
+	// A value that cannot be read is like none: the destination node then waits for the word of its back end.
+	a.KnownLimit, _ = requestlimit.Parse(string(h.Peek(attempt.HeaderRequestLimit)))
 	a.Route = string(h.Peek(attempt.HeaderRoute))
 	if a.Route != "" {
 		objective, err := strconv.ParseInt(string(h.Peek(attempt.HeaderObjective)), 10, 64)
@@ -155,5 +162,19 @@
 	return &parsed
 }
 
+// ReadRequestLimit returns the request limit in the named header of a back end's response: no limit without the header,
+// an unknown one if the value cannot be read.
+func ReadRequestLimit(h *fasthttp.ResponseHeader, name string) requestlimit.Limit {
+	value := h.Peek(name)
+	if len(value) == 0 {
+		return requestlimit.None()
+	}
+	limit, err := requestlimit.Parse(string(value))
+	if err != nil {
+		return requestlimit.Limit{}
+	}
+	return limit
+}
+
 // MaxAttemptHeaderSize is how many bytes Attempt.Write adds to a request header at most.
 const MaxAttemptHeaderSize = 1 << 10
--- a/node/protocol/message/message.go
+++ b/node/protocol/message/message.go
@@ -109,7 +109,7 @@
 	"TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 	attempt.HeaderAttempt, attempt.HeaderIncarnation, attempt.HeaderDeadline, attempt.HeaderDepth,
 	attempt.HeaderRevision, attempt.HeaderPriority, attempt.HeaderService, attempt.HeaderRoute, attempt.HeaderObjective,
-	attempt.HeaderRerun, attempt.HeaderMovable, attempt.HeaderHint, attempt.HeaderClock,
+	attempt.HeaderRerun, attempt.HeaderMovable, attempt.HeaderRequestLimit, attempt.HeaderHint, attempt.HeaderClock,
 }
 
 // header is the common interface of fasthttp's request and response headers.
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -42,8 +42,9 @@
 type Backend struct {
 	cfg        Config
 	loadReport atomic.Pointer[LoadReport]
-	pollNow    chan struct{} // requests a load report before the next tick of PollLoad
-	logLimiter *event.RateLimiter
+	pollNow    chan struct{}      // requests a load report before the next tick of PollLoad
+	logLimiter *event.RateLimiter // for refused and lost attempts
+	limitLog   *event.RateLimiter // for the request limit, so that refusals do not suppress it
 	sent       sentRequests
 	conditions conditionTracker
 
@@ -83,6 +84,7 @@
 		instance:   instance.New(instance.Config{Service: cfg.Service, Address: cfg.Address}),
 		pollNow:    make(chan struct{}, 1),
 		logLimiter: event.NewRateLimiter(maxLogsPerSecond, maxLogBurst),
+		limitLog:   event.NewRateLimiter(maxLogsPerSecond, maxLogBurst),
 	}
 }
 
--- a/node/transport/backend/condition.go
+++ b/node/transport/backend/condition.go
@@ -10,6 +10,7 @@
 	"pollenhill.example/core/protocol/requestlimit"
 	"pollenhill.example/core/state/event"
 	"pollenhill.example/node/coordination/destination"
+	"pollenhill.example/node/protocol/message"
 )
 
 // condition is what an instance of the back end last said of itself in a response.
@@ -56,9 +57,12 @@
 	last, _ := b.conditions.newest()
 	c := condition{
 		instance: instance,
-		limit:    parseRequestLimit(h.Peek(b.cfg.Headers.RequestLimit), last.limit),
+		limit:    message.ReadRequestLimit(h, b.cfg.Headers.RequestLimit),
 		leaving:  len(h.Peek(b.cfg.Headers.Leaving)) > 0,
 	}
+	if !c.limit.Known() {
+		c.limit = last.limit
+	}
 	last, logDue := b.conditions.update(now, c)
 	if c.limit != last.limit || c.instance != last.instance {
 		b.cfg.Engine.UpdateDestination(destination.RequestLimit{Backend: instance, Limit: c.limit})
@@ -73,7 +77,7 @@
 
 // logLimit logs the limit of the back end with the requests sent to it within sentWindow.
 func (b *Backend) logLimit(now time.Time, c condition, changed bool, answered RequestKind) {
-	fields, ok := b.logLimiter.Allow()
+	fields, ok := b.limitLog.Allow()
 	if !ok {
 		return
 	}
@@ -109,16 +113,3 @@
 	n, _ := limit.PerSecond()
 	return n
 }
-
-// parseRequestLimit returns the limit that a header value names, no limit if there is none, or the last limit if the value
-// cannot be read.
-func parseRequestLimit(value []byte, last requestlimit.Limit) requestlimit.Limit {
-	if len(value) == 0 {
-		return requestlimit.None()
-	}
-	limit, err := requestlimit.Parse(string(value))
-	if err != nil || !limit.Known() {
-		return last
-	}
-	return limit
-}
--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -36,6 +36,7 @@
 		Objective:   a.Objective,
 		Rerun:       a.Rerun,
 		Movable:     a.Movable,
+		KnownLimit:  a.KnownLimit,
 	})
 	var cmd destination.Cmd
 	select {
--- a/node/transport/caller/runner.go
+++ b/node/transport/caller/runner.go
@@ -10,6 +10,7 @@
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/control"
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/protocol/requestlimit"
 	"pollenhill.example/core/state/rule"
 	"pollenhill.example/node/coordination/call"
 	"pollenhill.example/node/coordination/destination"
@@ -160,6 +161,7 @@
 		Route:       r.req.Route,
 		Rerun:       cmd.Rerun,
 		Movable:     cmd.Movable,
+		KnownLimit:  cmd.Target.KnownLimit,
 		Objective:   time.Until(r.req.FirstTry.Add(r.req.Objective)),
 	}
 	go func() {
@@ -197,6 +199,7 @@
 		Refusal:     resp.reply.Refusal,
 		Deliverable: resp.reply.Outcome == attempt.Answered || len(resp.reply.Header.Peek(attempt.HeaderOutcome)) > 0,
 		Hint:        resp.reply.Hint,
+		Limit:       r.namedLimit(resp.reply),
 		ServerError: r.req.Route != "" && resp.reply.Header.StatusCode() >= minServerErrorStatus,
 	})
 	if state.aborted {
@@ -204,6 +207,16 @@
 	}
 }
 
+// namedLimit returns the request limit that the back end named in its answer, or an unknown one for other replies. It is
+// read from the answer itself, so that this node knows what it has passed on even if the node beside the back end restarts.
+func (r *callRunner) namedLimit(reply *message.Reply) requestlimit.Limit {
+	name := r.server.cfg.Headers.RequestLimit
+	if name == "" || reply.Outcome != attempt.Answered {
+		return requestlimit.Limit{}
+	}
+	return message.ReadRequestLimit(&reply.Header, name)
+}
+
 func (r *callRunner) abortAttempt(id attempt.ID) {
 	state := r.attempts[id]
 	state.aborted = true
