Tell callers when the request limit of a back end allows a request

The refusal of the node beside the back end already has the time at which its bucket takes another request. The entry node now keeps the earliest one of its attempts and adds only the usual jitter to it.

Conclusion: refusals for a limit name a time that holds; others as before.

--- a/node/coordination/call/attempt.go
+++ b/node/coordination/call/attempt.go
@@ -79,9 +79,14 @@
 // recordRefusal keeps the newest refusal, whose reason is reported to the caller. After the deadline the reported reason
 // stays the timeout, whatever the cancelled attempts return.
 func (s *callState) recordRefusal(f refusal.Refusal) {
-	if s.phase != expired {
-		s.lastRefusal = f
+	if s.phase == expired {
+		return
+	}
+	if f.Reason == refusal.RequestLimit && s.lastRefusal.Reason == refusal.RequestLimit {
+		// The caller may come back as soon as one of the limited back ends takes a request.
+		f.RetryAfter = min(f.RetryAfter, s.lastRefusal.RetryAfter)
 	}
+	s.lastRefusal = f
 }
 
 // handleUnknown handles an attempt that may have run.
--- a/node/coordination/call/model.go
+++ b/node/coordination/call/model.go
@@ -334,7 +334,7 @@
 	f := refusal.Refusal{
 		Reason:     reason,
 		Outcome:    outcome,
-		RetryAfter: max(s.lastRefusal.RetryAfter, time.Second),
+		RetryAfter: s.retryAfter(reason),
 		Node:       m.cfg.Node,
 		Depth:      s.Depth,
 	}
@@ -345,6 +345,14 @@
 	return append(cmds, m.forgetIfDone(s)...)
 }
 
+// retryAfter returns the wait to suggest with a refusal. A request limit tells exactly when it allows another request.
+func (s *callState) retryAfter(reason refusal.Reason) time.Duration {
+	if reason == refusal.RequestLimit {
+		return s.lastRefusal.RetryAfter
+	}
+	return max(s.lastRefusal.RetryAfter, time.Second)
+}
+
 // refuseNotRun refuses a call that provably did not run, and releases its claim.
 func (m *Model) refuseNotRun(s *callState, reason refusal.Reason) []Cmd {
 	var cmds []Cmd
--- a/node/program/backend_condition_test.go
+++ b/node/program/backend_condition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -68,7 +69,8 @@
 	for _, node := range nodes {
 		wg.Go(func() {
 			for range 40 {
-				sendRequest(t, node, "GET", "/read/1", "", callerHeaders("r"))
+				// A short deadline, so that what cannot start at once is refused at once.
+				sendRequest(t, node, "GET", "/read/1", "", map[string]string{"Test-Request": "r", "Test-Deadline": "100"})
 			}
 		})
 	}
@@ -97,6 +99,24 @@
 	checkLimit(t, b, start)
 }
 
+// Guards against callers that are told to come back long before the limit of the only back end allows a request.
+func TestRefusalNamesWhenLimitAllowsRequest(t *testing.T) {
+	b := newRawBackend(t)
+	b.setReply(func(r *http.Request) (string, bool) {
+		return strings.Replace(validResponse(r, ""), "Test-Seal", "Test-Limit: 0.1\r\nTest-Seal", 1), false
+	})
+	entry, _ := startPoolPair(t, b)
+	resp := sendRequest(t, entry, "GET", "/read/1", "", callerHeaders("r"))
+	after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	// One request each 10 s, less what has passed since the limit was named.
+	if resp.StatusCode != http.StatusServiceUnavailable || err != nil || after < 2 || after > 11 {
+		t.Errorf("status %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+	if got := resp.Header.Get("Pollenhill-Outcome"); got != "not-run" {
+		t.Errorf("outcome %q", got)
+	}
+}
+
 // Guards against a limit that is forgotten when the node beside the back end restarts, while the entry nodes that heard
 // it go on sending.
 func TestNamedLimitOutlastsRestartOfDestination(t *testing.T) {
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -151,7 +151,11 @@
 		return f
 	}
 	f.Guarantee503 = true
-	f.RetryAfter = minRetryAfter + rand.N(retryAfterJitter)
+	wait := minRetryAfter
+	if f.Reason == refusal.RequestLimit {
+		wait = max(wait, f.RetryAfter)
+	}
+	f.RetryAfter = wait + rand.N(retryAfterJitter)
 	if req != nil && req.CallerTimeout > 0 {
 		s.refusedCallers.add(req)
 	}
