Send the bursts of the limit tests at once, with the earlier deadline

The deadline is 400 ms again, and the 40 requests of a burst come at the same time instead of one after the other, which is harder on the limit and takes 1 s.

--- a/node/program/backend_condition_test.go
+++ b/node/program/backend_condition_test.go
@@ -62,17 +62,14 @@
 	return strings.Replace(validResponse(r, ""), "Test-Seal", "Test-Leaving: 1\r\nTest-Seal", 1), false
 }
 
-// burst sends requests through all nodes at the same time.
+// burst sends 40 requests through each of the nodes at the same time.
 func burst(t *testing.T, nodes ...*testNode) {
 	t.Helper()
 	var wg sync.WaitGroup
 	for _, node := range nodes {
-		wg.Go(func() {
-			for range 40 {
-				// A short deadline, so that what cannot start at once is refused at once.
-				sendRequest(t, node, "GET", "/read/1", "", map[string]string{"Test-Request": "r", "Test-Deadline": "100"})
-			}
-		})
+		for i := range 40 {
+			wg.Go(func() { sendRequest(t, node, "GET", "/read/1", "", callerHeaders("r"+strconv.Itoa(i))) })
+		}
 	}
 	wg.Wait()
 }
