Stop new requests to a back end whose response says that it leaves

A back end that leaves says so in all its responses; nodes read only its heartbeats and the end of its registration. One that leaves by its responses alone got requests until it was gone, which then broke.

The node beside it now takes such a response, to a request or to a check, like a heartbeat that says draining: queued and new attempts are refused as not run and go elsewhere, and the control processes are told. Only the instance that the request was sent to is marked, so that a late response of the one before it at the same address does not end the new one.

--- a/node/coordination/instance/model.go
+++ b/node/coordination/instance/model.go
@@ -51,6 +51,10 @@
 		m.heartbeat(now, msg)
 	case Deregister:
 		m.deregister(msg.ID)
+	case SaysLeaving:
+		if msg.ID == m.current.id {
+			m.current.draining = true
+		}
 	case HealthCheckPassed:
 		m.healthCheckPassed(now, msg)
 	case Gone:
@@ -93,7 +97,8 @@
 	m.current.address = msg.Address
 	m.current.slots = msg.Slots
 	m.current.gone = false
-	// Draining has been acknowledged to the back end, so no later heartbeat of the instance revokes it.
+	// Draining is final: it has been acknowledged to the back end, or the back end says so in its responses while its
+	// heartbeats may be late.
 	m.current.draining = m.current.draining || msg.Draining
 	m.current.coldUntil = time.Time{}
 	if msg.ColdStart > 0 {
--- a/node/coordination/instance/msg.go
+++ b/node/coordination/instance/msg.go
@@ -23,6 +23,9 @@
 // Deregister reports that an instance deregistered: it gets no more requests.
 type Deregister struct{ ID string }
 
+// SaysLeaving reports a response in which an instance says that it is about to end: it gets no more requests.
+type SaysLeaving struct{ ID string }
+
 // HealthCheckPassed reports a health check that the back end passed, with the values that its response stated.
 type HealthCheckPassed struct {
 	ID        string
@@ -38,6 +41,7 @@
 
 func (Heartbeat) msg()         {}
 func (Deregister) msg()        {}
+func (SaysLeaving) msg()       {}
 func (HealthCheckPassed) msg() {}
 func (Gone) msg()              {}
 func (ConnectionBroken) msg()  {}
--- a/node/transport/backend/condition.go
+++ b/node/transport/backend/condition.go
@@ -10,6 +10,7 @@
 	"pollenhill.example/core/protocol/requestlimit"
 	"pollenhill.example/core/state/event"
 	"pollenhill.example/node/coordination/destination"
+	"pollenhill.example/node/coordination/instance"
 	"pollenhill.example/node/protocol/message"
 )
 
@@ -51,12 +52,12 @@
 	return t.last, t.heardAt
 }
 
-// readCondition applies what the response to a request of the given kind says about the instance that it was sent to.
-func (b *Backend) readCondition(h *fasthttp.ResponseHeader, instance string, kind RequestKind) {
+// readCondition applies what the response to a request of the given kind says about the instance id, which it was sent to.
+func (b *Backend) readCondition(h *fasthttp.ResponseHeader, id string, kind RequestKind) {
 	now := time.Now()
 	last, _ := b.conditions.newest()
 	c := condition{
-		instance: instance,
+		instance: id,
 		limit:    message.ReadRequestLimit(h, b.cfg.Headers.RequestLimit),
 		leaving:  len(h.Peek(b.cfg.Headers.Leaving)) > 0,
 	}
@@ -65,13 +66,14 @@
 	}
 	last, logDue := b.conditions.update(now, c)
 	if c.limit != last.limit || c.instance != last.instance {
-		b.cfg.Engine.UpdateDestination(destination.RequestLimit{Backend: instance, Limit: c.limit})
+		b.cfg.Engine.UpdateDestination(destination.RequestLimit{Backend: id, Limit: c.limit})
 	}
 	if logDue {
 		b.logLimit(now, c, perSecond(c.limit) != perSecond(last.limit), kind)
 	}
 	if c.leaving && (!last.leaving || c.instance != last.instance) {
-		b.cfg.Events.Emit(event.BackendSaysLeaving, zap.String("backend", instance), zap.Stringer("kind", kind))
+		b.cfg.Events.Emit(event.BackendSaysLeaving, zap.String("backend", id), zap.Stringer("kind", kind))
+		b.updateInstance(instance.SaysLeaving{ID: id})
 	}
 }
 
