Remember at entry nodes which back ends have said that they leave

A node that restarts beside a leaving back end knows nothing of it: the back end's heartbeats or a health check announce it as ready, and the entry nodes that had passed on its word sent requests to it again, as after any restart. The node beside the back end cannot know better, the entry node can: it has read the answer.

Each entry node keeps the word of the answers that it passes on, by name and start of the instance, and never picks that instance again, whatever is announced. Members carry the start of an instance now, so that one that starts again under the same name gets requests.

Weighed: the control group as the owner (a back end may leave while it is away), and asking the back end before the first request of a new process (its health check may be false; entry nodes must hold the rule anyway).

--- a/core/coordination/balancer/condition.go
+++ b/core/coordination/balancer/condition.go
@@ -24,38 +24,75 @@
 	tokens  float64 // requests that may be sent now
 	filled  time.Time
 	heardAt time.Time
+
+	leaving     bool
+	startMillis int64 // of the instance that leaves, 0 if it is not known
 }
 
-// Condition reports what a response of a back end said about it.
+// Condition reports what a response said about the back end that sent it.
 type Condition struct {
-	Backend string
-	Limit   requestlimit.Limit
+	Backend     string
+	StartMillis int64 // start of the instance in Unix time, 0 if it is not known
+	Limit       requestlimit.Limit
+	Leaving     bool // the instance is about to end
 }
 
 func (Condition) msg() {}
 
-// hear updates the condition of a back end with a response or a hint; the share is 0 if it is not known.
-func (m *Model) hear(now time.Time, backend string, limit requestlimit.Limit, share float64) {
+// applyCondition updates what is known of a back end with a response of its own.
+func (m *Model) applyCondition(now time.Time, msg Condition) {
+	m.hearLimit(now, msg.Backend, msg.Limit, 0)
+	if msg.Leaving {
+		c := m.condition(now, msg.Backend)
+		c.leaving, c.startMillis, c.heardAt = true, msg.StartMillis, now
+	}
+}
+
+// condition returns the condition of a back end, a new one if there is none.
+func (m *Model) condition(now time.Time, backend string) *condition {
+	c, ok := m.conditions[backend]
+	if !ok {
+		// Entry nodes that hear of a limit at the same time start with different parts of a token.
+		c = &condition{limit: requestlimit.None(), tokens: m.cfg.Rand.Float64(), filled: now}
+		m.conditions[backend] = c
+	}
+	return c
+}
+
+// hearLimit updates the request limit of a back end with a response or a hint; the share is 0 if it is not known.
+func (m *Model) hearLimit(now time.Time, backend string, limit requestlimit.Limit, share float64) {
 	if !limit.Known() {
 		return
 	}
 	perSecond, limited := limit.PerSecond()
-	c, ok := m.conditions[backend]
-	switch {
-	case !limited:
-		delete(m.conditions, backend)
+	if _, heard := m.conditions[backend]; !limited && !heard {
 		return
-	case !ok:
-		// Entry nodes that hear of a limit at the same time start with different parts of a token.
-		c = &condition{share: perSecond, tokens: m.cfg.Rand.Float64(), filled: now}
-		m.conditions[backend] = c
 	}
+	c := m.condition(now, backend)
 	c.refill(now)
+	_, before := c.limit.PerSecond()
 	c.limit, c.heardAt = limit, now
-	c.share = min(c.share, perSecond)
-	if share > 0 {
+	switch {
+	case share > 0:
 		c.share = share
+	case !before:
+		c.share = perSecond
+	default:
+		c.share = min(c.share, perSecond)
+	}
+	if !limited && !c.leaving {
+		delete(m.conditions, backend)
+	}
+}
+
+// saidLeaving reports whether the instance of a target has said that it leaves. One that starts again under the same name
+// has another start.
+func (m *Model) saidLeaving(t Target) bool {
+	c, ok := m.conditions[t.Backend]
+	if !ok || !c.leaving {
+		return false
 	}
+	return c.startMillis == 0 || t.StartMillis == 0 || c.startMillis == t.StartMillis
 }
 
 // refill adds the tokens of the time since the last refill.
--- a/core/coordination/balancer/condition_test.go
+++ b/core/coordination/balancer/condition_test.go
@@ -95,3 +95,31 @@
 		t.Error("kept for an hour without a word of the back end")
 	}
 }
+
+// Guards against a back end that gets new requests after it has said that it leaves, because the node beside it restarted
+// and announces it as ready; and against one that stays away although it has started again.
+func TestLeavingBackendGetsNoRequests(t *testing.T) {
+	const first, second = 1000, 2000 // starts of two instances with the same name
+	for name, tt := range map[string]struct {
+		told, announced int64
+		picked          bool
+	}{
+		"announced again":               {first, first, false},
+		"found by a health check":       {first, 0, false},
+		"start was not known when told": {0, first, false},
+		"started again":                 {first, second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ts := newTargets("a")
+			m := newModel(ts)
+			m.Update(epoch, balancer.Condition{Backend: "b0", StartMillis: tt.told, Limit: requestlimit.None(), Leaving: true})
+			m.Update(epoch, balancer.Targets{})
+			ts[0].StartMillis, ts[0].Incarnation = tt.announced, 2
+			m.Update(epoch, balancer.Targets{List: ts})
+			m.Update(epoch, balancer.LoadReport{Backend: "b0", Hint: hint.Hint{Limit: 12, RequestLimit: requestlimit.None()}})
+			if _, picked := m.Pick(epoch, balancer.Query{Service: "s"}); picked != tt.picked {
+				t.Errorf("picked %v", picked)
+			}
+		})
+	}
+}
--- a/core/coordination/balancer/model.go
+++ b/core/coordination/balancer/model.go
@@ -77,7 +77,7 @@
 	case LoadReport:
 		m.recordReport(now, msg)
 	case Condition:
-		m.hear(now, msg.Backend, msg.Limit, 0)
+		m.applyCondition(now, msg)
 	}
 }
 
@@ -194,7 +194,7 @@
 	at := now.Add(-msg.Age)
 	s := m.serviceState(m.serviceOf[msg.Backend])
 	b.recordHint(at, msg.Hint)
-	m.hear(now, msg.Backend, msg.Hint.RequestLimit, msg.Hint.RequestShare)
+	m.hearLimit(now, msg.Backend, msg.Hint.RequestLimit, msg.Hint.RequestShare)
 	s.recordHint(b)
 }
 
@@ -368,8 +368,9 @@
 	return max(e.limit, 0.1) / e.serviceTime
 }
 
-// acceptsWork reports whether a target is serving and neither it nor its zone is taken out by the rules.
+// acceptsWork reports whether a target is serving and has not said that it leaves, and neither it nor its zone is taken out
+// by the rules.
 func (m *Model) acceptsWork(t Target) bool {
 	serving := t.State == admission.Cold || t.State == admission.Ready
-	return serving && !m.rules.ZoneOut(t.Zone) && !m.rules.BackendsOut[t.Backend]
+	return serving && !m.rules.ZoneOut(t.Zone) && !m.rules.BackendsOut[t.Backend] && !m.saidLeaving(t)
 }
--- a/core/coordination/balancer/msg.go
+++ b/core/coordination/balancer/msg.go
@@ -21,6 +21,7 @@
 	Incarnation uint64
 	Slots       int // announced concurrency limit, 0 for that of the rules
 	State       admission.State
+	StartMillis int64              // start of the instance in Unix time, 0 if it is not known
 	Observed    Observation        // set by Model.Pick for a pool
 	KnownLimit  requestlimit.Limit // request limit of the back end as this entry node has heard it, set by Model.Pick
 }
--- a/node/coordination/call/attempt.go
+++ b/node/coordination/call/attempt.go
@@ -21,7 +21,9 @@
 	a.notReached = msg.Outcome == attempt.NotRun && msg.Refusal.Reason != refusal.Shed
 	m.recordResponse(now, s, a, msg)
 	m.untrackAttempt(a)
-	m.cfg.Balancer.Update(now, balancer.Condition{Backend: a.target.Backend, Limit: msg.Limit})
+	m.cfg.Balancer.Update(now, balancer.Condition{
+		Backend: a.target.Backend, StartMillis: a.target.StartMillis, Limit: msg.Limit, Leaving: msg.Leaving,
+	})
 	var cmds []Cmd
 	if msg.Outcome != attempt.Answered || !msg.Deliverable {
 		m.endAttempt(now, a, msg.Result, msg)
--- a/node/coordination/call/msg.go
+++ b/node/coordination/call/msg.go
@@ -64,6 +64,7 @@
 	ServerError bool               // the back end answered with a server error; another back end may succeed
 	Hint        *hint.Hint         // nil if the response has none
 	Limit       requestlimit.Limit // request limit that the back end named in its answer, unknown for a refusal by a node
+	Leaving     bool               // the back end said in its answer that it leaves
 }
 
 // Ended reports the end of an attempt: its body was read or closed.
--- a/node/coordination/instance/model.go
+++ b/node/coordination/instance/model.go
@@ -70,7 +70,7 @@
 	if i.id == "" || i.deregistered || i.gone {
 		return View{}
 	}
-	return View{ID: i.id, Service: i.service, Address: i.address, Slots: i.slots, Draining: i.draining, ColdUntil: i.coldUntil}
+	return View{ID: i.id, Service: i.service, Address: i.address, StartMillis: i.startMillis, Slots: i.slots, Draining: i.draining, ColdUntil: i.coldUntil}
 }
 
 // Known reports whether an instance has been seen since the node started and is not gone.
--- a/node/coordination/instance/msg.go
+++ b/node/coordination/instance/msg.go
@@ -48,10 +48,11 @@
 
 // View is the state of the current instance of the local back end.
 type View struct {
-	ID        string // empty if the back end must not receive requests
-	Service   string
-	Address   netip.AddrPort
-	Slots     int
-	Draining  bool
-	ColdUntil time.Time // until then the instance is cold or may be cold
+	ID          string // empty if the back end must not receive requests
+	Service     string
+	Address     netip.AddrPort
+	StartMillis int64 // Unix time, 0 if it is not known
+	Slots       int
+	Draining    bool
+	ColdUntil   time.Time // until then the instance is cold or may be cold
 }
--- a/node/program/control.go
+++ b/node/program/control.go
@@ -79,6 +79,7 @@
 		Slots:       uint32(a.Slots),
 		Connections: uint32(a.Connections),
 		State:       control.State(state),
+		Start:       a.StartMillis,
 	}}
 	return m
 }
@@ -107,6 +108,7 @@
 			Incarnation: m.GetIncarnation(),
 			Slots:       int(b.GetSlots()),
 			State:       admission.State(b.GetState()),
+			StartMillis: b.GetStart(),
 		}
 	})
 }
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -97,6 +97,7 @@
 	Connections int            `json:"connections" validate:"gte=0,lte=100000"`
 	Zone        string         `json:"zone"`
 	State       string         `json:"state" validate:"oneof=cold ready draining leaving"`
+	StartMillis int64          `json:"-"` // start of the instance, 0 if it does not say
 }
 
 // admissionState returns the state, Absent for the zero Announcement.
--- a/node/transport/backend/instance.go
+++ b/node/transport/backend/instance.go
@@ -60,7 +60,7 @@
 		return Announcement{}
 	}
 	_, connections := b.cfg.PoolSettings(v.Service)
-	a := Announcement{Name: v.ID, Service: v.Service, Address: v.Address, Slots: v.Slots, Connections: connections, Zone: b.cfg.Zone}
+	a := Announcement{Name: v.ID, Service: v.Service, Address: v.Address, Slots: v.Slots, Connections: connections, Zone: b.cfg.Zone, StartMillis: v.StartMillis}
 	coldTime := time.Until(v.ColdUntil)
 	switch {
 	case v.Draining:
--- a/node/transport/caller/runner.go
+++ b/node/transport/caller/runner.go
@@ -200,6 +200,7 @@
 		Deliverable: resp.reply.Outcome == attempt.Answered || len(resp.reply.Header.Peek(attempt.HeaderOutcome)) > 0,
 		Hint:        resp.reply.Hint,
 		Limit:       r.namedLimit(resp.reply),
+		Leaving:     r.saysLeaving(resp.reply),
 		ServerError: r.req.Route != "" && resp.reply.Header.StatusCode() >= minServerErrorStatus,
 	})
 	if state.aborted {
@@ -217,6 +218,12 @@
 	return message.ReadRequestLimit(&reply.Header, name)
 }
 
+// saysLeaving reports whether the back end said in its answer that it leaves.
+func (r *callRunner) saysLeaving(reply *message.Reply) bool {
+	name := r.server.cfg.Headers.Leaving
+	return name != "" && reply.Outcome == attempt.Answered && len(reply.Header.Peek(name)) > 0
+}
+
 func (r *callRunner) abortAttempt(id attempt.ID) {
 	state := r.attempts[id]
 	state.aborted = true
