Keep the deregistration of a back end that was not known with its start

An instance that was seen without its start has started before that moment. A heartbeat with a start up to then is its own and cannot bring it back; a later start is a new instance under the same name. The deregistration of an unknown instance beside another one is remembered too.

Four cases of instance.TestUpdate fail before; two more hold the restart under the same name.

--- a/node/coordination/instance/model.go
+++ b/node/coordination/instance/model.go
@@ -13,7 +13,7 @@
 type Model struct {
 	cfg      Config
 	current  instance
-	replaced map[string]int64 // start of each earlier instance in Unix milliseconds, by ID
+	replaced map[string]int64 // newest start of the instances that ended, in Unix milliseconds, by ID
 }
 
 // Config identifies the local back end.
@@ -25,7 +25,8 @@
 // instance is the back end from one start to the next.
 type instance struct {
 	id           string
-	startMillis  int64
+	startMillis  int64 // 0 while it is not known
+	seenMillis   int64 // when it was first seen, if that was without its start
 	sequence     uint64
 	service      string
 	address      netip.AddrPort
@@ -50,7 +51,7 @@
 	case Heartbeat:
 		m.heartbeat(now, msg)
 	case Deregister:
-		m.deregister(msg.ID)
+		m.deregister(now, msg.ID)
 	case SaysLeaving:
 		if msg.ID == m.current.id {
 			m.current.draining = true
@@ -83,7 +84,7 @@
 		return
 	}
 	switch {
-	case msg.ID == m.current.id && msg.StartMillis == m.current.startMillis:
+	case m.isCurrent(msg):
 		if msg.Sequence <= m.current.sequence && m.current.sequence > 0 || m.current.deregistered {
 			return
 		}
@@ -92,6 +93,7 @@
 	default:
 		m.replaceCurrent(msg)
 	}
+	m.current.startMillis = msg.StartMillis
 	m.current.sequence = msg.Sequence
 	m.current.service = msg.Service
 	m.current.address = msg.Address
@@ -106,6 +108,16 @@
 	}
 }
 
+// isCurrent reports whether a heartbeat comes from the current instance. One that was first seen without its start, by a
+// health check or as it deregistered, had started before that.
+func (m *Model) isCurrent(msg Heartbeat) bool {
+	if msg.ID != m.current.id {
+		return false
+	}
+	startUnknown := m.current.startMillis == 0 && m.current.seenMillis > 0
+	return msg.StartMillis == m.current.startMillis || startUnknown && msg.StartMillis <= m.current.seenMillis
+}
+
 // superseded reports whether the instance of a heartbeat has been replaced by another one.
 func (m *Model) superseded(msg Heartbeat) bool {
 	if start, replaced := m.replaced[msg.ID]; replaced && msg.StartMillis <= start {
@@ -121,22 +133,30 @@
 
 // rememberReplaced records the current instance as replaced, so that its late heartbeats are ignored.
 func (m *Model) rememberReplaced() {
-	if m.current.id == "" {
-		return
+	if m.current.id != "" {
+		m.addReplaced(m.current.id, max(m.current.startMillis, m.current.seenMillis))
 	}
+}
+
+// addReplaced records that instances with an ID and a start up to the given one are replaced.
+func (m *Model) addReplaced(id string, startMillis int64) {
 	if len(m.replaced) >= maxReplaced {
 		clear(m.replaced)
 	}
-	m.replaced[m.current.id] = m.current.startMillis
+	m.replaced[id] = startMillis
 }
 
-func (m *Model) deregister(id string) {
-	if id == m.current.id {
+// deregister ends an instance, also one that is not known yet: its heartbeats may arrive after its deregistration.
+func (m *Model) deregister(now time.Time, id string) {
+	_, replaced := m.replaced[id]
+	switch {
+	case id == m.current.id:
 		m.current.deregistered = true
-		return
-	}
-	if _, replaced := m.replaced[id]; !replaced && m.current.id == "" {
-		m.current = instance{id: id, deregistered: true}
+	case replaced:
+	case m.current.id == "":
+		m.current = instance{id: id, seenMillis: now.UnixMilli(), deregistered: true}
+	default:
+		m.addReplaced(id, now.UnixMilli())
 	}
 }
 
@@ -151,7 +171,7 @@
 			return
 		}
 		m.rememberReplaced()
-		m.current = instance{id: msg.ID, service: m.cfg.Service, address: m.cfg.Address}
+		m.current = instance{id: msg.ID, seenMillis: now.UnixMilli(), service: m.cfg.Service, address: m.cfg.Address}
 	}
 	if msg.Slots > 0 {
 		m.current.slots = msg.Slots
--- a/node/coordination/instance/model_test.go
+++ b/node/coordination/instance/model_test.go
@@ -13,6 +13,12 @@
 	backendAddress = netip.MustParseAddrPort("10.0.0.1:80")
 )
 
+// Starts of instances, in Unix milliseconds, before and after the messages of a test.
+const (
+	before = 1_700_000_000_000 - 60_000
+	after  = 1_700_000_000_000 + 60_000
+)
+
 func heartbeat(id string, startMillis int64, sequence uint64) instance.Heartbeat {
 	return instance.Heartbeat{ID: id, StartMillis: startMillis, Sequence: sequence, Service: "booking", Address: backendAddress, Slots: 12}
 }
@@ -46,6 +52,12 @@
 		{"says in a response that it leaves", []instance.Msg{heartbeat("a", 1, 1), instance.SaysLeaving{ID: "a"}, heartbeat("a", 1, 2)}, "a", true, false},
 		{"late response of the replaced instance says that it leaves", []instance.Msg{heartbeat("a", 1, 1), heartbeat("b", 2, 1), instance.SaysLeaving{ID: "a"}}, "b", false, false},
 		{"restart under the same ID after leaving", []instance.Msg{heartbeat("a", 1, 1), instance.SaysLeaving{ID: "a"}, heartbeat("a", 2, 1)}, "a", false, false},
+		{"late heartbeat after deregistering, found by a health check before", []instance.Msg{instance.HealthCheckPassed{ID: "a"}, instance.Deregister{ID: "a"}, heartbeat("a", before, 2)}, "", false, false},
+		{"late heartbeat after deregistering, not known before", []instance.Msg{instance.Deregister{ID: "a"}, heartbeat("a", before, 2)}, "", false, false},
+		{"late heartbeat after deregistering beside another instance", []instance.Msg{heartbeat("b", before-5, 1), instance.Deregister{ID: "a"}, heartbeat("a", before, 2)}, "b", false, false},
+		{"late heartbeat after leaving, found by a health check before", []instance.Msg{instance.HealthCheckPassed{ID: "a"}, instance.SaysLeaving{ID: "a"}, heartbeat("a", before, 2)}, "a", true, false},
+		{"restart under the same ID after deregistering unknown", []instance.Msg{instance.Deregister{ID: "a"}, heartbeat("a", after, 1)}, "a", false, false},
+		{"restart under the same ID after a health check", []instance.Msg{instance.HealthCheckPassed{ID: "a"}, instance.Deregister{ID: "a"}, heartbeat("a", after, 1)}, "a", false, false},
 		{"nothing listens at the address", []instance.Msg{heartbeat("a", 1, 1), instance.Gone{}}, "", false, false},
 		{"heartbeat after nothing listened", []instance.Msg{heartbeat("a", 1, 1), instance.Gone{}, heartbeat("a", 1, 2)}, "a", false, false},
 		{"found by a health check", []instance.Msg{instance.HealthCheckPassed{ID: "a", ColdStart: time.Second}}, "a", false, true},
