Avoid back ends whose destination node admits nothing

While the control group is away, entry nodes go on sending to a back end that drains or was taken out: each attempt is refused as not run and goes elsewhere, one hop later, for as long as the last word of the control group says ready. The load hint of the node beside it has a concurrency limit of 0, which the balancer read as 1: an idle back end, the first choice.

A recent hint with a limit of 0 now puts a back end among the last resort; 600 ms without a hint end that, as for any silent node.

--- a/core/coordination/balancer/estimate.go
+++ b/core/coordination/balancer/estimate.go
@@ -64,6 +64,12 @@
 	b.meanOtherRequests += max(meanLoadWeight, 1/float64(b.hintCount)) * (b.otherRequests - b.meanOtherRequests)
 }
 
+// admitsNothing reports whether the last hint is recent and has a concurrency limit of 0: the destination node refuses all
+// requests, for example because the back end leaves, although the control processes have not said so yet.
+func (b *backendState) admitsNothing(now time.Time) bool {
+	return !b.hintTime.IsZero() && b.hint.Limit == 0 && now.Sub(b.hintTime) <= silenceTimeout
+}
+
 func (b *backendState) recordLatency(latency time.Duration) {
 	b.latencySamples++
 	b.meanLatency += max(latencyWeight, 1/float64(b.latencySamples)) * (latency.Seconds() - b.meanLatency)
--- a/core/coordination/balancer/model.go
+++ b/core/coordination/balancer/model.go
@@ -291,7 +291,8 @@
 }
 
 // candidates returns the targets that may get the attempt: those of the own region if there are any, else those of other
-// regions. Ejected back ends, cold ones at their limit and those whose request limit is used up are the last resort.
+// regions. Ejected back ends, cold ones at their limit, those whose request limit is used up and those that admit nothing are the last
+// resort.
 func (m *Model) candidates(now time.Time, q Query) []candidate {
 	service, rules, outliers := m.serviceState(q.Service), m.rules.Services[q.Service], m.outlierModel(q.Service)
 	var ownRegion, otherRegions, lastResort []candidate
@@ -307,7 +308,7 @@
 			continue
 		}
 		switch {
-		case !outliers.Available(now, t.Backend), m.coldAtLimit(c), m.usedUp(now, t.Backend):
+		case !outliers.Available(now, t.Backend), m.coldAtLimit(c), m.usedUp(now, t.Backend), m.backends[t.Backend].admitsNothing(now):
 			lastResort = append(lastResort, c)
 		case t.Region != m.cfg.Region:
 			otherRegions = append(otherRegions, c)
--- a/core/coordination/balancer/pool_test.go
+++ b/core/coordination/balancer/pool_test.go
@@ -175,3 +175,21 @@
 		t.Errorf("%d alternatives to %s, want 1", target.Observed.FastAlternatives, target.Backend)
 	}
 }
+
+// Guards against requests that are refused first at a back end whose destination node admits nothing, because the control
+// processes that would say so are away.
+func TestPoolAvoidsBackendThatAdmitsNothing(t *testing.T) {
+	m := newPoolModel(t, func(i int, _ *balancer.Target, h *hint.Hint) {
+		if i == 0 {
+			h.Inflight, h.Limit = 0, 0
+		} else {
+			h.Inflight = 13
+		}
+	})
+	if got := pickCounts(m, epoch.Add(10*time.Millisecond))["b0"]; got > 0 {
+		t.Errorf("%d of 1000 picks", got)
+	}
+	if got := pickCounts(m, epoch.Add(2*time.Second))["b0"]; got == 0 {
+		t.Error("never picked again after the hints have stopped")
+	}
+}
