Share a request limit by the share of attempts, not by rates per entry node

With 200 entry nodes that send less than one request a second each, the rates per entry node failed: 668 attempts refused for 239 that started, since every entry node kept a token for which it had no request yet, and the destination counted only those that it had seen.

The destination node now follows the attempts that arrive: each quarter of a second, or once about six should have come, it scales the share of the attempts that entry nodes send it, so that 1.25 times the limit arrives. The entry node draws by that share and keeps no count of its own. Limited back ends no longer count as the faster alternative that lets another node refuse a request.

--- a/core/coordination/admission/model.go
+++ b/core/coordination/admission/model.go
@@ -82,6 +82,8 @@
 		m.requestRate = requestRate{}
 	case ConnectionCount:
 		m.connections.setOpen(msg.Count)
+	case Tick:
+		m.requestRate.updateShare(now)
 	case Limits:
 		cmds = append(cmds, m.setLimits(msg)...)
 	}
@@ -104,7 +106,7 @@
 		return []Cmd{Refuse{ID: msg.ID, Reason: reason, RetryAfter: unavailableRetryAfter}}
 	}
 	m.requestRate.adopt(now, msg.KnownLimit)
-	m.requestRate.users.record(now, msg.ID.Node)
+	m.requestRate.arrived(now)
 	if m.exceedsRequestLimit(now, msg) {
 		return []Cmd{m.refuseForLimit(now, msg)}
 	}
@@ -410,7 +412,7 @@
 			Slowdown:     m.slowdown.current,
 			FailureShare: m.failureShare,
 			RequestLimit: m.requestRate.limit,
-			RequestShare: m.requestRate.share(),
+			RequestShare: m.requestRate.share.value,
 		},
 		State:      m.state,
 		Limit:      m.limit(),
--- a/core/coordination/admission/requestrate.go
+++ b/core/coordination/admission/requestrate.go
@@ -31,13 +31,21 @@
 	tokens     float64 // requests that may be sent now; below 0 after checks, which are not held back
 	refilledAt time.Time
 	sent       recentTimes
-	users      limitUsers
+	share      arrivalShare
 }
 
-// share returns the part of the limit for each entry node that used it recently, in requests per second.
-func (r *requestRate) share() float64 {
-	perSecond, _ := r.limit.PerSecond()
-	return perSecond / float64(max(1, r.users.count))
+// arrived counts an attempt that arrives, whether it is sent or not.
+func (r *requestRate) arrived(now time.Time) {
+	if perSecond, limited := r.limit.PerSecond(); limited {
+		r.share.arrived(now, perSecond)
+	}
+}
+
+// updateShare changes the share of the attempts that should arrive, after a time without any.
+func (r *requestRate) updateShare(now time.Time) {
+	if perSecond, limited := r.limit.PerSecond(); limited {
+		r.share.update(now, perSecond)
+	}
 }
 
 // record counts a request that is sent now.
@@ -73,6 +81,7 @@
 	r.refill(now)
 	if _, limited := r.limit.PerSecond(); !limited {
 		r.tokens = 0
+		r.share = newArrivalShare(now)
 	}
 	r.limit = limit
 }
--- a/core/coordination/balancer/condition.go
+++ b/core/coordination/balancer/condition.go
@@ -6,23 +6,14 @@
 	"pollenhill.example/core/protocol/requestlimit"
 )
 
-const (
-	// conditionRetention is how long the condition of a back end is kept that is no target, as while its node restarts.
-	conditionRetention = 10 * time.Minute
-	// shareOvercommit is the multiple of its share of a request limit that an entry node uses. Some entry nodes need less
-	// than their share; the destination node refuses what exceeds the limit.
-	shareOvercommit = 1.5
-	// limitCost is the cost added for a back end whose share of the request limit is used up.
-	limitCost = 2.0
-)
+// conditionRetention is how long the condition of a back end is kept that is no target, as while its node restarts.
+const conditionRetention = 10 * time.Minute
 
 // condition is what this entry node has heard of a back end from its responses. It outlasts restarts of the node beside the
 // back end, which forgets it.
 type condition struct {
 	limit   requestlimit.Limit
-	share   float64 // requests per second of the limit for this entry node
-	tokens  float64 // requests that may be sent now
-	filled  time.Time
+	share   float64 // of the attempts that would go to the back end, 0 to 1; the others go elsewhere
 	heardAt time.Time
 
 	leaving     bool
@@ -52,8 +43,7 @@
 func (m *Model) condition(now time.Time, backend string) *condition {
 	c, ok := m.conditions[backend]
 	if !ok {
-		// Entry nodes that hear of a limit at the same time start with different parts of a token.
-		c = &condition{limit: requestlimit.None(), tokens: m.cfg.Rand.Float64(), filled: now}
+		c = &condition{limit: requestlimit.None(), share: 1, heardAt: now}
 		m.conditions[backend] = c
 	}
 	return c
@@ -64,21 +54,14 @@
 	if !limit.Known() {
 		return
 	}
-	perSecond, limited := limit.PerSecond()
+	_, limited := limit.PerSecond()
 	if _, heard := m.conditions[backend]; !limited && !heard {
 		return
 	}
 	c := m.condition(now, backend)
-	c.refill(now)
-	_, before := c.limit.PerSecond()
 	c.limit, c.heardAt = limit, now
-	switch {
-	case share > 0:
+	if share > 0 {
 		c.share = share
-	case !before:
-		c.share = perSecond
-	default:
-		c.share = min(c.share, perSecond)
 	}
 	if !limited && !c.leaving {
 		delete(m.conditions, backend)
@@ -95,14 +78,6 @@
 	return c.startMillis == 0 || t.StartMillis == 0 || c.startMillis == t.StartMillis
 }
 
-// refill adds the tokens of the time since the last refill.
-func (c *condition) refill(now time.Time) {
-	rate := shareOvercommit * c.share
-	elapsed := max(0, now.Sub(c.filled).Seconds())
-	c.filled = now
-	c.tokens = min(max(1, rate/4), c.tokens+rate*elapsed)
-}
-
 // dropConditions removes conditions that are too old to be of use.
 func (m *Model) dropConditions(now time.Time) {
 	for backend, c := range m.conditions {
@@ -126,26 +101,9 @@
 	return limited
 }
 
-// limitTokens returns how many requests this entry node may send to a back end now, or false if that has no limit.
-func (m *Model) limitTokens(now time.Time, backend string) (float64, bool) {
+// drawBeyondLimit reports whether an attempt should go elsewhere because of the request limit of a back end; it draws that
+// at random, so that each entry node sends the same share of its attempts, however many it has.
+func (m *Model) drawBeyondLimit(backend string) bool {
 	c, ok := m.conditions[backend]
-	if !ok || !m.isLimited(backend) {
-		return 0, false
-	}
-	c.refill(now)
-	return c.tokens, true
-}
-
-// usedUp reports whether the share of a request limit is used up.
-func (m *Model) usedUp(now time.Time, backend string) bool {
-	tokens, limited := m.limitTokens(now, backend)
-	return limited && tokens < 1
-}
-
-// takeToken counts an attempt against the request limit of a back end.
-func (m *Model) takeToken(now time.Time, backend string) {
-	if _, limited := m.limitTokens(now, backend); limited {
-		c := m.conditions[backend]
-		c.tokens = max(c.tokens-1, -1)
-	}
+	return ok && m.isLimited(backend) && m.cfg.Rand.Float64() >= c.share
 }
--- a/core/coordination/balancer/pool.go
+++ b/core/coordination/balancer/pool.go
@@ -57,13 +57,10 @@
 		if q.SpareCapacityOnly && !b.hasSpareCapacity(now, c) {
 			continue
 		}
-		if b.isFastAndFree(now, c) && !m.usedUp(now, c.Backend) {
+		if b.isFastAndFree(now, c) && !m.isLimited(c.Backend) {
 			fast++
 		}
 		cost := b.expectedCost(now, c) * (1 + costJitter*m.cfg.Rand.Float64())
-		if tokens, limited := m.limitTokens(now, c.Backend); limited && tokens < 1 {
-			cost += limitCost * (1 - tokens)
-		}
 		if c.Zone != m.cfg.Zone {
 			cost += zonePenalty + float64(q.ResponseBytes)/bytesPerServiceTime
 		}
@@ -80,7 +77,7 @@
 	if !b.hintTime.IsZero() {
 		t.Observed.HintAge = now.Sub(b.hintTime)
 	}
-	if b.isFastAndFree(now, candidates[best]) && !m.usedUp(now, t.Backend) {
+	if b.isFastAndFree(now, candidates[best]) && !m.isLimited(t.Backend) {
 		fast--
 	}
 	t.Observed.FastAlternatives = fast
--- a/core/protocol/hint/hint.go
+++ b/core/protocol/hint/hint.go
@@ -21,7 +21,7 @@
 	FailureShare float64       // 0 to 1: share of recent requests that the back end failed, aborted or did not answer in time
 
 	RequestLimit requestlimit.Limit // as the back end named it
-	RequestShare float64            // requests per second of RequestLimit for each of the entry nodes that used it recently
+	RequestShare float64            // 0 to 1: share of the attempts that entry nodes should send to stay within RequestLimit
 }
 
 const (
--- a/node/coordination/destination/model_test.go
+++ b/node/coordination/destination/model_test.go
@@ -7,6 +7,7 @@
 	"pollenhill.example/core/coordination/admission"
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/protocol/requestlimit"
 	"pollenhill.example/core/state/rule"
 	"pollenhill.example/node/coordination/destination"
 )
@@ -153,3 +154,27 @@
 		}
 	}
 }
+
+// Guards against a request limit that is lost when its back end is absent for a moment, that passes to the next instance at
+// the address, or that a late response of an earlier instance sets.
+func TestRequestLimitBelongsToInstance(t *testing.T) {
+	limited := func(m *destination.Model) bool {
+		_, named := m.View().Hint.RequestLimit.PerSecond()
+		return named
+	}
+	m := newReadyModel(t)
+	m.Update(epoch, destination.RequestLimit{Backend: "desk-1", Limit: requestlimit.New(4)})
+	m.Update(epoch, destination.Backend{})
+	setState(m, admission.Ready)
+	if !limited(m) {
+		t.Error("lost with an absence of the back end")
+	}
+	m.Update(epoch, destination.Backend{Name: "desk-2", Service: "desk", Slots: 12, State: admission.Ready})
+	if limited(m) {
+		t.Error("holds for the next instance")
+	}
+	m.Update(epoch, destination.RequestLimit{Backend: "desk-1", Limit: requestlimit.New(4)})
+	if limited(m) {
+		t.Error("set by a late response of the earlier instance")
+	}
+}
