--- a/core/coordination/admission/requestrate_test.go
+++ b/core/coordination/admission/requestrate_test.go
@@ -260,3 +260,20 @@
 		t.Error("refused although it can start within its objective")
 	}
 }
+
+// BenchmarkRequestLimit measures the admission of one request that starts and ends, without and with a request limit.
+func BenchmarkRequestLimit(b *testing.B) {
+	for name, limit := range map[string]requestlimit.Limit{"none": requestlimit.None(), "named": requestlimit.New(1e9)} {
+		b.Run(name, func(b *testing.B) {
+			backend := newLimitedBackend(epoch, true)
+			backend.update(epoch, admission.RequestLimit{Limit: limit})
+			for i := range b.N {
+				now := epoch.Add(time.Duration(i) * 10 * time.Millisecond)
+				backend.next++
+				a := newArrival(now, backend.next, rule.PriorityNormal, 300*time.Millisecond)
+				backend.m.Update(now, a)
+				backend.m.Update(now, admission.Done{ID: a.ID, Result: admission.Good, Latency: time.Millisecond})
+			}
+		})
+	}
+}
