--- a/core/coordination/admission/model.go
+++ b/core/coordination/admission/model.go
@@ -261,49 +261,6 @@
 	}
 }
 
-const (
-	failureWeight     = 0.06 // of one request in the moving average of failures
-	hungRequestFactor = 4    // multiple of its expected service time after which an aborted request counts as failed
-)
-
-// observeFailure updates the failure share, which shows back ends that fail requests while their health checks pass.
-func (m *Model) observeFailure(req inflightRequest, msg Done) {
-	if req.route == "" {
-		return
-	}
-	failed := 0.0
-	switch msg.Result {
-	case Aborted:
-		expected := time.Duration(float64(m.serviceTimes[req.route]) * max(req.slowdown, servicetime.MeanSlowdown))
-		if expected == 0 || msg.Latency < hungRequestFactor*expected {
-			return // aborted by the entry node, not because of the back end
-		}
-		failed = 1
-	case Failed, Reset:
-		failed = 1
-	case Shed:
-		failed = 1
-	case Good:
-	}
-	m.failureShare += failureWeight * (failed - m.failureShare)
-}
-
-// observeServiceTime learns the service time of a route from a good request.
-func (m *Model) observeServiceTime(now time.Time, req inflightRequest, latency time.Duration) {
-	if req.route == "" {
-		return
-	}
-	observed := time.Duration(float64(latency) / max(req.slowdown, 1)) // at slowdown 1
-	expected, known := m.serviceTimes[req.route]
-	if known && !req.slowdownReliable {
-		return
-	}
-	if known && m.state == Ready {
-		m.saturation.observe(now, float64(observed)/float64(max(expected, 1)), req.inflight, m.limits.Slots)
-	}
-	m.serviceTimes.Observe(req.route, observed)
-}
-
 func (m *Model) setState(msg BackendState) []Cmd {
 	before := m.state
 	m.state = msg.State
@@ -312,8 +269,6 @@
 	}
 	if msg.State == Absent {
 		m.failureShare = 0
-	}
-	if msg.State == Absent {
 		m.connections = connectionOpener{}
 	}
 	if reason := m.unavailableReason(); reason != refusal.None {
@@ -364,29 +319,6 @@
 	return len(m.inflight) < m.limit() && (m.state != Cold || m.coldStarts.allowsStart(now)) && m.requestRate.allows(now)
 }
 
-// exceedsRequestLimit reports whether a request has to wait for the request limit and should not: another back end can
-// take it now, or it would end too late.
-func (m *Model) exceedsRequestLimit(now time.Time, a Arrive) bool {
-	if m.requestRate.allows(now) {
-		return false
-	}
-	if a.Movable {
-		return true
-	}
-	if !m.limits.FixedLimit {
-		start := now.Add(m.requestRate.wait(now, m.queue.ahead(a, byDeadline)))
-		return start.Add(m.adaptive.medianLatency()).After(a.Deadline)
-	}
-	start := now.Add(m.requestRate.wait(now, m.queue.ahead(a, byPriority)))
-	return start.Add(m.expectedCompletion(a)).After(a.finishBy())
-}
-
-// refuseForLimit refuses a request with the time until the back end takes another one.
-func (m *Model) refuseForLimit(now time.Time, a Arrive) Cmd {
-	wait := m.requestRate.wait(now, len(m.queue)+len(m.bestEffort))
-	return Refuse{ID: a.ID, Reason: refusal.RequestLimit, RetryAfter: wait}
-}
-
 // limit returns the current concurrency limit.
 func (m *Model) limit() int {
 	if m.unavailableReason() != refusal.None {
--- a/core/coordination/admission/requestrate.go
+++ b/core/coordination/admission/requestrate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pollenhill.example/core/protocol/refusal"
 	"pollenhill.example/core/protocol/requestlimit"
 )
 
@@ -136,3 +137,26 @@
 	size := max(1, perSecond*rateBurst.Seconds())
 	r.tokens = min(size, r.tokens+perSecond*elapsed.Seconds())
 }
+
+// exceedsRequestLimit reports whether a request has to wait for the request limit and should not: another back end can
+// take it now, or it would end too late.
+func (m *Model) exceedsRequestLimit(now time.Time, a Arrive) bool {
+	if m.requestRate.allows(now) {
+		return false
+	}
+	if a.Movable {
+		return true
+	}
+	if !m.limits.FixedLimit {
+		start := now.Add(m.requestRate.wait(now, m.queue.ahead(a, byDeadline)))
+		return start.Add(m.adaptive.medianLatency()).After(a.Deadline)
+	}
+	start := now.Add(m.requestRate.wait(now, m.queue.ahead(a, byPriority)))
+	return start.Add(m.expectedCompletion(a)).After(a.finishBy())
+}
+
+// refuseForLimit refuses a request with the time until the back end takes another one.
+func (m *Model) refuseForLimit(now time.Time, a Arrive) Cmd {
+	wait := m.requestRate.wait(now, len(m.queue)+len(m.bestEffort))
+	return Refuse{ID: a.ID, Reason: refusal.RequestLimit, RetryAfter: wait}
+}
