Parse rules for a path of a service in one place

The verbs idempotent and priority had the same steps twice: arguments, service, value, path, once for each path. One generic function has them now. The order of the checks and all messages are as before (tests of state/rule, with every problem and its column).

--- a/core/state/rule/verbs.go
+++ b/core/state/rule/verbs.go
@@ -151,18 +151,26 @@
 }
 
 func parseIdempotentRule(p *parser, l line) {
+	if s, methods, path, ok := parseForPath(p, l, "idempotent", p.parseMethods); ok {
+		s.IdempotentRequests = append(s.IdempotentRequests, RequestMatch{Methods: methods, PathPrefix: path})
+	}
+}
+
+// parseForPath parses the arguments of a rule that sets a value for a path prefix of a service, which each verb may do once
+// for each path.
+func parseForPath[T any](p *parser, l line, verb string, parse func(line, word) (T, bool)) (s *Service, value T, path string, ok bool) {
 	args, ok := p.arguments(l, 3, 3)
 	if !ok {
-		return
+		return nil, value, "", false
 	}
 	s, known := p.findService(l, args[0])
-	methods, valid := p.parseMethods(l, args[1])
+	value, valid := parse(l, args[1])
+	path = args[2].text
 	if !p.checkPath(l, s, args[2]) || !known || !valid {
-		return
-	}
-	if p.registerOnce(l, args[2].offset, "idempotent "+s.Name+" "+args[2].text, "idempotent for "+s.Name+" "+args[2].text) {
-		s.IdempotentRequests = append(s.IdempotentRequests, RequestMatch{Methods: methods, PathPrefix: args[2].text})
+		return nil, value, "", false
 	}
+	ok = p.registerOnce(l, args[2].offset, verb+" "+s.Name+" "+path, verb+" for "+s.Name+" "+path)
+	return s, value, path, ok
 }
 
 func parseLimitRule(p *parser, l line) {
@@ -259,17 +267,8 @@
 }
 
 func parsePriorityRule(p *parser, l line) {
-	args, ok := p.arguments(l, 3, 3)
-	if !ok {
-		return
-	}
-	s, known := p.findService(l, args[0])
-	priority, valid := p.parsePriority(l, args[1])
-	if !p.checkPath(l, s, args[2]) || !known || !valid {
-		return
-	}
-	if p.registerOnce(l, args[2].offset, "priority "+s.Name+" "+args[2].text, "priority for "+s.Name+" "+args[2].text) {
-		s.Priorities = append(s.Priorities, PathPriority{Priority: priority, PathPrefix: args[2].text})
+	if s, priority, path, ok := parseForPath(p, l, "priority", p.parsePriority); ok {
+		s.Priorities = append(s.Priorities, PathPriority{Priority: priority, PathPrefix: path})
 	}
 }
 
