Clear the read deadline before the wake-up can set it

A caller's request could wait in the buffer of its connection until more bytes came: waitWatchingClose started the goroutine that sets the read deadline to the past, and only then cleared the deadline. If the awaited request was answered in between, its wake-up was lost, although the next request was already there.

The deadline is cleared first.

--- a/node/transport/httpserver/conn.go
+++ b/node/transport/httpserver/conn.go
@@ -152,6 +152,8 @@
 // connection ended.
 func (c *conn) waitWatchingClose(done <-chan struct{}) bool {
 	c.acquireReader()
+	// Cleared before the goroutine can set it: the other way round its wake-up would be lost.
+	_ = c.net.SetReadDeadline(time.Time{})
 	woken := make(chan struct{})
 	go func() {
 		defer close(woken)
@@ -161,7 +163,6 @@
 		}
 		_ = c.net.SetReadDeadline(expiredDeadline)
 	}()
-	_ = c.net.SetReadDeadline(time.Time{})
 	_, err := c.r.Peek(c.r.Size())
 	disconnected := err != nil && !isTimeout(err)
 	if disconnected {
