Release a request before its connection may end

Shutdown could return while the memory of an answered request body was still held: markAnswered took the request off the unanswered ones and closed done before it released the body.

The body is released first.

--- a/node/transport/httpserver/exchange.go
+++ b/node/transport/httpserver/exchange.go
@@ -217,9 +217,11 @@
 	c.cancel()
 }
 
-// markAnswered removes x, the oldest request, from the unanswered ones and lets the next reply be written.
+// markAnswered releases x, the oldest request, removes it from the unanswered ones and lets the next reply be written. The
+// memory of x is released first, since the connection and the server may end as soon as x is no longer unanswered.
 func (x *exchange) markAnswered() {
 	c := x.conn
+	x.release()
 	c.mu.Lock()
 	c.unanswered = c.unanswered[1:]
 	if len(c.unanswered) == 0 {
@@ -235,7 +237,6 @@
 	}
 	c.mu.Unlock()
 	close(x.done)
-	x.release()
 }
 
 func (x *exchange) release() {
