Bound the wait for a request limit by what was sent

Found while reading the change: a limit far below the length of a queue ended the node. The sliding window asked for the time of a request that was never sent (index -1) when nothing had been sent yet and several waited, as with a limit of 0.3 a second named to a back end with a queue. A message from one back end could so end the process beside it.

TestNoMessageSequencePanics draws sequences of limits, checks, instances, states and requests; it fails before after 19 cases and passes now. Also: the word that a back end leaves expires after ten minutes even for a target (TestLeavingIsForgotten; an instance whose start was not known would have kept its name out for good), pollenhill explains the reason limit, and the number of reasons is no reason any more (TestEveryReasonHasEntry failed).

--- a/core/coordination/admission/requestrate.go
+++ b/core/coordination/admission/requestrate.go
@@ -119,10 +119,11 @@
 func (r *requestRate) windowWait(now time.Time, perSecond float64, ahead int) time.Duration {
 	allowed := max(1, int(rateWindowFactor*rateWindow.Seconds()*perSecond))
 	excess := r.sent.count(now, rateWindow) + ahead + 1 - allowed
-	if excess <= 0 {
+	if excess <= 0 || len(r.sent) == 0 {
 		return 0
 	}
-	last := r.sent[min(excess, len(r.sent))-1] // the last one that has to leave
+	// The last one that has to leave; if all of them are not enough, the tokens decide.
+	last := r.sent[min(excess, len(r.sent))-1]
 	return last.Add(rateWindow).Sub(now)
 }
 
--- a/core/coordination/admission/requestrate_test.go
+++ b/core/coordination/admission/requestrate_test.go
@@ -277,3 +277,35 @@
 		})
 	}
 }
+
+// Guards against a sequence of messages about request limits that ends the process, such as a limit that is far below the
+// length of the queue.
+func TestNoMessageSequencePanics(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newLimitedBackend(epoch, rapid.Bool().Draw(t, "fixed"))
+		now := epoch
+		limits := rapid.SampledFrom([]requestlimit.Limit{{}, requestlimit.None(), requestlimit.New(0), requestlimit.New(0.3), requestlimit.New(5)})
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 6).Draw(t, "message") {
+			case 0:
+				b.update(now, admission.RequestLimit{Limit: limits.Draw(t, "limit")})
+			case 1:
+				b.update(now, admission.CheckSent{})
+			case 2:
+				b.update(now, admission.NewInstance{})
+			case 3:
+				b.update(now, admission.BackendState{State: admission.State(rapid.IntRange(0, 4).Draw(t, "state"))})
+			case 4:
+				b.update(now, admission.Tick{})
+			default:
+				for range rapid.IntRange(1, 20).Draw(t, "requests") {
+					b.arrive(now, func(a *admission.Arrive) {
+						a.KnownLimit = limits.Draw(t, "known")
+						a.Priority = rapid.SampledFrom([]rule.Priority{rule.PriorityLow, rule.PriorityNormal, rule.PriorityHigh}).Draw(t, "priority")
+					})
+				}
+			}
+		}
+	})
+}
--- a/core/coordination/balancer/condition.go
+++ b/core/coordination/balancer/condition.go
@@ -6,7 +6,8 @@
 	"pollenhill.example/core/protocol/requestlimit"
 )
 
-// conditionRetention is how long the condition of a back end is kept that is no target, as while its node restarts.
+// conditionRetention is how long the word of a back end is kept that it leaves, and the limit of one that is no target, as
+// while its node restarts.
 const conditionRetention = 10 * time.Minute
 
 // condition is what this entry node has heard of a back end from its responses. It outlasts restarts of the node beside the
@@ -17,7 +18,8 @@
 	heardAt time.Time
 
 	leaving     bool
-	startMillis int64 // of the instance that leaves, 0 if it is not known
+	leavingAt   time.Time // when it last said so
+	startMillis int64     // of the instance that leaves, 0 if it is not known
 }
 
 // Condition reports what a response said about the back end that sent it.
@@ -35,7 +37,7 @@
 	m.hearLimit(now, msg.Backend, msg.Limit, 0)
 	if msg.Leaving {
 		c := m.condition(now, msg.Backend)
-		c.leaving, c.startMillis, c.heardAt = true, msg.StartMillis, now
+		c.leaving, c.leavingAt, c.startMillis = true, now, msg.StartMillis
 	}
 }
 
@@ -78,12 +80,17 @@
 	return c.startMillis == 0 || t.StartMillis == 0 || c.startMillis == t.StartMillis
 }
 
-// dropConditions removes conditions that are too old to be of use.
+// dropConditions removes conditions that are too old to be of use. An instance that has said that it leaves is gone by then,
+// so that a target with its name is another one.
 func (m *Model) dropConditions(now time.Time) {
 	for backend, c := range m.conditions {
-		if _, target := m.backends[backend]; !target && now.Sub(c.heardAt) > conditionRetention {
-			delete(m.conditions, backend)
+		c.leaving = c.leaving && now.Sub(c.leavingAt) <= conditionRetention
+		_, target := m.backends[backend]
+		_, limited := c.limit.PerSecond()
+		if limited && (target || now.Sub(c.heardAt) <= conditionRetention) || c.leaving {
+			continue
 		}
+		delete(m.conditions, backend)
 	}
 }
 
--- a/core/coordination/balancer/condition_test.go
+++ b/core/coordination/balancer/condition_test.go
@@ -123,3 +123,19 @@
 		})
 	}
 }
+
+// Guards against a back end that stays away for good because an instance of its name, whose start was not known, left once.
+func TestLeavingIsForgotten(t *testing.T) {
+	ts := newTargets("a")
+	ts[0].StartMillis = 1000
+	m := newModel(ts)
+	m.Update(epoch, balancer.Condition{Backend: "b0", Limit: requestlimit.None(), Leaving: true})
+	for minute := range 20 {
+		now := epoch.Add(time.Duration(minute) * time.Minute)
+		m.Update(now, balancer.LoadReport{Backend: "b0", Hint: hint.Hint{Limit: 12, RequestLimit: requestlimit.None()}})
+		m.Update(now, balancer.Targets{List: ts})
+		if _, picked := m.Pick(now, balancer.Query{Service: "s"}); picked != (minute > 10) {
+			t.Errorf("picked %v after %d minutes", picked, minute)
+		}
+	}
+}
--- a/core/coordination/balancer/model.go
+++ b/core/coordination/balancer/model.go
@@ -29,7 +29,7 @@
 	services  map[string]*serviceState  // by service
 	outliers  map[string]*outlier.Model // by service
 
-	conditions map[string]*condition // by back end, only of those in need
+	conditions map[string]*condition // by back end, only of those with a request limit or about to end
 }
 
 // Config holds the location of the entry node and the parameters of a Model.
@@ -290,8 +290,8 @@
 }
 
 // candidates returns the targets that may get the attempt: those of the own region if there are any, else those of other
-// regions. Ejected back ends, cold ones at their limit, those beyond the share of their request limit and those that admit nothing are the last
-// resort.
+// regions. The last resort are ejected back ends, cold ones at their limit, those beyond the share of their request limit
+// and those that admit nothing.
 func (m *Model) candidates(now time.Time, q Query) []candidate {
 	service, rules, outliers := m.serviceState(q.Service), m.rules.Services[q.Service], m.outlierModel(q.Service)
 	var ownRegion, otherRegions, lastResort []candidate
--- a/core/protocol/refusal/reason.go
+++ b/core/protocol/refusal/reason.go
@@ -63,6 +63,7 @@
 	BackendSlow // slow
 	// RequestLimit means that the back end already gets as many requests per second as it takes by its own word.
 	RequestLimit // limit
-
-	reasonCount // number of reasons
 )
+
+// lastReason is the newest Reason.
+const lastReason = RequestLimit
--- a/core/protocol/refusal/reason_string.go
+++ b/core/protocol/refusal/reason_string.go
@@ -36,12 +36,11 @@
 	_ = x[Internal-25]
 	_ = x[BackendSlow-26]
 	_ = x[RequestLimit-27]
-	_ = x[reasonCount-28]
 }
 
-const _Reason_name = "nonefulllatecolddrainingleavingzone-outbackend-outabsentincarnationcancelledduplicatedeepshedbudgetno-quorumroutebrokentimeoutlargeheadermalformedheldmismatchupgradeinternalslowlimitnumber of reasons"
+const _Reason_name = "nonefulllatecolddrainingleavingzone-outbackend-outabsentincarnationcancelledduplicatedeepshedbudgetno-quorumroutebrokentimeoutlargeheadermalformedheldmismatchupgradeinternalslowlimit"
 
-var _Reason_index = [...]uint8{0, 4, 8, 12, 16, 24, 31, 39, 50, 56, 67, 76, 85, 89, 93, 99, 108, 113, 119, 126, 131, 137, 146, 150, 158, 165, 173, 177, 182, 199}
+var _Reason_index = [...]uint8{0, 4, 8, 12, 16, 24, 31, 39, 50, 56, 67, 76, 85, 89, 93, 99, 108, 113, 119, 126, 131, 137, 146, 150, 158, 165, 173, 177, 182}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/core/protocol/refusal/refusal.go
+++ b/core/protocol/refusal/refusal.go
@@ -86,7 +86,7 @@
 	if err != nil || depth < 0 {
 		return Refusal{}, false
 	}
-	for reason := None; reason < reasonCount; reason++ {
+	for reason := None; reason <= lastReason; reason++ {
 		if reason.String() == details {
 			return Refusal{Reason: reason, Node: parts[0], Depth: depth}, true
 		}
--- a/node/transport/backend/sent.go
+++ b/node/transport/backend/sent.go
@@ -15,7 +15,7 @@
 	AttemptRequest RequestKind = iota // attempt
 	CheckRequest                      // check
 
-	requestKinds // number of kinds
+	requestKinds // number of kinds, not a kind itself
 )
 
 // sentWindow is the time over which recently sent requests are counted.
--- a/pollenhill/protocol/refusalhelp/entries.go
+++ b/pollenhill/protocol/refusalhelp/entries.go
@@ -87,4 +87,8 @@
 	{"upgrade", "The request asks for another protocol, which nodes do not pass on. Nothing ran.", "The caller has to use plain HTTP/1.1."},
 	{"internal", "The node itself failed.", "Look at the log of the node named in Proxy-Status and report the fault."},
 	{"slow", "The back end was in a slow moment and the entry node knew a faster one. Nothing ran.", "Usually nothing: the request went elsewhere at once. If callers see it, look at the speed of all back ends of the service (pace in the log)."},
+	{
+		"limit", "The back end already gets as many requests per second as it takes by its own word. Nothing ran.",
+		"Callers come back when Retry-After says. If it lasts, find out why the back end is in need (event 1015, backend_limit) or add back ends.",
+	},
 }
