--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(r *record, trouble bool) error{
 	"endless": endless,
 	"stale":   stale,
+	"gone":    gone,
 }
 
 func main() {
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -12,12 +12,18 @@
 	mu    sync.Mutex
 	file  *os.File
 	start time.Time
-	runs  map[string]int // runs of each request at back ends
+	runs  []run
+}
+
+// run is a request that a back end has begun to work on.
+type run struct {
+	backend, id string
+	at          time.Time
 }
 
 func newRecord(path string) (*record, error) {
 	f, err := os.Create(path)
-	return &record{file: f, start: time.Now(), runs: map[string]int{}}, err
+	return &record{file: f, start: time.Now()}, err
 }
 
 // add writes one line with the seconds since the start.
@@ -32,12 +38,27 @@
 	r.add("backend %s: runs %s", backend, id)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.runs[id]++
+	r.runs = append(r.runs, run{backend: backend, id: id, at: time.Now()})
 }
 
 // hasRun reports whether a back end has run a request.
 func (r *record) hasRun(id string) bool {
+	return r.count(func(run run) bool { return run.id == id }) > 0
+}
+
+// runsAfter returns how many requests a back end began after the given time.
+func (r *record) runsAfter(backend string, t time.Time) int {
+	return r.count(func(run run) bool { return run.backend == backend && run.at.After(t) })
+}
+
+func (r *record) count(match func(run) bool) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.runs[id] > 0
+	n := 0
+	for _, run := range r.runs {
+		if match(run) {
+			n++
+		}
+	}
+	return n
 }
