--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -28,14 +28,16 @@
 	running  atomic.Int64
 	leaving  atomic.Bool
 
-	mu     sync.Mutex
-	onRun  func(w http.ResponseWriter, r *http.Request) bool // true: it has answered the request itself
-	server *http.Server
-	stop   chan struct{}
+	mu        sync.Mutex
+	onRun     func(w http.ResponseWriter, r *http.Request) bool // true: it has answered the request itself
+	coldUntil time.Time
+	reported  chan struct{} // receives a value after each liveness report
+	server    *http.Server
+	stop      chan struct{}
 }
 
 func newBackend(v *vm, r *record, id string) *backend {
-	return &backend{vm: v, id: id, service: v.service, record: r, work: 20 * time.Millisecond, slots: 12, stop: make(chan struct{})}
+	return &backend{vm: v, id: id, service: v.service, record: r, work: 20 * time.Millisecond, slots: 12, reported: make(chan struct{}), stop: make(chan struct{})}
 }
 
 // start listens and sends liveness reports.
@@ -63,6 +65,10 @@
 	for {
 		if !b.leaving.Load() {
 			_, _ = b.report("ready")
+			select {
+			case b.reported <- struct{}{}:
+			default:
+			}
 		}
 		select {
 		case <-b.stop:
@@ -76,7 +82,7 @@
 func (b *backend) reportBody(state string) []byte {
 	raw, _ := json.Marshal(map[string]any{
 		"service": b.service, "address": b.vm.address(appPort), "zone": b.vm.zone, "version": "v1", "slots": b.slots,
-		"state": state, "warming": 0, "sequence": b.sequence.Add(1), "born": b.born,
+		"state": state, "warming": b.coldTime().Milliseconds(), "sequence": b.sequence.Add(1), "born": b.born,
 	})
 	return raw
 }
@@ -109,6 +115,10 @@
 	b.setLoad(w)
 	if r.URL.Path == "/health" {
 		w.Header().Set(headerNames.Instance, b.id)
+		if left := b.coldTime(); left > 0 {
+			w.Header().Set(headerNames.Cold, fmt.Sprint(left.Milliseconds()))
+			b.record.add("backend %s: a health answer says cold for %d ms", b.id, left.Milliseconds())
+		}
 		if b.leaving.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -131,7 +141,7 @@
 	b.record.addRun(b.id, id)
 	_, _ = io.Copy(io.Discard, r.Body)
 	select {
-	case <-time.After(b.work):
+	case <-time.After(b.serviceTime()):
 	case <-r.Context().Done():
 		return
 	}
@@ -155,3 +165,28 @@
 	defer b.mu.Unlock()
 	b.onRun = f
 }
+
+// awaitReport waits for the next liveness report.
+func (b *backend) awaitReport() { <-b.reported }
+
+// turnCold makes the back end cold from now on.
+func (b *backend) turnCold(length time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.coldUntil = time.Now().Add(length)
+	b.record.add("backend %s: is cold for %v from now on", b.id, length)
+}
+
+// coldTime returns how much longer the back end is cold.
+func (b *backend) coldTime() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(0, time.Until(b.coldUntil))
+}
+
+func (b *backend) serviceTime() time.Duration {
+	if b.coldTime() > 0 {
+		return 2 * b.work
+	}
+	return b.work
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 	"endless": endless,
 	"stale":   stale,
 	"gone":    gone,
+	"cold":    cold,
 }
 
 func main() {
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -51,6 +51,25 @@
 	return r.count(func(run run) bool { return run.backend == backend && run.at.After(t) })
 }
 
+// mostInOneSecond returns the most requests that a back end began within one second between two times.
+func (r *record) mostInOneSecond(backend string, from, to time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var recent []time.Time
+	most := 0
+	for _, run := range r.runs {
+		if run.backend != backend || run.at.Before(from) || run.at.After(to) {
+			continue
+		}
+		recent = append(recent, run.at)
+		for run.at.Sub(recent[0]) >= time.Second {
+			recent = recent[1:]
+		}
+		most = max(most, len(recent))
+	}
+	return most
+}
+
 func (r *record) count(match func(run) bool) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
