--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 	"stale":   stale,
 	"gone":    gone,
 	"cold":    cold,
+	"writer":  writer,
 }
 
 func main() {
