--- a/review/standin/gone.go
+++ b/review/standin/gone.go
@@ -14,6 +14,7 @@
 	goneLoad      = 3 * time.Second        // length of the load that is judged
 	goneLoadPause = 10 * time.Millisecond  // between two requests of a client
 	drainBound    = 2 * time.Second        // drain_ms
+	drainWork     = 50 * time.Millisecond  // service time of the back ends
 )
 
 // gone restarts the node of a back end that has deregistered, and then lets a report arrive that the back end had sent
@@ -26,7 +27,9 @@
 	defer c.stop()
 	var backends []*backend
 	for i, v := range c.nodes {
-		backends = append(backends, newBackend(v, r, fmt.Sprintf("i-%08x", 0x7f3a91c0+i)))
+		b := newBackend(v, r, fmt.Sprintf("i-%08x", 0x7f3a91c0+i))
+		b.work = drainWork
+		backends = append(backends, b)
 	}
 	if err := c.serveBooking(backends, goneTimeout); err != nil {
 		return err
@@ -68,9 +71,9 @@
 	return nil
 }
 
-// reserve sends reservations through nodes for a time, with four clients for each node.
+// reserve sends reservations through nodes for a time, with more clients than two back ends have slots.
 func (c *cluster) reserve(nodes []*vm, length time.Duration) {
-	const clientsPerNode = 4
+	const clientsPerNode = 10
 	var wg sync.WaitGroup
 	end := time.Now().Add(length)
 	for _, v := range nodes {
--- a/review/standin/writer.go
+++ b/review/standin/writer.go
@@ -22,7 +22,9 @@
 	defer c.stop()
 	var backends []*backend
 	for i, v := range c.nodes {
-		backends = append(backends, newBackend(v, r, fmt.Sprintf("i-%08x", 0x7f3a91c0+i)))
+		b := newBackend(v, r, fmt.Sprintf("i-%08x", 0x7f3a91c0+i))
+		b.work = drainWork
+		backends = append(backends, b)
 	}
 	if err := c.serveBooking(backends, time.Second); err != nil {
 		return err
