--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 for program in ../../target/control ../../target/node ../bin/standin; do
   [ -x "$program" ] || { echo "$program is not built: run the build line of deploy/system.toml and review/build.sh" >&2; exit 2; }
 done
-exec ../bin/standin writer record.txt
+exec ../bin/standin endless record.txt
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,11 +20,12 @@
 var errBroken = errors.New("rule broken")
 
 var cases = map[string]func(r *record, trouble bool) error{
-	"endless": endless,
-	"stale":   stale,
-	"gone":    gone,
-	"cold":    cold,
-	"writer":  writer,
+	"endless":  endless,
+	"stale":    stale,
+	"gone":     gone,
+	"cold":     cold,
+	"writer":   writer,
+	"founding": founding,
 }
 
 func main() {
