--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -31,9 +31,11 @@
 	mu        sync.Mutex
 	onRun     func(w http.ResponseWriter, r *http.Request) bool // true: it has answered the request itself
 	coldUntil time.Time
+	tooMany   func() bool   // reports, at each run, whether the back end crashes; nil: never
 	reported  chan struct{} // receives a value after each liveness report
 	server    *http.Server
 	stop      chan struct{}
+	crashOnce sync.Once
 }
 
 func newBackend(v *vm, r *record, id string) *backend {
@@ -56,9 +58,11 @@
 
 // crash ends the back end without a word.
 func (b *backend) crash() {
-	close(b.stop)
-	_ = b.server.Close()
-	b.record.add("backend %s: ended", b.id)
+	b.crashOnce.Do(func() {
+		b.record.add("backend %s: ends with %d requests at work", b.id, b.running.Load())
+		close(b.stop)
+		_ = b.server.Close()
+	})
 }
 
 func (b *backend) beat() {
@@ -139,6 +143,10 @@
 	}
 	defer b.running.Add(-1)
 	b.record.addRun(b.id, id)
+	if b.tooMany != nil && b.tooMany() {
+		b.crash()
+		return
+	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	select {
 	case <-time.After(b.serviceTime()):
--- a/review/standin/cold.go
+++ b/review/standin/cold.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -11,8 +12,10 @@
 	coldLength   = 3 * time.Second        // cold_start_s
 	coldRate     = 35.0                   // cold_per_s
 	coldBound    = coldRate*1.5 + 5       // cold_per_s x cold_overage + cold_slack, requests in one second
+	coldWork     = 60 * time.Millisecond  // service time of a warm back end; a cold one takes twice as long
+	crashRate    = 2 * coldRate           // requests in one second at which a cold back end crashes
 	coldTimeout  = time.Second            // timeout of the route and time limit of the clients
-	requestPause = 10 * time.Millisecond  // between two requests to one node
+	requestPause = 8 * time.Millisecond   // between two requests to one node
 	afterReport  = 100 * time.Millisecond // from a liveness report to the moment at which the back end turns cold
 )
 
@@ -25,7 +28,15 @@
 	defer c.stop()
 	var backends []*backend
 	for i, v := range c.nodes {
-		backends = append(backends, newBackend(v, r, fmt.Sprintf("i-%08x", 0x7f3a91c0+i)))
+		b := newBackend(v, r, fmt.Sprintf("i-%08x", 0x7f3a91c0+i))
+		b.work = coldWork
+		backends = append(backends, b)
+	}
+	b := backends[0]
+	var from atomic.Pointer[time.Time] // when the back end turns cold
+	b.tooMany = func() bool {
+		at := from.Load()
+		return at != nil && b.coldTime() > 0 && float64(r.mostInOneSecond(b.id, *at, time.Now())) > crashRate
 	}
 	if err := c.serveBooking(backends, coldTimeout); err != nil {
 		return err
@@ -41,17 +52,17 @@
 		wg.Go(func() { c.sendEvenly(v, stop) })
 	}
 	time.Sleep(4 * time.Second)
-	b := backends[0]
 	b.awaitReport()
 	time.Sleep(afterReport)
-	from := time.Now()
+	start := time.Now()
+	from.Store(&start)
 	if trouble {
 		b.turnCold(coldLength)
 	}
 	time.Sleep(coldLength)
 	close(stop)
 	wg.Wait()
-	most := r.mostInOneSecond(b.id, from, from.Add(coldLength))
+	most := r.mostInOneSecond(b.id, start, start.Add(coldLength))
 	r.add("backend %s: at most %d requests in one second in these %v, the bound for a cold one is %.1f", b.id, most, coldLength, coldBound)
 	if trouble && float64(most) > coldBound {
 		return fmt.Errorf("%w: a cold back end got %d requests in one second, the bound is %.1f", errBroken, most, coldBound)
