--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,9 @@
 	exitCannotRun = 2
 )
 
+// maxLength bounds a case; a case that takes longer could not run.
+const maxLength = 110 * time.Second
+
 // errBroken reports that the rule of the case was broken.
 var errBroken = errors.New("rule broken")
 
@@ -45,6 +48,10 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.add("case %s, trouble %t, %s", os.Args[1], trouble, time.Now().UTC().Format(time.RFC3339))
+	time.AfterFunc(maxLength, func() {
+		r.add("the case could not run: it takes longer than %v", maxLength)
+		os.Exit(exitCannotRun) // the processes that it started end with it
+	})
 	err = cases[os.Args[1]](r, trouble)
 	switch {
 	case err == nil:
