node: keep the end of an instance in the control group before it is acknowledged

Cause: replaced and deregistered instances were kept in the memory of the node only. After a restart any heartbeat, or health check, made its instance the current one.

A node uses an instance that started before the node did only after it has asked for its end, with a linearizable read.

Weighed: peers as keepers (both may restart at once), the health check alone (may lie; without one an isolated node could not tell), the soft-state directory (lost with one control process right after the acknowledgement).

Commands: one commit per end and one read per instance and node start.

--- a/control/transport/node/claim.go
+++ b/control/transport/node/claim.go
@@ -27,7 +27,7 @@
 func (h *Handler) Claim(ctx context.Context, req *connect.Request[control.ClaimRequest]) (*connect.Response[control.ClaimResponse], error) {
 	m := req.Msg
 	cmd := replica.Command{Kind: replica.CommandClaim, Service: m.GetService(), IdempotencyKey: m.GetKey(), AttemptID: m.GetAttempt(), Fingerprint: m.GetPrint()}
-	res, err := h.propose(ctx, cmd)
+	res, err := h.proposeClaim(ctx, cmd)
 	if err != nil {
 		return nil, err
 	}
@@ -63,7 +63,7 @@
 		Kind: replica.CommandFinishClaim, Service: m.GetService(), IdempotencyKey: m.GetKey(), AttemptID: m.GetAttempt(),
 		Response: replica.Response{Status: int(a.GetStatus()), ContentType: a.GetType(), Body: a.GetBody()},
 	}
-	if _, err := h.propose(ctx, cmd); err != nil {
+	if _, err := h.proposeClaim(ctx, cmd); err != nil {
 		return nil, err
 	}
 	return connect.NewResponse(&control.FinishResponse{}), nil
@@ -73,18 +73,23 @@
 func (h *Handler) Release(ctx context.Context, req *connect.Request[control.ReleaseRequest]) (*connect.Response[control.ReleaseResponse], error) {
 	m := req.Msg
 	cmd := replica.Command{Kind: replica.CommandReleaseClaim, Service: m.GetService(), IdempotencyKey: m.GetKey(), AttemptID: m.GetAttempt()}
-	if _, err := h.propose(ctx, cmd); err != nil {
+	if _, err := h.proposeClaim(ctx, cmd); err != nil {
 		return nil, err
 	}
 	return connect.NewResponse(&control.ReleaseResponse{}), nil
 }
 
-// propose repeats the command until it is committed or the tries are used up; all commands about claims are idempotent.
-func (h *Handler) propose(ctx context.Context, cmd replica.Command) (replica.Result, error) {
+// proposeClaim proposes a command about a claim that names the claim in full.
+func (h *Handler) proposeClaim(ctx context.Context, cmd replica.Command) (replica.Result, error) {
 	if cmd.Service == "" || cmd.IdempotencyKey == "" || cmd.AttemptID == "" {
 		err := errors.Newf("%s: service, key and attempt are required", cmd.Kind)
 		return replica.Result{}, connect.NewError(connect.CodeInvalidArgument, err)
 	}
+	return h.propose(ctx, cmd)
+}
+
+// propose repeats the command until it is committed or the tries are used up; the command must be idempotent.
+func (h *Handler) propose(ctx context.Context, cmd replica.Command) (replica.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	var last error
--- a/control/transport/node/handler.go
+++ b/control/transport/node/handler.go
@@ -28,6 +28,7 @@
 // Group is the part of raftgroup.Group that the Handler uses.
 type Group interface {
 	Propose(ctx context.Context, cmd replica.Command) (replica.Result, error)
+	Barrier(ctx context.Context) error
 	View() raftgroup.View
 	ReadReplica(f func(*replica.Replica))
 }
--- a/control/transport/node/handler_test.go
+++ b/control/transport/node/handler_test.go
@@ -43,6 +43,16 @@
 	return res, ctx.Err()
 }
 
+// Barrier fails as long as proposals do.
+func (f *fakeGroup) Barrier(context.Context) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.calls < f.failures {
+		return f.err
+	}
+	return nil
+}
+
 func (f *fakeGroup) View() raftgroup.View { return raftgroup.View{Current: true} }
 
 func (f *fakeGroup) ReadReplica(read func(*replica.Replica)) {
--- a/core/protocol/control/controlconnect/control.connect.go
+++ b/core/protocol/control/controlconnect/control.connect.go
@@ -45,6 +45,10 @@
 	ControlFinishProcedure = "/pollenhill.control.Control/Finish"
 	// ControlReleaseProcedure is the fully-qualified name of the Control's Release RPC.
 	ControlReleaseProcedure = "/pollenhill.control.Control/Release"
+	// ControlEndProcedure is the fully-qualified name of the Control's End RPC.
+	ControlEndProcedure = "/pollenhill.control.Control/End"
+	// ControlEndedProcedure is the fully-qualified name of the Control's Ended RPC.
+	ControlEndedProcedure = "/pollenhill.control.Control/Ended"
 	// ControlStatusProcedure is the fully-qualified name of the Control's Status RPC.
 	ControlStatusProcedure = "/pollenhill.control.Control/Status"
 	// ControlRulesProcedure is the fully-qualified name of the Control's Rules RPC.
@@ -69,6 +73,10 @@
 	Finish(context.Context, *connect.Request[control.FinishRequest]) (*connect.Response[control.FinishResponse], error)
 	// Release gives up a claim whose request was proven not run.
 	Release(context.Context, *connect.Request[control.ReleaseRequest]) (*connect.Response[control.ReleaseResponse], error)
+	// End records that an instance of a back end drains or has deregistered; after its response a quorum keeps it.
+	End(context.Context, *connect.Request[control.EndRequest]) (*connect.Response[control.EndResponse], error)
+	// Ended reads which instances with an ID have ended, as a quorum knows it.
+	Ended(context.Context, *connect.Request[control.EndedRequest]) (*connect.Response[control.EndedResponse], error)
 	// Status reads the local state without the leader.
 	Status(context.Context, *connect.Request[control.StatusRequest]) (*connect.Response[control.StatusResponse], error)
 	// Rules reads accepted rules without the leader.
@@ -116,6 +124,18 @@
 			connect.WithSchema(controlMethods.ByName("Release")),
 			connect.WithClientOptions(opts...),
 		),
+		end: connect.NewClient[control.EndRequest, control.EndResponse](
+			httpClient,
+			baseURL+ControlEndProcedure,
+			connect.WithSchema(controlMethods.ByName("End")),
+			connect.WithClientOptions(opts...),
+		),
+		ended: connect.NewClient[control.EndedRequest, control.EndedResponse](
+			httpClient,
+			baseURL+ControlEndedProcedure,
+			connect.WithSchema(controlMethods.ByName("Ended")),
+			connect.WithClientOptions(opts...),
+		),
 		status: connect.NewClient[control.StatusRequest, control.StatusResponse](
 			httpClient,
 			baseURL+ControlStatusProcedure,
@@ -138,6 +158,8 @@
 	claim    *connect.Client[control.ClaimRequest, control.ClaimResponse]
 	finish   *connect.Client[control.FinishRequest, control.FinishResponse]
 	release  *connect.Client[control.ReleaseRequest, control.ReleaseResponse]
+	end      *connect.Client[control.EndRequest, control.EndResponse]
+	ended    *connect.Client[control.EndedRequest, control.EndedResponse]
 	status   *connect.Client[control.StatusRequest, control.StatusResponse]
 	rules    *connect.Client[control.RulesRequest, control.RulesResponse]
 }
@@ -167,6 +189,16 @@
 	return c.release.CallUnary(ctx, req)
 }
 
+// End calls pollenhill.control.Control.End.
+func (c *controlClient) End(ctx context.Context, req *connect.Request[control.EndRequest]) (*connect.Response[control.EndResponse], error) {
+	return c.end.CallUnary(ctx, req)
+}
+
+// Ended calls pollenhill.control.Control.Ended.
+func (c *controlClient) Ended(ctx context.Context, req *connect.Request[control.EndedRequest]) (*connect.Response[control.EndedResponse], error) {
+	return c.ended.CallUnary(ctx, req)
+}
+
 // Status calls pollenhill.control.Control.Status.
 func (c *controlClient) Status(ctx context.Context, req *connect.Request[control.StatusRequest]) (*connect.Response[control.StatusResponse], error) {
 	return c.status.CallUnary(ctx, req)
@@ -189,6 +221,10 @@
 	Finish(context.Context, *connect.Request[control.FinishRequest]) (*connect.Response[control.FinishResponse], error)
 	// Release gives up a claim whose request was proven not run.
 	Release(context.Context, *connect.Request[control.ReleaseRequest]) (*connect.Response[control.ReleaseResponse], error)
+	// End records that an instance of a back end drains or has deregistered; after its response a quorum keeps it.
+	End(context.Context, *connect.Request[control.EndRequest]) (*connect.Response[control.EndResponse], error)
+	// Ended reads which instances with an ID have ended, as a quorum knows it.
+	Ended(context.Context, *connect.Request[control.EndedRequest]) (*connect.Response[control.EndedResponse], error)
 	// Status reads the local state without the leader.
 	Status(context.Context, *connect.Request[control.StatusRequest]) (*connect.Response[control.StatusResponse], error)
 	// Rules reads accepted rules without the leader.
@@ -232,6 +268,18 @@
 		connect.WithSchema(controlMethods.ByName("Release")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlEndHandler := connect.NewUnaryHandler(
+		ControlEndProcedure,
+		svc.End,
+		connect.WithSchema(controlMethods.ByName("End")),
+		connect.WithHandlerOptions(opts...),
+	)
+	controlEndedHandler := connect.NewUnaryHandler(
+		ControlEndedProcedure,
+		svc.Ended,
+		connect.WithSchema(controlMethods.ByName("Ended")),
+		connect.WithHandlerOptions(opts...),
+	)
 	controlStatusHandler := connect.NewUnaryHandler(
 		ControlStatusProcedure,
 		svc.Status,
@@ -256,6 +304,10 @@
 			controlFinishHandler.ServeHTTP(w, r)
 		case ControlReleaseProcedure:
 			controlReleaseHandler.ServeHTTP(w, r)
+		case ControlEndProcedure:
+			controlEndHandler.ServeHTTP(w, r)
+		case ControlEndedProcedure:
+			controlEndedHandler.ServeHTTP(w, r)
 		case ControlStatusProcedure:
 			controlStatusHandler.ServeHTTP(w, r)
 		case ControlRulesProcedure:
@@ -289,6 +341,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Control.Release is not implemented"))
 }
 
+func (UnimplementedControlHandler) End(context.Context, *connect.Request[control.EndRequest]) (*connect.Response[control.EndResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Control.End is not implemented"))
+}
+
+func (UnimplementedControlHandler) Ended(context.Context, *connect.Request[control.EndedRequest]) (*connect.Response[control.EndedResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Control.Ended is not implemented"))
+}
+
 func (UnimplementedControlHandler) Status(context.Context, *connect.Request[control.StatusRequest]) (*connect.Response[control.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Control.Status is not implemented"))
 }
--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -24,6 +24,8 @@
 	BackendLimitChanged                          // request limit of the back end changed
 	BackendLimitUse                              // requests sent under the limit of the back end
 	BackendSaysLeaving                           // back end says that it leaves
+	BackendEndRecorded                           // end of the back end recorded
+	BackendHistoryRead                           // history of the back end read
 )
 
 // Kinds of events of control processes.
--- a/core/state/event/kind_string.go
+++ b/core/state/event/kind_string.go
@@ -25,6 +25,8 @@
 	_ = x[BackendLimitChanged-1014]
 	_ = x[BackendLimitUse-1015]
 	_ = x[BackendSaysLeaving-1016]
+	_ = x[BackendEndRecorded-1017]
+	_ = x[BackendHistoryRead-1018]
 	_ = x[ControlStarted-2000]
 	_ = x[ControlStopped-2001]
 	_ = x[LeaderChanged-2002]
@@ -38,20 +40,20 @@
 }
 
 const (
-	_Kind_name_0 = "node startednode stoppingnode stoppedback end state changedattempt refusedrules in forceback end found by its health checkcall endedsettings read againcontrol process followedexchange of hints failedcall failedattempt lostrequest ended by a fault of the noderequest limit of the back end changedrequests sent under the limit of the back endback end says that it leaves"
+	_Kind_name_0 = "node startednode stoppingnode stoppedback end state changedattempt refusedrules in forceback end found by its health checkcall endedsettings read againcontrol process followedexchange of hints failedcall failedattempt lostrequest ended by a fault of the noderequest limit of the back end changedrequests sent under the limit of the back endback end says that it leavesend of the back end recordedhistory of the back end read"
 	_Kind_name_1 = "control startedcontrol stoppedleader changedchange acceptedchange rejectedmembers of the control group changed"
 	_Kind_name_2 = "TLS handshake failedTLS files not in uselog lines droppedconnection not accepted"
 )
 
 var (
-	_Kind_index_0 = [...]uint16{0, 12, 25, 37, 59, 74, 88, 122, 132, 151, 175, 199, 210, 222, 258, 295, 340, 368}
+	_Kind_index_0 = [...]uint16{0, 12, 25, 37, 59, 74, 88, 122, 132, 151, 175, 199, 210, 222, 258, 295, 340, 368, 396, 424}
 	_Kind_index_1 = [...]uint8{0, 15, 30, 44, 59, 74, 110}
 	_Kind_index_2 = [...]uint8{0, 20, 40, 57, 80}
 )
 
 func (i Kind) String() string {
 	switch {
-	case 1000 <= i && i <= 1016:
+	case 1000 <= i && i <= 1018:
 		i -= 1000
 		return _Kind_name_0[_Kind_index_0[i]:_Kind_index_0[i+1]]
 	case 2000 <= i && i <= 2005:
--- a/core/state/replica/command.go
+++ b/core/state/replica/command.go
@@ -14,7 +14,8 @@
 type CommandKind int
 
 // Kinds of commands: change and edit replace the rule file and the routing table; claim, finish and release concern the claim
-// of an idempotency key; join and leave concern a member of the control group; zone evacuates a zone or puts it back.
+// of an idempotency key; join and leave concern a member of the control group; zone evacuates a zone or puts it back; end
+// records the end of an instance of a back end.
 // CommandNone has no effect.
 const (
 	CommandNone             CommandKind = iota // none
@@ -26,6 +27,7 @@
 	CommandLeave                               // leave
 	CommandChangeTable                         // edit
 	CommandSetZoneEvacuated                    // zone
+	CommandEndInstance                         // end
 )
 
 // Command is one input of the state machine. Each kind uses only the fields listed for it.
@@ -56,6 +58,11 @@
 	// CommandSetZoneEvacuated.
 	Evacuated bool
 	Zone      string
+
+	// CommandEndInstance.
+	Node        string // beside the back end
+	InstanceID  string
+	StartMillis int64 // instances with the ID and a start up to this one have ended, in Unix milliseconds
 }
 
 // Response is the response to a claimed request, which resends of the request get.
@@ -92,6 +99,9 @@
 	w.Uint(14, boolToUint(c.IsPatch))
 	w.Uint(15, boolToUint(c.Evacuated))
 	w.String(16, c.Zone)
+	w.String(17, c.Node)
+	w.String(18, c.InstanceID)
+	w.Int(19, c.StartMillis)
 	return w.Encoded()
 }
 
@@ -139,6 +149,12 @@
 			c.Evacuated = f.Uint == 1
 		case 16:
 			c.Zone = f.Text()
+		case 17:
+			c.Node = f.Text()
+		case 18:
+			c.InstanceID = f.Text()
+		case 19:
+			c.StartMillis = f.Int()
 		}
 		return nil
 	})
--- a/core/state/replica/kind_string.go
+++ b/core/state/replica/kind_string.go
@@ -17,11 +17,12 @@
 	_ = x[CommandLeave-6]
 	_ = x[CommandChangeTable-7]
 	_ = x[CommandSetZoneEvacuated-8]
+	_ = x[CommandEndInstance-9]
 }
 
-const _CommandKind_name = "nonechangeclaimfinishreleasejoinleaveeditzone"
+const _CommandKind_name = "nonechangeclaimfinishreleasejoinleaveeditzoneend"
 
-var _CommandKind_index = [...]uint8{0, 4, 10, 15, 21, 28, 32, 37, 41, 45}
+var _CommandKind_index = [...]uint8{0, 4, 10, 15, 21, 28, 32, 37, 41, 45, 48}
 
 func (i CommandKind) String() string {
 	idx := int(i) - 0
--- a/core/state/replica/replica.go
+++ b/core/state/replica/replica.go
@@ -25,6 +25,7 @@
 	departedIDs     []string                 // IDs of members that left, oldest first
 	tableVersion    uint64                   // of the routing table, 0 before the first change
 	tableChanges    []tableChange            // accepted changes of the routing table, sorted by version
+	endedInstances  []endedInstance          // oldest first
 	parsedRules     atomic.Pointer[rule.Set] // nil until needed; atomic because concurrent readers set it
 }
 
@@ -91,6 +92,8 @@
 		return r.changeTable(index, c)
 	case CommandSetZoneEvacuated:
 		return r.setZoneEvacuated(index, c)
+	case CommandEndInstance:
+		return r.endInstance(c)
 	}
 	return Result{}
 }
--- a/core/state/replica/replica_test.go
+++ b/core/state/replica/replica_test.go
@@ -191,9 +191,15 @@
 	})
 }
 
+// drawnKinds are the kinds of commands that drawCommand draws.
+var drawnKinds = []replica.CommandKind{
+	replica.CommandChangeRules, replica.CommandClaim, replica.CommandFinishClaim, replica.CommandReleaseClaim,
+	replica.CommandJoin, replica.CommandLeave, replica.CommandEndInstance,
+}
+
 func drawCommand(t *rapid.T) replica.Command {
 	return replica.Command{
-		Kind:           replica.CommandKind(rapid.IntRange(1, 6).Draw(t, "kind")),
+		Kind:           rapid.SampledFrom(drawnKinds).Draw(t, "kind"),
 		ProposedAt:     baseTime.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond),
 		ChangeNumber:   rapid.Uint64Range(0, 5).Draw(t, "number"),
 		Text:           rapid.SampledFrom([]string{"", "a", "b\xff"}).Draw(t, "text"),
@@ -203,6 +209,9 @@
 		Fingerprint:    rapid.Uint64Range(0, 1).Draw(t, "print"),
 		Response:       replica.Response{Status: 200, Body: rapid.SliceOfN(rapid.Byte(), 0, 3).Draw(t, "body")},
 		Member:         replica.Member{ID: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "id"), Name: "x"},
+		Node:           "n",
+		InstanceID:     rapid.SampledFrom([]string{"i", "j"}).Draw(t, "instance"),
+		StartMillis:    rapid.Int64Range(-1, 3).Draw(t, "start"),
 	}
 }
 
--- a/core/state/replica/result.go
+++ b/core/state/replica/result.go
@@ -32,7 +32,7 @@
 	VerdictMismatch // mismatch
 	// No further claim can be kept.
 	VerdictFull // full
-	// The claim, member or zone has the state that the command asks for.
+	// The claim, member, zone or instance has the state that the command asks for.
 	VerdictStored // stored
 	// The base version of the change is not the current version of the table.
 	VerdictStale // stale
--- a/core/state/replica/snapshot.go
+++ b/core/state/replica/snapshot.go
@@ -45,6 +45,9 @@
 	for _, e := range r.tableChanges {
 		w.Nested(13, e.write)
 	}
+	for _, e := range r.endedInstances {
+		w.Nested(14, e.write)
+	}
 	return w.Encoded()
 }
 
@@ -100,6 +103,8 @@
 		r.tableVersion = f.Uint
 	case 13:
 		return appendParsed(&r.tableChanges, f, (*tableChange).parse)
+	case 14:
+		return appendParsed(&r.endedInstances, f, (*endedInstance).parse)
 	}
 	return nil
 }
--- a/node/coordination/instance/model.go
+++ b/node/coordination/instance/model.go
@@ -14,11 +14,15 @@
 	cfg      Config
 	current  instance
 	replaced map[string]int64 // newest start of the instances that ended, in Unix milliseconds, by ID
+
+	historyKnown map[string]struct{} // IDs whose HistoryLearned has arrived
+	candidate    candidate
 }
 
 // Config identifies the local back end.
 type Config struct {
 	Service string
+	Started time.Time      // of the node; the zero value if nothing but this Model keeps the ends of instances
 	Address netip.AddrPort // heartbeats that name another address are ignored; the zero value accepts any
 }
 
@@ -42,7 +46,7 @@
 
 // New returns a Model without an instance.
 func New(cfg Config) *Model {
-	return &Model{cfg: cfg, replaced: map[string]int64{}}
+	return &Model{cfg: cfg, replaced: map[string]int64{}, historyKnown: map[string]struct{}{}}
 }
 
 // Update applies one message at the given time.
@@ -52,6 +56,8 @@
 		m.heartbeat(now, msg)
 	case Deregister:
 		m.deregister(now, msg.ID)
+	case HistoryLearned:
+		m.historyLearned(msg)
 	case SaysLeaving:
 		if msg.ID == m.current.id {
 			m.current.draining = true
@@ -142,6 +148,7 @@
 func (m *Model) addReplaced(id string, startMillis int64) {
 	if len(m.replaced) >= maxReplaced {
 		clear(m.replaced)
+		clear(m.historyKnown)
 	}
 	m.replaced[id] = startMillis
 }
--- a/node/coordination/instance/msg.go
+++ b/node/coordination/instance/msg.go
@@ -23,6 +23,13 @@
 // Deregister reports that an instance deregistered: it gets no more requests.
 type Deregister struct{ ID string }
 
+// HistoryLearned reports what has been kept about an ID from before the start of the node.
+type HistoryLearned struct {
+	ID          string
+	Ended       bool
+	StartMillis int64 // newest start that has ended, in Unix milliseconds
+}
+
 // SaysLeaving reports a response in which an instance says that it is about to end: it gets no more requests.
 type SaysLeaving struct{ ID string }
 
@@ -41,6 +48,7 @@
 
 func (Heartbeat) msg()         {}
 func (Deregister) msg()        {}
+func (HistoryLearned) msg()    {}
 func (SaysLeaving) msg()       {}
 func (HealthCheckPassed) msg() {}
 func (Gone) msg()              {}
--- a/node/program/control.go
+++ b/node/program/control.go
@@ -13,6 +13,7 @@
 	"pollenhill.example/core/protocol/control"
 	"pollenhill.example/core/transport/mtls"
 	"pollenhill.example/core/transport/tcp"
+	"pollenhill.example/node/transport/backend"
 	"pollenhill.example/node/transport/caller"
 	client "pollenhill.example/node/transport/control"
 )
@@ -20,6 +21,7 @@
 // ControlClient is the connection of a node to the control processes.
 type ControlClient interface {
 	caller.Claims
+	backend.InstanceHistory
 	Run(ctx context.Context) error           // follows a control process until ctx ends
 	Announce(m *control.Member)              // replaces what the control processes know about this node
 	State() *follow.State                    // newest rules and members
--- a/node/program/harness_test.go
+++ b/node/program/harness_test.go
@@ -39,6 +39,8 @@
 	changed chan struct{}
 	members map[string]*control.Member
 	claims  map[string]*fakeClaim // by idempotency key
+	ends    map[string]int64      // newest start that has ended, by instance ID
+	endErr  error                 // of RecordEnd and EndOf
 }
 
 type fakeClaim struct {
@@ -53,6 +55,7 @@
 		changed: make(chan struct{}),
 		members: map[string]*control.Member{},
 		claims:  map[string]*fakeClaim{},
+		ends:    map[string]int64{},
 	}
 }
 
@@ -120,6 +123,29 @@
 	return nil
 }
 
+func (ctl *fakeControl) RecordEnd(_ context.Context, id string, startMillis int64) error {
+	ctl.mu.Lock()
+	defer ctl.mu.Unlock()
+	if ctl.endErr == nil {
+		ctl.ends[id] = startMillis
+	}
+	return ctl.endErr
+}
+
+// setEndErr sets the error of RecordEnd and EndOf.
+func (ctl *fakeControl) setEndErr(err error) {
+	ctl.mu.Lock()
+	defer ctl.mu.Unlock()
+	ctl.endErr = err
+}
+
+func (ctl *fakeControl) EndOf(_ context.Context, id string) (int64, bool, error) {
+	ctl.mu.Lock()
+	defer ctl.mu.Unlock()
+	start, ended := ctl.ends[id]
+	return start, ended, ctl.endErr
+}
+
 // testNode is a node that runs in the test process.
 type testNode struct {
 	settings program.Settings
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -159,6 +159,7 @@
 		Service:          n.cfg.Backend.Service,
 		Address:          n.cfg.Backend.Address,
 		CancelByClose:    n.cfg.Backend.CancelByClose,
+		History:          n.controlClient,
 		PoolSettings:     n.poolSettings,
 		OnAnnouncementChange: func() {
 			n.announceMember()
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -51,9 +51,10 @@
 	mu             sync.Mutex // guards the fields below
 	announced      Announcement
 	pool           *tcp.Pool
-	leaseTimer     *time.Timer     // for back ends that use Announce
-	instance       *instance.Model // for back ends that use Heartbeat
-	coldStartTimer *time.Timer     // end of the cold start of the instance
+	leaseTimer     *time.Timer      // for back ends that use Announce
+	instance       *instance.Model  // for back ends that use Heartbeat
+	coldStartTimer *time.Timer      // end of the cold start of the instance
+	recordedEnds   map[string]int64 // newest start whose end is in History, in Unix milliseconds, by instance ID
 }
 
 // Config holds the parameters of a Backend and the parts of the node that it uses.
@@ -68,10 +69,11 @@
 	OnAnnouncementChange func() // called after every change of the announcement
 
 	Headers          header.Names
-	MaxBufferedBytes int            // longest response body that is received before its header is passed on
-	Service          string         // service that heartbeats are expected to name
-	Address          netip.AddrPort // address of the back end, invalid to accept that of any announcement or heartbeat
-	CancelByClose    bool           // cancel a request by closing its connection, not only the write side
+	MaxBufferedBytes int             // longest response body that is received before its header is passed on
+	Service          string          // service that heartbeats are expected to name
+	Address          netip.AddrPort  // address of the back end, invalid to accept that of any announcement or heartbeat
+	History          InstanceHistory // keeps the ends of instances; nil: a restart forgets them
+	CancelByClose    bool            // cancel a request by closing its connection, not only the write side
 
 	// PoolSettings returns the path of health checks and the connections per back end, from the rules of a service.
 	PoolSettings func(service string) (healthPath string, maxConnections int)
@@ -79,12 +81,17 @@
 
 // New returns a Backend that is absent until its first announcement or heartbeat.
 func New(cfg Config) *Backend {
+	identity := instance.Config{Service: cfg.Service, Address: cfg.Address}
+	if cfg.History != nil {
+		identity.Started = time.Now()
+	}
 	return &Backend{
-		cfg:        cfg,
-		instance:   instance.New(instance.Config{Service: cfg.Service, Address: cfg.Address}),
-		pollNow:    make(chan struct{}, 1),
-		logLimiter: event.NewRateLimiter(maxLogsPerSecond, maxLogBurst),
-		limitLog:   event.NewRateLimiter(maxLogsPerSecond, maxLogBurst),
+		cfg:          cfg,
+		instance:     instance.New(identity),
+		recordedEnds: map[string]int64{},
+		pollNow:      make(chan struct{}, 1),
+		logLimiter:   event.NewRateLimiter(maxLogsPerSecond, maxLogBurst),
+		limitLog:     event.NewRateLimiter(maxLogsPerSecond, maxLogBurst),
 	}
 }
 
--- a/node/transport/backend/instance.go
+++ b/node/transport/backend/instance.go
@@ -20,12 +20,6 @@
 	discoveryTimeout  = 500 * time.Millisecond // of one health check
 )
 
-// Heartbeat applies a heartbeat of an instance; once it returns, every later attempt is subject to it.
-func (b *Backend) Heartbeat(msg instance.Heartbeat) { b.updateInstance(msg) }
-
-// Deregister removes an instance; once it returns, no later attempt reaches the instance.
-func (b *Backend) Deregister(id string) { b.updateInstance(instance.Deregister{ID: id}) }
-
 // updateInstance passes a message to the instance model and announces the resulting state.
 func (b *Backend) updateInstance(msg instance.Msg) {
 	b.mu.Lock()
@@ -140,6 +134,12 @@
 	if id == "" {
 		return
 	}
+	b.mu.Lock()
+	needed := b.instance.NeedsHistory(id)
+	b.mu.Unlock()
+	if needed && b.learnHistory(context.Background(), id) != nil {
+		return // the next check asks again
+	}
 	coldMillis, _ := strconv.ParseInt(string(resp.Header.Peek(b.cfg.Headers.RemainingColdStart)), 10, 64) // 0 (not cold) if the header is absent
 	b.cfg.Events.Emit(event.BackendFoundByHealthCheck, zap.String("backend", id), zap.Int64("cold", coldMillis))
 	b.updateInstance(instance.HealthCheckPassed{ID: id, Slots: parseSlots(resp.Header.Peek(b.cfg.Headers.LoadReport)), ColdStart: time.Duration(coldMillis) * time.Millisecond})
--- a/node/transport/localapi/heartbeat.go
+++ b/node/transport/localapi/heartbeat.go
@@ -38,7 +38,7 @@
 	if problem := h.validate(s.cfg.Zone); problem != "" {
 		return c.Status(fiber.StatusBadRequest).SendString(problem + "\n")
 	}
-	s.cfg.OnHeartbeat(instance.Heartbeat{
+	err := s.cfg.OnHeartbeat(c.Context(), instance.Heartbeat{
 		ID:          c.Params("id"),
 		StartMillis: h.StartMillis,
 		Sequence:    h.Sequence,
@@ -48,6 +48,14 @@
 		Draining:    h.State == stateDraining,
 		ColdStart:   time.Duration(h.ColdStartMillis * float64(time.Millisecond)),
 	})
+	return acknowledge(c, err)
+}
+
+// acknowledge responds with an empty object, or with 503 if the call could not be carried out and may be repeated.
+func acknowledge(c fiber.Ctx, err error) error {
+	if err != nil {
+		return c.Status(fiber.StatusServiceUnavailable).SendString(err.Error() + "\n")
+	}
 	return c.JSON(struct{}{})
 }
 
@@ -74,6 +82,5 @@
 }
 
 func (s *Server) handleDeregister(c fiber.Ctx) error {
-	s.cfg.OnDeregister(c.Params("id"))
-	return c.JSON(struct{}{})
+	return acknowledge(c, s.cfg.OnDeregister(c.Context(), c.Params("id")))
 }
--- a/node/transport/localapi/server.go
+++ b/node/transport/localapi/server.go
@@ -25,15 +25,17 @@
 
 // Config holds the callbacks and timeouts of a Server.
 type Config struct {
-	Zone         string                     // of the node; announcements and heartbeats that name another one are rejected
-	OnAnnounce   func(backend.Announcement) // receives valid announcements
-	OnHeartbeat  func(instance.Heartbeat)   // receives valid heartbeats
-	OnDeregister func(id string)            // receives the instance IDs of DELETE /backends/ID
-	Ready        func() bool                // reports whether the node accepts callers
-	Status       func() any                 // returns the body of GET /status, encoded as JSON
-	Metrics      prometheus.Gatherer        // source of GET /metrics
-	ReadTimeout  time.Duration              // for receiving a whole request
-	IdleTimeout  time.Duration              // after which an unused connection is closed
+	Zone       string                     // of the node; announcements and heartbeats that name another one are rejected
+	OnAnnounce func(backend.Announcement) // receives valid announcements
+	// OnHeartbeat receives valid heartbeats, OnDeregister the instance IDs of DELETE /backends/ID. After an error the call is
+	// not acknowledged, and the back end repeats it.
+	OnHeartbeat  func(context.Context, instance.Heartbeat) error
+	OnDeregister func(ctx context.Context, id string) error
+	Ready        func() bool         // reports whether the node accepts callers
+	Status       func() any          // returns the body of GET /status, encoded as JSON
+	Metrics      prometheus.Gatherer // source of GET /metrics
+	ReadTimeout  time.Duration       // for receiving a whole request
+	IdleTimeout  time.Duration       // after which an unused connection is closed
 }
 
 // maxBodyBytes limits a request body.
