node: hold the deadline of a request until the last byte of its response

Found on the way: a keyed request waited for such a body for as long as bytes came; a caller that reads nothing kept the slot for 30 s; an upload that came too slowly was answered with 400, which forbids a retry, after 20 s.

Cause: a response that is longer than what a node keeps in memory is passed on as a stream, and no timer of any hop covered it: the destination node stopped its timer at the header, the call of the entry node was over with it, and writes were bounded one by one. The body of a request was bounded by the read timeout alone.

Change: the deadline timer of an attempt runs until its body has ended; the entry node cancels its attempt at the deadline of the call; both servers close the connection when a stream is not written by then, so that the caller sees that it is not whole. A stream whose turn on its connection comes after its deadline is answered with 504. Bodies that are in memory are delivered, also late. A request body is read until the deadline of its request, and refused as late and not run.

Conclusion: a deadline is a property of the whole exchange, not of its header.

--- a/node/program/pool_test.go
+++ b/node/program/pool_test.go
@@ -12,7 +12,6 @@
 	"testing"
 
 	"pollenhill.example/core/protocol/header"
-	"pollenhill.example/node/program"
 )
 
 const poolRules = `format 1
@@ -105,15 +104,17 @@
 
 // startPoolNode starts a node with poolRules beside b, and waits until it takes callers and the back end is ready.
 func startPoolNode(t *testing.T, b *rawBackend) *testNode {
+	t.Helper()
+	return startNodeWithRules(t, b, poolRules)
+}
+
+// startNodeWithRules starts a node with the given rules beside b, and waits until it takes callers and the back end is ready.
+func startNodeWithRules(t *testing.T, b *rawBackend, rules string) *testNode {
 	t.Helper()
 	ctl := newFakeControl()
-	ctl.state.RulesText, ctl.state.Revision = poolRules, 2
-	cfg := testSettings(t, "desk-node")
+	ctl.state.RulesText, ctl.state.Revision = rules, 2
+	cfg := poolSettings(t, "desk-node", b)
 	cfg.ReadyAddress = freeAddress(t, cfg.Bind)
-	cfg.Headers = testHeaders
-	cfg.Limits.Guarantee503 = true
-	cfg.Limits.MaxBufferedBytes = 1 << 20
-	cfg.Backend = program.BackendSettings{Service: "desk", Address: b.address(), CancelByClose: true}
 	node := startNode(t, ctl, cfg)
 	eventually(t, "the node takes callers", func() bool {
 		resp, err := http.Get("http://" + cfg.ReadyAddress.String() + "/ready")
--- a/node/protocol/message/message.go
+++ b/node/protocol/message/message.go
@@ -24,7 +24,7 @@
 	Priority       rule.Priority
 	Arrived        time.Time     // arrival at the entry node
 	PipelinedAhead int           // earlier requests of the same connection that were unanswered on arrival
-	Deadline       time.Time     // for the response header
+	Deadline       time.Time     // for the whole response
 	Depth          int           // position in the call chain, sent with every attempt
 	Route          string        // empty if a service line of the rules matched the request, not a route
 	Objective      time.Duration // latency objective, counted from FirstTry; 0 if none is set
@@ -40,6 +40,7 @@
 	Length   int           // of Body, tcp.Chunked if unknown
 	Body     io.ReadCloser // nil for none
 	Buffered bool          // Body is completely in memory and its connection is released
+	Deadline time.Time     // by which a body that is not Buffered must be written; zero for no limit
 	Outcome  attempt.Outcome
 	Result   balancer.Result
 	Refusal  refusal.Refusal // set if a node or a back end refused the request
@@ -92,6 +93,13 @@
 	io.Closer
 }
 
+// SetDeadline limits the time for a body that is still to be received. One that is in memory is delivered, also late.
+func (r *Reply) SetDeadline(deadline time.Time) {
+	if r.Body != nil && !r.Buffered {
+		r.Deadline = deadline
+	}
+}
+
 // RefusalReply returns the reply that reports f in its status and headers.
 func RefusalReply(f refusal.Refusal) *Reply {
 	r := &Reply{Outcome: f.Outcome, Result: balancer.Refused, Refusal: f}
--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -73,7 +73,8 @@
 	return message.RefusalReply(f)
 }
 
-// runAttempt sends a started attempt to the back end and reports destination.Done exactly once.
+// runAttempt sends a started attempt to the back end and reports destination.Done exactly once. The deadline of the attempt
+// holds until the last byte of the body.
 func (b *Backend) runAttempt(ctx context.Context, a message.Attempt, req *message.Request, commands <-chan destination.Cmd) *message.Reply {
 	ctx, cancel := context.WithCancelCause(ctx)
 	finished := make(chan struct{})
@@ -86,11 +87,13 @@
 	}()
 	deadlineTimer := time.AfterFunc(time.Until(a.Deadline), func() { cancel(errDeadlinePassed) })
 	start := time.Now()
-	stop := sync.OnceFunc(func() { close(finished); cancel(nil) })
+	stop := sync.OnceFunc(func() { deadlineTimer.Stop(); close(finished); cancel(nil) })
 	reply, result, ended := b.exchange(ctx, a, req)
-	deadlineTimer.Stop()
 	latency := time.Since(start)
 	done := func(result admission.Result) {
+		if result == admission.Reset && errors.Is(context.Cause(ctx), errDeadlinePassed) {
+			result = admission.Failed
+		}
 		b.cfg.Engine.UpdateDestination(destination.Done{ID: a.ID, Result: result, Latency: latency})
 		stop()
 	}
--- a/node/transport/caller/claim.go
+++ b/node/transport/caller/claim.go
@@ -113,6 +113,7 @@
 			state.reply.Close()
 			state.reply.Body = io.NopCloser(bytes.NewReader(body))
 			state.reply.Length = len(body)
+			state.reply.Buffered = true
 			r.finishClaim(state.reply, body)
 			r.sendReply(state.reply)
 		}
@@ -160,6 +161,7 @@
 	reply.Header.SetContentType(answer.GetType())
 	if body := answer.GetBody(); len(body) > 0 {
 		reply.Length = len(body)
+		reply.Buffered = true
 		reply.Body = io.NopCloser(bytes.NewReader(body))
 	}
 	return reply
--- a/node/transport/caller/request.go
+++ b/node/transport/caller/request.go
@@ -72,6 +72,26 @@
 	return !ok || !set.Idempotent(service.Name, string(h.Method()), path)
 }
 
+// deadline returns the deadline of a request whose header has arrived, or zero if the request will be refused.
+func (s *Server) deadline(h *fasthttp.RequestHeader, arrived time.Time) time.Time {
+	set := s.cfg.Rules()
+	host, path := string(h.Host()), string(h.RequestURI())
+	var timeout time.Duration
+	if r, ok := set.RouteFor(host, path); ok {
+		timeout = cmp.Or(r.Timeout, rule.DefaultDeadline)
+	} else if service, ok := set.ServiceFor(host, path); ok {
+		timeout = service.Deadline
+	} else {
+		return time.Time{}
+	}
+	req := &message.Request{}
+	h.CopyTo(&req.Header)
+	if s.readCallerHeaders(req, timeout, arrived) != refusal.None {
+		return time.Time{}
+	}
+	return req.Deadline
+}
+
 // setContentLength sets Content-Length to the length of the received body; GET and HEAD requests without a body get none.
 func (s *Server) setContentLength(req *message.Request) {
 	if len(req.Body) > 0 || !req.Header.IsGet() && !req.Header.IsHead() {
--- a/node/transport/caller/runner.go
+++ b/node/transport/caller/runner.go
@@ -44,7 +44,8 @@
 	cancel    context.CancelFunc
 	reply     *message.Reply
 	aborted   bool
-	delivered bool // the reply is owned by the goroutine that writes it to the caller
+	bodyTimer *time.Timer // cancels the attempt at the deadline of the call while its body is received; nil before that
+	delivered bool        // the reply is owned by the goroutine that writes it to the caller
 }
 
 // attemptResponse is the result of Sender.Send for an attempt.
@@ -186,10 +187,7 @@
 			Complete:   resp.reply.Result,
 			Failed:     balancer.Lost,
 			Closed:     balancer.Cancelled,
-			Done: func(result balancer.Result) {
-				r.server.cfg.Engine.UpdateCall(call.Ended{Attempt: id, Result: result})
-				state.cancel()
-			},
+			Done:       func(result balancer.Result) { r.bodyEnded(id, state, result) },
 		}
 	}
 	r.server.cfg.Engine.UpdateCall(call.Response{
@@ -208,6 +206,19 @@
 	}
 }
 
+// bodyEnded reports the end of a response body. One that is cut off at the deadline of the call is a failure of the back end,
+// not a lost connection.
+func (r *callRunner) bodyEnded(id attempt.ID, state *attemptState, result balancer.Result) {
+	if result == balancer.Lost && !time.Now().Before(r.req.Deadline) {
+		result = balancer.Failed
+	}
+	r.server.cfg.Engine.UpdateCall(call.Ended{Attempt: id, Result: result})
+	if state.bodyTimer != nil {
+		state.bodyTimer.Stop()
+	}
+	state.cancel()
+}
+
 // namedLimit returns the request limit that the back end named in its answer, or an unknown one for other replies. It is
 // read from the answer itself, so that this node knows what it has passed on even if the node beside the back end restarts.
 func (r *callRunner) namedLimit(reply *message.Reply) requestlimit.Limit {
@@ -262,6 +273,9 @@
 	state.delivered = true
 	r.destinationTime.Store(int64(time.Since(state.startedAt)))
 	r.server.responseSizes.observe(r.req.Route, state.reply.Length)
+	if state.reply.Body != nil && !state.reply.Buffered {
+		state.bodyTimer = time.AfterFunc(time.Until(r.req.Deadline), state.cancel)
+	}
 	if r.req.IdempotencyKey != "" {
 		r.recordAndDeliver(id, state)
 		return
@@ -279,10 +293,14 @@
 }
 
 // brokenReply returns the reply to a call whose response was lost, such as a keyed one that was truncated before it could
-// be recorded; whether the request ran is unknown.
+// be recorded, or that was still not whole at the deadline; whether the request ran is unknown.
 func (r *callRunner) brokenReply() *message.Reply {
+	reason := refusal.ConnectionBroken
+	if !time.Now().Before(r.req.Deadline) {
+		reason = refusal.Timeout
+	}
 	return message.RefusalReply(refusal.Refusal{
-		Reason:  refusal.ConnectionBroken,
+		Reason:  reason,
 		Outcome: attempt.Unknown,
 		Node:    r.server.cfg.Node,
 		Depth:   r.req.Depth,
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -90,10 +90,11 @@
 // New returns a Server; Serve starts it.
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg, log: newCallLog(cfg)}
-	in := inbound.New(inbound.Config{MaxBodyBytes: cfg.MaxBodyBytes, BodyMemory: cfg.BodyMemory, RefusalReply: s.refusalReply, Serve: s.serve, PanicReply: s.panicReply})
+	in := inbound.New(inbound.Config{MaxBodyBytes: cfg.MaxBodyBytes, BodyMemory: cfg.BodyMemory, RefusalReply: s.refusalReply, Serve: s.serve, PanicReply: s.panicReply, ExpiredReply: s.expiredReply})
 	s.http = httpserver.New(httpserver.Config{
 		Handler:        in,
 		Exclusive:      s.exclusive,
+		Deadline:       s.deadline,
 		MaxHeaderBytes: cfg.MaxHeaderBytes,
 		MaxBodyBytes:   cfg.MaxBodyBytes,
 		MaxPipelined:   cfg.MaxPipelined,
@@ -137,6 +138,12 @@
 	return message.RefusalReply(f)
 }
 
+// expiredReply returns the reply to a request whose response is not whole at its deadline.
+func (s *Server) expiredReply(*fasthttp.RequestHeader) *message.Reply {
+	f := refusal.Refusal{Reason: refusal.Timeout, Outcome: attempt.Unknown, Node: s.cfg.Node, Guarantee503: s.cfg.Guarantee503}
+	return message.RefusalReply(f)
+}
+
 // Range of Retry-After for callers that accept fractions of a second: short enough to retry within the time that most
 // requests have left, with jitter so that refused callers do not retry all at once.
 const (
@@ -185,6 +192,7 @@
 // finishReply sets the outcome header and drops the body of a reply to HEAD.
 func (s *Server) finishReply(req *message.Request, reply *message.Reply) *message.Reply {
 	reply.Header.Set(attempt.HeaderOutcome, reply.Outcome.String())
+	reply.SetDeadline(req.Deadline)
 	if req.Header.IsHead() && reply.Body != nil {
 		reply.Close()
 		reply.Body = nil
--- a/node/transport/httpserver/exchange.go
+++ b/node/transport/httpserver/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -119,14 +120,31 @@
 		}
 	}
 	if x.reason == refusal.None {
-		_ = c.net.SetReadDeadline(time.Now().Add(c.server.cfg.ReadTimeout))
+		deadline := x.bodyDeadline()
+		_ = c.net.SetReadDeadline(deadline)
 		x.in.Body, x.reason = c.server.cfg.Handler.ReadBody(x.req, c.r)
+		if x.reason == refusal.Malformed && !time.Now().Before(deadline) {
+			x.reason = refusal.TooLate // what arrived may be the start of a valid body
+		}
 	}
 	if x.reason != refusal.None {
 		x.closeAfter = true
 	}
 }
 
+// bodyDeadline returns until when the body is read: for ReadTimeout, but not beyond the deadline of the request.
+func (x *exchange) bodyDeadline() time.Time {
+	cfg := &x.conn.server.cfg
+	deadline := time.Now().Add(cfg.ReadTimeout)
+	if cfg.Deadline == nil || x.req.Header.ContentLength() == 0 || bodyless(&x.req.Header) {
+		return deadline
+	}
+	if own := cfg.Deadline(&x.req.Header, x.in.Arrived); !own.IsZero() && own.Before(deadline) {
+		return own
+	}
+	return deadline
+}
+
 // continueResponse tells a client that sent "Expect: 100-continue" to send the body.
 var continueResponse = []byte("HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -166,6 +184,10 @@
 	if x.previousDone != nil {
 		<-x.previousDone
 	}
+	if !reply.Deadline.IsZero() && !time.Now().Before(reply.Deadline) {
+		reply.Close()
+		reply = c.server.cfg.Handler.ExpiredReply(&x.req.Header)
+	}
 	x.writeReply(reply)
 	x.markAnswered()
 }
@@ -185,6 +207,10 @@
 	if c.markLastReply(x) {
 		resp.SetConnectionClose()
 	}
+	if !reply.Deadline.IsZero() {
+		stop := c.cutOffAt(reply.Deadline)
+		defer stop()
+	}
 	w, _ := writerPool.Get().(*bufio.Writer)
 	defer writerPool.Put(w)
 	w.Reset(c.net)
@@ -217,6 +243,22 @@
 	c.cancel()
 }
 
+// cutOffAt closes the connection at a deadline, so that the client sees that the reply being written is not whole. The returned
+// function ends that once the reply is written.
+func (c *conn) cutOffAt(deadline time.Time) (stop func()) {
+	var ended atomic.Bool
+	timer := time.AfterFunc(time.Until(deadline), func() {
+		if ended.CompareAndSwap(false, true) {
+			c.abandon()
+			_ = c.net.Close()
+		}
+	})
+	return func() {
+		ended.Store(true)
+		timer.Stop()
+	}
+}
+
 // markAnswered releases x, the oldest request, removes it from the unanswered ones and lets the next reply be written. The
 // memory of x is released first, since the connection and the server may end as soon as x is no longer unanswered.
 func (x *exchange) markAnswered() {
--- a/node/transport/httpserver/server_test.go
+++ b/node/transport/httpserver/server_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"pollenhill.example/core/protocol/attempt"
+	"pollenhill.example/core/transport/tcp"
 	"pollenhill.example/node/protocol/message"
 	"pollenhill.example/node/transport/httpserver"
 )
@@ -381,3 +382,37 @@
 	c.expectReply("/b")
 	s.stop()
 }
+
+// streamReply returns a reply whose streamed body is text, with a deadline.
+func streamReply(text string, deadline time.Time) *message.Reply {
+	reply := textReply(text)
+	reply.Length = tcp.Chunked
+	reply.Deadline = deadline
+	return reply
+}
+
+// Guards against a deadline that closes a connection on which the reply was written in time, and against a reply that begins
+// after its deadline because it waited for the one in front of it.
+func TestDeadlineOfPipelinedReplies(t *testing.T) {
+	s := newTestServer(t, nil)
+	c := s.dial()
+	defer c.Close()
+	c.send(get("/1") + get("/2"))
+	expired := time.Now().Add(20 * time.Millisecond)
+	s.awaitStarted("/2").reply <- streamReply("/2", expired)
+	<-time.After(time.Until(expired))
+	s.awaitStarted("/1").reply <- streamReply("/1", time.Now().Add(testTimeout))
+	c.expectReply("/1")
+	if resp, _ := c.readResponse(); resp.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("status %d for the reply whose deadline passed", resp.StatusCode)
+	}
+	c.send(get("/3"))
+	deadline := time.Now().Add(testTimeout / 100)
+	s.awaitStarted("/3").reply <- streamReply("/3", deadline)
+	c.expectReply("/3")
+	<-time.After(time.Until(deadline.Add(20 * time.Millisecond)))
+	c.send(get("/4"))
+	s.awaitStarted("/4").reply <- streamReply("/4", time.Now().Add(testTimeout))
+	c.expectReply("/4")
+	s.stop()
+}
--- a/node/transport/httpserver/testserver_test.go
+++ b/node/transport/httpserver/testserver_test.go
@@ -67,6 +67,9 @@
 			PanicReply: func(*fasthttp.RequestHeader, any) *message.Reply {
 				return message.RefusalReply(refusal.Refusal{Reason: refusal.Internal, Outcome: attempt.Unknown, Node: "n"})
 			},
+			ExpiredReply: func(*fasthttp.RequestHeader) *message.Reply {
+				return message.RefusalReply(refusal.Refusal{Reason: refusal.Timeout, Outcome: attempt.Unknown, Node: "n"})
+			},
 		}),
 		Exclusive:      func(h *fasthttp.RequestHeader) bool { return !h.IsGet() },
 		MaxHeaderBytes: 4 << 10, MaxBodyBytes: 64 << 10, MaxPipelined: 8, MaxReadAhead: 100,
--- a/node/transport/inbound/handler.go
+++ b/node/transport/inbound/handler.go
@@ -22,6 +22,7 @@
 	RefusalReply func(*fasthttp.RequestHeader, refusal.Reason) *message.Reply // builds the reply to a request that is not passed to Serve
 	Serve        func(context.Context, Request) *message.Reply                // processes a request; ctx is cancelled when the client disconnects
 	PanicReply   func(*fasthttp.RequestHeader, any) *message.Reply            // builds the reply after Serve panicked with the given value
+	ExpiredReply func(*fasthttp.RequestHeader) *message.Reply                 // builds the reply in place of one whose Deadline has passed
 }
 
 // Request is a completely received request; Header must not be used after Serve has returned.
@@ -55,6 +56,11 @@
 	return h.cfg.RefusalReply(header, reason)
 }
 
+// ExpiredReply returns the reply to send in place of one whose deadline passed before its turn, built by Config.ExpiredReply.
+func (h *Handler) ExpiredReply(header *fasthttp.RequestHeader) *message.Reply {
+	return h.cfg.ExpiredReply(header)
+}
+
 // ReleaseBody returns the memory of a body from ReadBody to Config.BodyMemory.
 func (h *Handler) ReleaseBody(body []byte) {
 	h.cfg.BodyMemory.Release(int64(cap(body)))
--- a/node/transport/peer/server.go
+++ b/node/transport/peer/server.go
@@ -63,9 +63,10 @@
 func NewServer(cfg ServerConfig) *Server {
 	s := &Server{cfg: cfg}
 	s.http = httpserver.New(httpserver.Config{
-		Handler: inbound.New(inbound.Config{MaxBodyBytes: cfg.MaxBodyBytes, BodyMemory: cfg.BodyMemory, RefusalReply: s.attemptRefusalReply, Serve: s.serve, PanicReply: s.panicReply}),
+		Handler: inbound.New(inbound.Config{MaxBodyBytes: cfg.MaxBodyBytes, BodyMemory: cfg.BodyMemory, RefusalReply: s.attemptRefusalReply, Serve: s.serve, PanicReply: s.panicReply, ExpiredReply: s.expiredReply}),
 		// Nodes send one attempt at a time on a connection.
 		Exclusive:      func(*fasthttp.RequestHeader) bool { return true },
+		Deadline:       attemptDeadline,
 		MaxHeaderBytes: cfg.MaxHeaderBytes,
 		MaxBodyBytes:   cfg.MaxBodyBytes,
 		MaxPipelined:   1,
@@ -122,6 +123,22 @@
 	return reply
 }
 
+// expiredReply returns the reply to an attempt whose response is not whole at its deadline.
+func (s *Server) expiredReply(h *fasthttp.RequestHeader) *message.Reply {
+	reply := message.RefusalReply(refusal.Refusal{Reason: refusal.Timeout, Outcome: attempt.Unknown, Node: s.cfg.Node})
+	reply.Header.SetBytesV(attempt.HeaderAttempt, h.Peek(attempt.HeaderAttempt))
+	return reply
+}
+
+// attemptDeadline returns the deadline of an attempt, or zero for other requests.
+func attemptDeadline(h *fasthttp.RequestHeader, arrived time.Time) time.Time {
+	a, err := message.ReadAttempt(h, arrived)
+	if err != nil {
+		return time.Time{}
+	}
+	return a.Deadline
+}
+
 // serveAttempt runs a completely received attempt.
 func (s *Server) serveAttempt(ctx context.Context, in inbound.Request) *message.Reply {
 	a, err := message.ReadAttempt(in.Header, time.Now())
@@ -134,6 +151,7 @@
 	in.Header.CopyTo(&req.Header)
 	message.StripHopByHop(&req.Header)
 	reply := s.cfg.Destination.Serve(ctx, a, req)
+	reply.SetDeadline(a.Deadline)
 	reply.Header.Set(attempt.HeaderAttempt, a.ID.String())
 	reply.Header.Set(attempt.HeaderOutcome, reply.Outcome.String())
 	setClockHeader(s.cfg.Clock, &reply.Header)
