tcp: take no response without its ID on a connection that was in use before

Operators elsewhere saw a back end write an earlier refusal once more on a kept connection; callers were told 'not run' for requests that ran. Here a response that repeats another ID was dropped already, but one without an ID was taken for the response to the current request. Refusals of health checks have no ID, and health checks share the connections of requests.

Change: on a connection that carried an earlier request, a response without the ID is dropped like one with another ID. On a new connection nothing can be repeated, and it is taken as before.

--- a/core/transport/tcp/conn.go
+++ b/core/transport/tcp/conn.go
@@ -29,6 +29,7 @@
 	w          *bufio.Writer // nil while the connection is idle
 	written    *countingConn
 	idleSince  time.Time
+	reused     bool // it has carried an earlier exchange
 	finishOnce *sync.Once
 	peerDone   chan struct{} // see Error.PeerDone
 }
@@ -137,6 +138,7 @@
 			c.release(c.pool.closeConn)
 			return
 		}
+		c.reused = c.reused || c.written.bytes > 0
 		c.written.bytes = 0
 		next := *c
 		next.releaseBuffers()
--- a/core/transport/tcp/exchange.go
+++ b/core/transport/tcp/exchange.go
@@ -115,14 +115,19 @@
 // errMismatched is returned if a response to another request cannot be skipped, or after maxMismatchedResponses of them.
 var errMismatched = errors.New("response belongs to another request")
 
-// isMismatched reports whether h belongs to another request: its EchoHeader has another value than that of req.
+// isMismatched reports whether h belongs to another request: its EchoHeader has another value than that of req. On a connection
+// that carried an earlier exchange, a response without it may be a copy of an earlier response that had none, such as that to
+// a health check.
 func (c *Conn) isMismatched(h *fasthttp.ResponseHeader, req *fasthttp.RequestHeader) bool {
 	name := c.pool.cfg.EchoHeader
 	if name == "" {
 		return false
 	}
 	got, want := h.Peek(name), req.Peek(name)
-	return len(got) > 0 && !bytes.Equal(got, want)
+	if len(got) == 0 {
+		return c.reused && len(want) > 0
+	}
+	return !bytes.Equal(got, want)
 }
 
 func (c *Conn) sendRequest(req *fasthttp.RequestHeader, body []byte) error {
--- a/core/transport/tcp/pool.go
+++ b/core/transport/tcp/pool.go
@@ -36,7 +36,7 @@
 	AbandonTimeout time.Duration
 
 	// EchoHeader is a request header that responses repeat. A response with another value answers an earlier request and
-	// is dropped. Empty disables the check.
+	// is dropped, and so is one without it on a connection that carried an earlier request. Empty disables the check.
 	EchoHeader string
 
 	// AllowCloseDelimited accepts responses without a length, whose body ends with the connection. Otherwise they fail.
