node: refuse reports with IDs and numbers out of bounds

Operators elsewhere saw one odd entry of another writer end the machines that read the list, or keep them from following it.

Found: an ID was taken as it came. One that is not UTF-8 cannot be encoded for the control processes, so that the node, and its back end with it, would have dropped out of the directory for good; slots up to 64 bits were cut to 32; a cold start beyond 292 years overflowed into none; a start in the far future made every later report outdated. The same values could come with a health check.

Such a report is answered with 400 and changes nothing; a health check that names such an ID is ignored.

--- a/node/transport/backend/instance.go
+++ b/node/transport/backend/instance.go
@@ -131,7 +131,7 @@
 		return
 	}
 	id := string(resp.Header.Peek(b.cfg.Headers.InstanceID))
-	if id == "" {
+	if !instance.ValidID(id) {
 		return
 	}
 	b.mu.Lock()
@@ -140,8 +140,18 @@
 	if needed && b.learnHistory(context.Background(), id) != nil {
 		return // the next check asks again
 	}
-	coldMillis, _ := strconv.ParseInt(string(resp.Header.Peek(b.cfg.Headers.RemainingColdStart)), 10, 64) // 0 (not cold) if the header is absent
-	b.cfg.Events.Emit(event.BackendFoundByHealthCheck, zap.String("backend", id), zap.Int64("cold", coldMillis))
-	b.updateInstance(instance.HealthCheckPassed{ID: id, Slots: parseSlots(resp.Header.Peek(b.cfg.Headers.LoadReport)), ColdStart: time.Duration(coldMillis) * time.Millisecond})
+	coldStart := parseColdStart(resp.Header.Peek(b.cfg.Headers.RemainingColdStart))
+	b.cfg.Events.Emit(event.BackendFoundByHealthCheck, zap.String("backend", id), zap.Int64("cold", coldStart.Milliseconds()))
+	b.updateInstance(instance.HealthCheckPassed{ID: id, Slots: parseSlots(resp.Header.Peek(b.cfg.Headers.LoadReport)), ColdStart: coldStart})
 	b.readCondition(&resp.Header, id, CheckRequest)
 }
+
+// parseColdStart reads a remaining cold start in milliseconds; it is 0 (not cold) if absent or not a number, and
+// instance.MaxColdStart at most.
+func parseColdStart(value []byte) time.Duration {
+	millis, err := strconv.ParseInt(string(value), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(min(max(millis, 0), instance.MaxColdStart.Milliseconds())) * time.Millisecond
+}
--- a/node/transport/backend/load.go
+++ b/node/transport/backend/load.go
@@ -13,6 +13,7 @@
 	"pollenhill.example/core/coordination/admission"
 	"pollenhill.example/core/transport/tcp"
 	"pollenhill.example/node/coordination/destination"
+	"pollenhill.example/node/coordination/instance"
 )
 
 // Times of the requests for load reports.
@@ -24,6 +25,9 @@
 	maxLimitedPollInterval = 2 * time.Second // most of it
 )
 
+// maxServiceTimePercent bounds the service time that a back end reports, in percent of the usual one.
+const maxServiceTimePercent = 100_000
+
 // normalServiceTimePercent is the service time, in percent of the usual one, that a back end reports when it is not
 // slowed down.
 const normalServiceTimePercent = 100
@@ -62,7 +66,7 @@
 	if err != nil || percent <= 0 {
 		return
 	}
-	b.cfg.Engine.UpdateDestination(destination.Slowdown{Factor: float64(percent) / normalServiceTimePercent})
+	b.cfg.Engine.UpdateDestination(destination.Slowdown{Factor: float64(min(percent, maxServiceTimePercent)) / normalServiceTimePercent})
 }
 
 // parseSlots returns the slots from a load report, the third of its numbers, or 0 if it has no such number.
@@ -75,7 +79,7 @@
 	if err != nil {
 		return 0
 	}
-	return n
+	return min(max(n, 0), instance.MaxSlots)
 }
 
 // PollLoad requests a load report when the newest one is older than pollInterval or CheckSpeed is called, until ctx
--- a/node/transport/localapi/heartbeat.go
+++ b/node/transport/localapi/heartbeat.go
@@ -1,7 +1,9 @@
 package localapi
 
 import (
+	"cmp"
 	"encoding/json"
+	"fmt"
 	"net/netip"
 	"strings"
 	"time"
@@ -35,11 +37,12 @@
 	if err := json.Unmarshal(c.Body(), &h); err != nil {
 		return c.Status(fiber.StatusBadRequest).SendString(jsonerror.WithTypeNames(err, typeNames).Error() + "\n")
 	}
-	if problem := h.validate(s.cfg.Zone); problem != "" {
+	id := c.Params("id")
+	if problem := cmp.Or(validateID(id), h.validate(s.cfg.Zone, time.Now())); problem != "" {
 		return c.Status(fiber.StatusBadRequest).SendString(problem + "\n")
 	}
 	err := s.cfg.OnHeartbeat(c.Context(), instance.Heartbeat{
-		ID:          c.Params("id"),
+		ID:          id,
 		StartMillis: h.StartMillis,
 		Sequence:    h.Sequence,
 		Service:     h.Service,
@@ -62,8 +65,16 @@
 // typeNames maps the name of the Go type in decoding errors to the one that back ends know.
 var typeNames = strings.NewReplacer("localapi.heartbeat", "local.beat", "struct field heartbeat.", "struct field beat.")
 
+// validateID returns what is wrong with the ID of an instance, or "" for a valid one.
+func validateID(id string) string {
+	if !instance.ValidID(id) {
+		return fmt.Sprintf("id: want 1 to %d visible ASCII characters", instance.MaxIDLength)
+	}
+	return ""
+}
+
 // validate returns the first invalid field and what is wrong with it, or "" for a valid heartbeat; zone is that of the node.
-func (h heartbeat) validate(zone string) string {
+func (h heartbeat) validate(zone string, now time.Time) string {
 	switch {
 	case h.Service == "":
 		return "field service: missing"
@@ -73,14 +84,24 @@
 		return "field zone: this node is in zone " + zone
 	case h.Slots <= 0:
 		return "field slots: want a number above 0"
+	case h.Slots > instance.MaxSlots:
+		return fmt.Sprintf("field slots: want at most %d", instance.MaxSlots)
 	case h.State != stateReady && h.State != stateDraining:
 		return "field state: want ready or draining"
 	case h.ColdStartMillis < 0:
 		return "field warming: want a number from 0"
+	case h.ColdStartMillis > float64(instance.MaxColdStart.Milliseconds()):
+		return fmt.Sprintf("field warming: want at most %d", instance.MaxColdStart.Milliseconds())
+	case h.StartMillis < 0 || h.StartMillis > now.Add(instance.MaxClockLead).UnixMilli():
+		return "field born: want a Unix time in milliseconds that has passed"
 	}
 	return ""
 }
 
 func (s *Server) handleDeregister(c fiber.Ctx) error {
-	return acknowledge(c, s.cfg.OnDeregister(c.Context(), c.Params("id")))
+	id := c.Params("id")
+	if problem := validateID(id); problem != "" {
+		return c.Status(fiber.StatusBadRequest).SendString(problem + "\n")
+	}
+	return acknowledge(c, s.cfg.OnDeregister(c.Context(), id))
 }
