node: copy the IDs of reports out of the buffers of their requests

Cause: a parameter that fiber returns is a view of the buffer of its request.

Change: the handlers copy the ID. TestReportIDsOutliveTheirRequest fails before: the ID of the first report reads as that of a later one.

--- a/node/transport/localapi/heartbeat.go
+++ b/node/transport/localapi/heartbeat.go
@@ -37,7 +37,7 @@
 	if err := json.Unmarshal(c.Body(), &h); err != nil {
 		return c.Status(fiber.StatusBadRequest).SendString(jsonerror.WithTypeNames(err, typeNames).Error() + "\n")
 	}
-	id := c.Params("id")
+	id := strings.Clone(c.Params("id")) // fiber reuses the memory of parameters
 	if problem := cmp.Or(validateID(id), h.validate(s.cfg.Zone, time.Now())); problem != "" {
 		return c.Status(fiber.StatusBadRequest).SendString(problem + "\n")
 	}
@@ -99,7 +99,7 @@
 }
 
 func (s *Server) handleDeregister(c fiber.Ctx) error {
-	id := c.Params("id")
+	id := strings.Clone(c.Params("id"))
 	if problem := validateID(id); problem != "" {
 		return c.Status(fiber.StatusBadRequest).SendString(problem + "\n")
 	}
--- a/node/transport/localapi/odd_test.go
+++ b/node/transport/localapi/odd_test.go
@@ -146,6 +146,20 @@
 	}
 }
 
+// Guards against IDs that are views of a request buffer: they change when the buffer is used again, and a later report then
+// speaks of another instance.
+func TestReportIDsOutliveTheirRequest(t *testing.T) {
+	r, address := startRecording(t)
+	c, in := dial(t, address)
+	send(t, c, in, http.MethodPut, "i-first", reportWith("sequence", "1"))
+	send(t, c, in, http.MethodDelete, "i-third", "")
+	send(t, c, in, http.MethodPut, "x-other", reportWith("sequence", "2"))
+	beats, ended := r.accepted()
+	if len(beats) != 2 || len(ended) != 1 || beats[0].ID != "i-first" || ended[0] != "i-third" {
+		t.Errorf("heartbeats %+v, ended %q", beats, ended)
+	}
+}
+
 // FuzzReport guards against reports that end the process, leave the bounds of an instance, or name one that cannot be encoded
 // for other processes.
 func FuzzReport(f *testing.F) {
