control: carry out no order about a zone that a newer one has overtaken

Shown on: a withdrawal is sent to a control process that is stopped; its caller gives up after 1 s, withdraws at another one and evacuates again, both acknowledged; when the first process goes on, it carries out the old withdrawal.

Cause: the calls of the change interface about zones carry nothing that orders them, and were proposed whenever they were read, up to 1.5 s late by the process itself (callers give up after 1 s), later through a stopped process, a slow forward or a repeated proposal.

Change, three bounds that meet: (1) a call that has been at this VM for more than 0.9 s is refused; its age comes from the kernel (TCP_INFO), so that the time for which the process was stopped counts; where the system does not tell, a pause of the process within the last second refuses it. (2) Before that check the newest order about the zone is read linearizably, and the command takes effect only if it is still the newest one when it is applied (Conditional, KnownOrder), so that whatever happens to the proposal afterwards is harmless. (3) Changes of the rule file count as orders too. A refused call gets 503 and may be repeated. Event 2006 logs each order with age, known order and verdict.

Weighed: checking for a closed connection only (misses callers that keep it open); an order number from the caller (the protocol has none).

Not covered: bytes that the network itself holds up for more than a second while the caller keeps its connection open; docs/platform.md, question 7.

--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"pollenhill.example/control/coordination/raftgroup"
 	"pollenhill.example/control/coordination/watch"
 	"pollenhill.example/control/transport/peer"
+	"pollenhill.example/core/coordination/pause"
 	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/state/replica"
 	"pollenhill.example/core/transport/mtls"
@@ -41,6 +42,7 @@
 	hub       *watch.Hub
 	directory *directory.Directory
 	server    *http.Server
+	pauses    *pause.Detector
 	ruleFile  *ruleFile // nil if the settings name no rule file
 }
 
@@ -77,6 +79,7 @@
 	d.clients = do.MustInvoke[*peer.Clients](i)
 	d.hub = do.MustInvoke[*watch.Hub](i)
 	d.directory = do.MustInvoke[*directory.Directory](i)
+	d.pauses = do.MustInvoke[*pause.Detector](i)
 	if d.server, err = do.Invoke[*http.Server](i); err != nil || d.settings.RuleFile == "" {
 		return err
 	}
@@ -103,6 +106,7 @@
 	g.Go(func() error { return d.directory.Run(inner) })
 	g.Go(func() error { return d.clients.Run(inner) })
 	g.Go(func() error { return d.publishUpdates(inner) })
+	g.Go(func() error { d.pauses.Run(inner); return nil })
 	if d.ruleFile != nil {
 		g.Go(func() error { return d.ruleFile.watcher.Run(inner) })
 	}
--- a/control/daemon/injector.go
+++ b/control/daemon/injector.go
@@ -17,6 +17,7 @@
 	"pollenhill.example/control/transport/adminapi"
 	"pollenhill.example/control/transport/node"
 	"pollenhill.example/control/transport/peer"
+	"pollenhill.example/core/coordination/pause"
 	"pollenhill.example/core/protocol/control/controlconnect"
 	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/state/replica"
@@ -28,6 +29,7 @@
 func newInjector(s Settings) do.Injector {
 	i := do.New()
 	do.ProvideValue(i, s)
+	do.ProvideValue(i, pause.NewDetector())
 	do.Provide(i, newTLSCredentials)
 	do.Provide(i, newEventLog)
 	do.Provide(i, newListener)
@@ -134,13 +136,17 @@
 	noCompression := connect.WithCompression("gzip", nil, nil)
 	mux := http.NewServeMux()
 	mux.Handle(controlconnect.NewControlHandler(&node.Handler{Group: g, Directory: d, Hub: hub}, noCompression))
-	(&adminapi.Handler{Group: g, Origin: do.MustInvoke[Settings](i).Name}).Register(mux)
+	admin := &adminapi.Handler{
+		Group: g, Origin: do.MustInvoke[Settings](i).Name, Pauses: do.MustInvoke[*pause.Detector](i), Events: do.MustInvoke[*event.Log](i),
+	}
+	admin.Register(mux)
 	mux.Handle(controlconnect.NewPeerHandler(&peer.Handler{Group: g, Directory: d}, noCompression))
 	p := new(http.Protocols)
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           mux,
+		ConnContext:       adminapi.WithConn,
 		Protocols:         p,
 		ReadHeaderTimeout: 5 * time.Second,
 		// Pings end the streams of nodes that disappeared without closing their connections.
--- a/control/transport/adminapi/handler.go
+++ b/control/transport/adminapi/handler.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
+	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/state/replica"
 	"pollenhill.example/core/state/routingtable"
 	"pollenhill.example/core/state/rule"
@@ -31,10 +33,17 @@
 	ReadReplica(f func(*replica.Replica))
 }
 
+// Pauses knows when this process did not run; *pause.Detector implements it.
+type Pauses interface {
+	ResumedWithin(period time.Duration) bool
+}
+
 // Handler serves the admin API.
 type Handler struct {
 	Group  Group
-	Origin string // name of this control process, recorded with each change
+	Origin string     // name of this control process, recorded with each change
+	Events *event.Log // nil: orders are not logged
+	Pauses Pauses     // nil: requests that waited while this process was stopped are found by their connections only
 
 	mu             sync.Mutex
 	cachedRevision uint64 // of cachedTable
@@ -77,19 +86,71 @@
 	h.propose(w, r, replica.Command{Kind: replica.CommandChangeTable, BaseVersion: base, IsPatch: patch, Text: string(body)})
 }
 
-// setZone proposes to take the zone out of service or, if out is false, to use it again.
+// setZone proposes to take the zone out of service or, if out is false, to use it again. The order is bound to the newest one
+// about the zone that is known while its caller still waits, so that it has no effect if it is held up from then on.
 func (h *Handler) setZone(w http.ResponseWriter, r *http.Request, out bool) {
-	h.propose(w, r, replica.Command{Kind: replica.CommandSetZoneEvacuated, Zone: r.PathValue("zone"), Evacuated: out})
+	arrived := time.Now().Add(-h.age(r))
+	cmd := replica.Command{Kind: replica.CommandSetZoneEvacuated, Zone: r.PathValue("zone"), Evacuated: out, Conditional: true}
+	var err error
+	cmd.KnownOrder, err = h.newestOrder(r.Context(), cmd.Zone)
+	if err == nil && (r.Context().Err() != nil || time.Since(arrived) > maxOrderAge) {
+		err = errHeldUp
+	}
+	var res replica.Result
+	if err == nil {
+		res, err = h.commit(r.Context(), cmd)
+	}
+	if err == nil && res.Verdict == replica.VerdictStale {
+		err = errOvertaken
+	}
+	h.logOrder(cmd, time.Since(arrived), res, err)
+	respond(w, res, err)
+}
+
+// Reasons why an order about a zone was not carried out.
+var (
+	errHeldUp    = errors.New("the call was held up, and its caller may have given it up")
+	errOvertaken = errors.New("a newer order about the zone was carried out")
+)
+
+func (h *Handler) logOrder(cmd replica.Command, took time.Duration, res replica.Result, err error) {
+	if h.Events == nil {
+		return
+	}
+	h.Events.Emit(event.ZoneOrderHandled, zap.String("zone", cmd.Zone), zap.Bool("out", cmd.Evacuated), zap.Duration("age", took),
+		zap.Uint64("known", cmd.KnownOrder), zap.Stringer("verdict", res.Verdict), zap.Uint64("index", res.Index), zap.Error(err))
+}
+
+// newestOrder returns the newest order about a zone that was carried out before the call.
+func (h *Handler) newestOrder(ctx context.Context, zone string) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
+	defer cancel()
+	if err := h.Group.Barrier(ctx); err != nil {
+		return 0, err
+	}
+	var newest uint64
+	h.Group.ReadReplica(func(s *replica.Replica) { newest = s.ZoneOrder(zone) })
+	return newest, nil
 }
 
-// propose responds with the verdict of the group; 503 means that there is none, that the command may still be committed
-// and that the caller may repeat the call.
+// propose commits the command and responds with the verdict of the group.
 func (h *Handler) propose(w http.ResponseWriter, r *http.Request, cmd replica.Command) {
-	ctx, cancel := context.WithTimeout(r.Context(), proposeTimeout)
+	res, err := h.commit(r.Context(), cmd)
+	respond(w, res, err)
+}
+
+// commit returns the verdict of the group. After an error the command may still be committed.
+func (h *Handler) commit(ctx context.Context, cmd replica.Command) (replica.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	cmd.ProposedAt = time.Now()
 	cmd.Origin = h.Origin
-	res, err := h.Group.Propose(ctx, cmd)
+	return h.Group.Propose(ctx, cmd)
+}
+
+// respond sends a verdict; 503 means that there is none, that the command may still be committed and that the caller may repeat
+// the call.
+func respond(w http.ResponseWriter, res replica.Result, err error) {
 	if err != nil {
 		writeJSON(w, http.StatusServiceUnavailable, errorBody{Error: "no verdict: " + err.Error()})
 		return
--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -36,6 +36,7 @@
 	ChangeAccepted                           // change accepted
 	ChangeRejected                           // change rejected
 	ControlMembersChanged                    // members of the control group changed
+	ZoneOrderHandled                         // order about a zone
 )
 
 // Kinds of events of all programs.
--- a/core/state/replica/command.go
+++ b/core/state/replica/command.go
@@ -56,8 +56,10 @@
 	IsPatch     bool   // Text is a patch instead of a table
 
 	// CommandSetZoneEvacuated.
-	Evacuated bool
-	Zone      string
+	Evacuated   bool
+	Zone        string
+	Conditional bool   // has no effect unless KnownOrder is Replica.ZoneOrder of the zone
+	KnownOrder  uint64 // newest order about the zone when this one was given
 
 	// CommandEndInstance.
 	Node        string // beside the back end
@@ -102,6 +104,8 @@
 	w.String(17, c.Node)
 	w.String(18, c.InstanceID)
 	w.Int(19, c.StartMillis)
+	w.Uint(20, boolToUint(c.Conditional))
+	w.Uint(21, c.KnownOrder)
 	return w.Encoded()
 }
 
@@ -155,6 +159,10 @@
 			c.InstanceID = f.Text()
 		case 19:
 			c.StartMillis = f.Int()
+		case 20:
+			c.Conditional = f.Uint == 1
+		case 21:
+			c.KnownOrder = f.Uint
 		}
 		return nil
 	})
--- a/core/state/replica/replica.go
+++ b/core/state/replica/replica.go
@@ -26,6 +26,7 @@
 	tableVersion    uint64                   // of the routing table, 0 before the first change
 	tableChanges    []tableChange            // accepted changes of the routing table, sorted by version
 	endedInstances  []endedInstance          // oldest first
+	zoneOrders      []zoneOrder              // oldest first
 	parsedRules     atomic.Pointer[rule.Set] // nil until needed; atomic because concurrent readers set it
 }
 
--- a/core/state/replica/result.go
+++ b/core/state/replica/result.go
@@ -34,7 +34,7 @@
 	VerdictFull // full
 	// The claim, member, zone or instance has the state that the command asks for.
 	VerdictStored // stored
-	// The base version of the change is not the current version of the table.
+	// The base version of the change is not the current version of the table, or a newer order about the zone was carried out.
 	VerdictStale // stale
 )
 
@@ -43,7 +43,7 @@
 	Verdict  Verdict
 	Index    uint64         // log index of the command
 	Change   AcceptedChange // VerdictAccepted: this change; VerdictRejected: the accepted change of that number
-	Expected uint64         // VerdictOutOfOrder: next change number; VerdictStale: current version of the table
+	Expected uint64         // VerdictOutOfOrder: next change number; VerdictStale: current version of the table, or newest order about the zone
 	Problem  string         // VerdictInvalid: error of the validation
 	Response Response       // VerdictDone
 }
--- a/core/state/replica/rulechange.go
+++ b/core/state/replica/rulechange.go
@@ -58,7 +58,10 @@
 	if err := r.cfg.ValidateRules(c.Text); err != nil {
 		return r.rememberRefusal(c, hash, Result{Verdict: VerdictInvalid, Problem: err.Error()})
 	}
-	return Result{Verdict: VerdictAccepted, Change: r.acceptRules(index, c)}
+	before := r.ruleSet().EvacuatedZones
+	change := r.acceptRules(index, c)
+	r.recordZoneChanges(index, before, r.ruleSet().EvacuatedZones)
+	return Result{Verdict: VerdictAccepted, Change: change}
 }
 
 // acceptRules puts the text of c in force and remembers the change.
--- a/core/state/replica/snapshot.go
+++ b/core/state/replica/snapshot.go
@@ -48,6 +48,9 @@
 	for _, e := range r.endedInstances {
 		w.Nested(14, e.write)
 	}
+	for _, o := range r.zoneOrders {
+		w.Nested(15, o.write)
+	}
 	return w.Encoded()
 }
 
@@ -105,6 +108,8 @@
 		return appendParsed(&r.tableChanges, f, (*tableChange).parse)
 	case 14:
 		return appendParsed(&r.endedInstances, f, (*endedInstance).parse)
+	case 15:
+		return appendParsed(&r.zoneOrders, f, (*zoneOrder).parse)
 	}
 	return nil
 }
--- a/core/state/replica/tablechange.go
+++ b/core/state/replica/tablechange.go
@@ -93,9 +93,19 @@
 	return ok && r.tableChanges[i].fingerprint == fingerprint
 }
 
-// setZoneEvacuated evacuates a zone or puts it back into service. If the zone is in that state already, it changes nothing.
+// setZoneEvacuated evacuates a zone or puts it back into service. If the zone is in that state already, it changes nothing. An
+// order that a newer one has overtaken, because a control process or a message was held up, has no effect.
 func (r *Replica) setZoneEvacuated(index uint64, c Command) Result {
-	if slices.Contains(r.ruleSet().EvacuatedZones, c.Zone) == c.Evacuated {
+	inState := slices.Contains(r.ruleSet().EvacuatedZones, c.Zone) == c.Evacuated
+	newest := r.ZoneOrder(c.Zone)
+	if c.Conditional && c.KnownOrder != newest {
+		if inState {
+			return Result{Verdict: VerdictStored}
+		}
+		return Result{Verdict: VerdictStale, Expected: newest}
+	}
+	r.recordZoneOrder(index, c.Zone)
+	if inState {
 		return Result{Verdict: VerdictStored}
 	}
 	direction := "back"
--- a/core/state/replica/tablechange_test.go
+++ b/core/state/replica/tablechange_test.go
@@ -98,3 +98,42 @@
 		t.Errorf("rules lack the reason of version 4 or evacuate a zone:\n%s", text)
 	}
 }
+
+// Guards against an order about a zone that is carried out after a newer one, because a control process was stopped or a message
+// was held up: a withdrawal from before put a zone back into service that had been evacuated again (EVAC).
+func TestOvertakenZoneOrderHasNoEffect(t *testing.T) {
+	const zone = "z"
+	order := func(evacuate bool, known uint64) replica.Command {
+		return replica.Command{Kind: replica.CommandSetZoneEvacuated, Zone: zone, Evacuated: evacuate, Conditional: true, KnownOrder: known}
+	}
+	steps := []struct {
+		name string
+		cmd  replica.Command
+		want replica.Verdict
+	}{
+		{"evacuate", order(true, 0), replica.VerdictAccepted},
+		{"withdraw, by the other control process", order(false, 1), replica.VerdictAccepted},
+		{"evacuate again", order(true, 2), replica.VerdictAccepted},
+		{"the withdrawal that was held up", order(false, 1), replica.VerdictStale},
+		{"repeated evacuation", order(true, 2), replica.VerdictStored},
+		{"evacuation that changes nothing", order(true, 3), replica.VerdictStored},
+		{"withdrawal from before that", order(false, 3), replica.VerdictStale},
+		{"withdrawal after it", order(false, 6), replica.VerdictAccepted},
+		{"evacuation in the rule file", changeCommand(5, "format 1\nchange 5 # t: t\nevacuate z # t: t\n"), replica.VerdictAccepted},
+		{"withdrawal from before that change", order(false, 8), replica.VerdictStale},
+		{"withdrawal by an older control process", replica.Command{Kind: replica.CommandSetZoneEvacuated, Zone: zone}, replica.VerdictAccepted},
+	}
+	r := replica.New(replica.Config{})
+	for i, s := range steps {
+		cmd, err := replica.DecodeCommand(s.cmd.Encode())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := r.Apply(uint64(i+1), cmd); got.Verdict != s.want {
+			t.Errorf("%s: verdict %s with problem %q, want %s", s.name, got.Verdict, got.Problem, s.want)
+		}
+		if r, err = replica.Restore(replica.Config{}, r.Snapshot()); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/core/transport/mtls/conn.go
+++ b/core/transport/mtls/conn.go
@@ -84,6 +84,9 @@
 	return c.raw.bytesSent.Load()
 }
 
+// SinceReceive returns how long ago the socket last received bytes, and false if the system does not tell.
+func (c *Conn) SinceReceive() (time.Duration, bool) { return tcp.SinceReceive(c.raw.Conn) }
+
 // Peek returns the state of the connection without waiting. It clears the read deadline; no other goroutine may read
 // meanwhile.
 func (c *Conn) Peek() tcp.PeekResult {
