--- a/control/transport/adminapi/arrival.go
+++ b/control/transport/adminapi/arrival.go
@@ -37,3 +37,12 @@
 	}
 	return 0
 }
+
+// callerGone reports whether the caller has closed the connection of a request, also if the server has not noticed yet.
+func callerGone(r *http.Request) bool {
+	if r.Context().Err() != nil {
+		return true
+	}
+	c, ok := r.Context().Value(connKey{}).(*net.TCPConn)
+	return ok && r.ProtoMajor == 1 && tcp.ClosedByPeer(c)
+}
--- a/control/transport/adminapi/handler.go
+++ b/control/transport/adminapi/handler.go
@@ -93,7 +93,7 @@
 	cmd := replica.Command{Kind: replica.CommandSetZoneEvacuated, Zone: r.PathValue("zone"), Evacuated: out, Conditional: true}
 	var err error
 	cmd.KnownOrder, err = h.newestOrder(r.Context(), cmd.Zone)
-	if err == nil && (r.Context().Err() != nil || time.Since(arrived) > maxOrderAge) {
+	if err == nil && (callerGone(r) || time.Since(arrived) > maxOrderAge) {
 		err = errHeldUp
 	}
 	var res replica.Result
@@ -117,8 +117,15 @@
 	if h.Events == nil {
 		return
 	}
-	h.Events.Emit(event.ZoneOrderHandled, zap.String("zone", cmd.Zone), zap.Bool("out", cmd.Evacuated), zap.Duration("age", took),
-		zap.Uint64("known", cmd.KnownOrder), zap.Stringer("verdict", res.Verdict), zap.Uint64("index", res.Index), zap.Error(err))
+	fields := []zap.Field{
+		zap.String("zone", cmd.Zone), zap.Bool("out", cmd.Evacuated), zap.Duration("age", took), zap.Uint64("known", cmd.KnownOrder),
+	}
+	if err != nil {
+		fields = append(fields, zap.String("error", err.Error()))
+	} else {
+		fields = append(fields, zap.Stringer("verdict", res.Verdict), zap.Uint64("index", res.Index))
+	}
+	h.Events.Emit(event.ZoneOrderHandled, fields...)
 }
 
 // newestOrder returns the newest order about a zone that was carried out before the call.
--- a/core/transport/tcp/lastreceive.go
+++ b/core/transport/tcp/lastreceive.go
@@ -35,3 +35,17 @@
 	}
 	return time.Duration(info.Last_data_recv) * time.Millisecond, true
 }
+
+// ClosedByPeer reports whether the other side of a TCP connection has closed or reset it, unless bytes are waiting to be read. It
+// may be called while another goroutine reads from c.
+func ClosedByPeer(c *net.TCPConn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	result := NoData
+	if err := raw.Control(func(fd uintptr) { result = peekFD(int(fd)) }); err != nil {
+		return true
+	}
+	return result == PeerClosed
+}
