--- a/control/transport/adminapi/zone_test.go
+++ b/control/transport/adminapi/zone_test.go
@@ -16,8 +16,7 @@
 )
 
 // evacuated reports whether the zone is evacuated by the rules in force.
-func (g *fakeGroup) evacuated(t *testing.T, zone string) bool {
-	t.Helper()
+func (g *fakeGroup) evacuated(zone string) bool {
 	set, err := rule.Parse(g.replica.Rules().Text)
 	return err == nil && slices.Contains(set.EvacuatedZones, zone)
 }
@@ -54,14 +53,14 @@
 	(&adminapi.Handler{Group: overtaken}).Register(mux)
 	rec := httptest.NewRecorder()
 	mux.ServeHTTP(rec, httptest.NewRequest(http.MethodDelete, "/zones/z/out", nil))
-	if rec.Code != http.StatusServiceUnavailable || !g.evacuated(t, "z") {
-		t.Errorf("status %d, evacuated %v after the withdrawal that was overtaken", rec.Code, g.evacuated(t, "z"))
+	if rec.Code != http.StatusServiceUnavailable || !g.evacuated("z") {
+		t.Errorf("status %d, evacuated %v after the withdrawal that was overtaken", rec.Code, g.evacuated("z"))
 	}
 	overtaken.others = func() {}
 	rec = httptest.NewRecorder()
 	mux.ServeHTTP(rec, httptest.NewRequest(http.MethodDelete, "/zones/z/out", nil))
-	if rec.Code != http.StatusOK || g.evacuated(t, "z") {
-		t.Errorf("status %d, evacuated %v after a new withdrawal", rec.Code, g.evacuated(t, "z"))
+	if rec.Code != http.StatusOK || g.evacuated("z") {
+		t.Errorf("status %d, evacuated %v after a new withdrawal", rec.Code, g.evacuated("z"))
 	}
 }
 
@@ -80,8 +79,8 @@
 		(&adminapi.Handler{Group: g, Pauses: fixedPauses(true)}).Register(mux)
 		rec := httptest.NewRecorder()
 		mux.ServeHTTP(rec, httptest.NewRequest(http.MethodDelete, "/zones/z/out", nil))
-		if rec.Code != http.StatusServiceUnavailable || !g.evacuated(t, "z") {
-			t.Errorf("status %d, evacuated %v", rec.Code, g.evacuated(t, "z"))
+		if rec.Code != http.StatusServiceUnavailable || !g.evacuated("z") {
+			t.Errorf("status %d, evacuated %v", rec.Code, g.evacuated("z"))
 		}
 	})
 	t.Run("age on the connection", func(t *testing.T) {
@@ -105,8 +104,8 @@
 				t.Fatal(err)
 			}
 			resp.Body.Close()
-			if resp.StatusCode != want || g.evacuated(t, "z") != (want != http.StatusOK) {
-				t.Errorf("waited for %v: status %d, evacuated %v", wait, resp.StatusCode, g.evacuated(t, "z"))
+			if resp.StatusCode != want || g.evacuated("z") != (want != http.StatusOK) {
+				t.Errorf("waited for %v: status %d, evacuated %v", wait, resp.StatusCode, g.evacuated("z"))
 			}
 			wait = 0
 		}
@@ -118,8 +117,8 @@
 		cancel(errors.New("caller gone"))
 		rec := httptest.NewRecorder()
 		mux.ServeHTTP(rec, httptest.NewRequest(http.MethodPut, "/zones/z/out", nil).WithContext(ctx))
-		if rec.Code != http.StatusServiceUnavailable || g.evacuated(t, "z") {
-			t.Errorf("status %d, evacuated %v", rec.Code, g.evacuated(t, "z"))
+		if rec.Code != http.StatusServiceUnavailable || g.evacuated("z") {
+			t.Errorf("status %d, evacuated %v", rec.Code, g.evacuated("z"))
 		}
 	})
 }
--- a/lab/soak/evacuation_test.go
+++ b/lab/soak/evacuation_test.go
@@ -61,7 +61,7 @@
 	c := startCluster(t)
 	const zone = 1
 	for _, stopped := range append(append([]*process{}, c.nodes[0]), c.controls...) {
-		t.Run(stopped.name, func(t *testing.T) {
+		t.Run(stopped.name, func(_ *testing.T) {
 			stopped.signal(syscall.SIGSTOP)
 			c.eventually("the evacuation is acknowledged", func() bool {
 				for i, p := range c.controls {
