--- a/lab/soak/evacuation_test.go
+++ b/lab/soak/evacuation_test.go
@@ -39,17 +39,16 @@
 	const zone = 0
 	for _, keepOpen := range []bool{false, true} {
 		for stopped := range c.controls {
-			t.Run(fmt.Sprintf("control-%d, connection kept open %v", stopped+1, keepOpen), func(t *testing.T) {
-				other := (stopped + 1) % len(c.controls)
-				c.order(other, http.MethodPut, zones[zone])
-				c.controls[stopped].signal(syscall.SIGSTOP)
-				heldUpCall(t, c.control(stopped), http.MethodDelete, zones[zone], keepOpen)
-				c.order(other, http.MethodDelete, zones[zone])
-				c.order(other, http.MethodPut, zones[zone])
-				c.controls[stopped].signal(syscall.SIGCONT)
-				c.expectEmpty(zone)
-				c.order(other, http.MethodDelete, zones[zone])
-			})
+			t.Logf("control-%d is stopped, connection kept open %v", stopped+1, keepOpen)
+			other := (stopped + 1) % len(c.controls)
+			c.order(other, http.MethodPut, zones[zone])
+			c.controls[stopped].signal(syscall.SIGSTOP)
+			heldUpCall(t, c.control(stopped), http.MethodDelete, zones[zone], keepOpen)
+			c.order(other, http.MethodDelete, zones[zone])
+			c.order(other, http.MethodPut, zones[zone])
+			c.controls[stopped].signal(syscall.SIGCONT)
+			c.expectEmpty(zone)
+			c.order(other, http.MethodDelete, zones[zone])
 		}
 	}
 }
@@ -61,22 +60,21 @@
 	c := startCluster(t)
 	const zone = 1
 	for _, stopped := range append(append([]*process{}, c.nodes[0]), c.controls...) {
-		t.Run(stopped.name, func(_ *testing.T) {
-			stopped.signal(syscall.SIGSTOP)
-			c.eventually("the evacuation is acknowledged", func() bool {
-				for i, p := range c.controls {
-					if p != stopped && c.call(i, http.MethodPut, "/zones/"+zones[zone]+"/out", "", time.Second) == http.StatusOK {
-						return true
-					}
+		t.Logf("%s is stopped", stopped.name)
+		stopped.signal(syscall.SIGSTOP)
+		c.eventually("the evacuation is acknowledged", func() bool {
+			for i, p := range c.controls {
+				if p != stopped && c.call(i, http.MethodPut, "/zones/"+zones[zone]+"/out", "", time.Second) == http.StatusOK {
+					return true
 				}
-				return false
-			})
-			<-time.After(2 * time.Second)
-			stopped.signal(syscall.SIGCONT)
-			c.expectEmpty(zone)
-			c.eventually("the withdrawal is acknowledged", func() bool {
-				return c.call(0, http.MethodDelete, "/zones/"+zones[zone]+"/out", "", time.Second) == http.StatusOK
-			})
+			}
+			return false
+		})
+		<-time.After(2 * time.Second)
+		stopped.signal(syscall.SIGCONT)
+		c.expectEmpty(zone)
+		c.eventually("the withdrawal is acknowledged", func() bool {
+			return c.call(0, http.MethodDelete, "/zones/"+zones[zone]+"/out", "", time.Second) == http.StatusOK
 		})
 	}
 }
