--- a/node/program/subscriptions_test.go
+++ b/node/program/subscriptions_test.go
@@ -31,6 +31,7 @@
 	cfg := testSettings(t, "caller-node")
 	cfg.HintsAddress = netip.AddrPortFrom(cfg.Bind, freeAddress(t, cfg.Bind).Port())
 	node := startNode(t, ctl, cfg)
+	eventually(t, "the rules are in force", func() bool { return node.fetchStatus().Rules.Revision == 2 })
 	sendRequest(t, node, "GET", "/read/1", "", nil) // no member has a peer listener; the start of the call is enough
 	buf := make([]byte, 1500)
 	if err := peers[0].SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
