control: refuse an order that comes on a connection that had waited for it

Between the held-up withdrawal and the end of its connection, which the proxy sends one after the other, the control process read, checked and carried out the order.

Cause: bytes that the network holds up look new to the kernel that gets them. The connection does not: it was opened when the call was made, and callers send a call right after that.

Change: the first call on a connection is as old as the connection; 0.9 s bound it as before.

TestOrderThatWaitedIsRefused, 'new connection without a request', fails before: the first call gets 200.

--- a/control/transport/adminapi/handler.go
+++ b/control/transport/adminapi/handler.go
@@ -52,11 +52,15 @@
 
 // Register adds the paths of the admin API to mux.
 func (h *Handler) Register(mux *http.ServeMux) {
-	mux.HandleFunc("GET /table", h.readTable)
-	mux.HandleFunc("PUT /table", func(w http.ResponseWriter, r *http.Request) { h.editTable(w, r, false) })
-	mux.HandleFunc("PATCH /table", func(w http.ResponseWriter, r *http.Request) { h.editTable(w, r, true) })
-	mux.HandleFunc("PUT /zones/{zone}/out", func(w http.ResponseWriter, r *http.Request) { h.setZone(w, r, true) })
-	mux.HandleFunc("DELETE /zones/{zone}/out", func(w http.ResponseWriter, r *http.Request) { h.setZone(w, r, false) })
+	for pattern, handle := range map[string]http.HandlerFunc{
+		"GET /table":               h.readTable,
+		"PUT /table":               func(w http.ResponseWriter, r *http.Request) { h.editTable(w, r, false) },
+		"PATCH /table":             func(w http.ResponseWriter, r *http.Request) { h.editTable(w, r, true) },
+		"PUT /zones/{zone}/out":    func(w http.ResponseWriter, r *http.Request) { h.setZone(w, r, true) },
+		"DELETE /zones/{zone}/out": func(w http.ResponseWriter, r *http.Request) { h.setZone(w, r, false) },
+	} {
+		mux.HandleFunc(pattern, markUsed(handle))
+	}
 }
 
 // errorBody is the body of a response with a status other than 200.
--- a/control/transport/adminapi/zone_test.go
+++ b/control/transport/adminapi/zone_test.go
@@ -1,7 +1,11 @@
 package adminapi_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -110,6 +114,32 @@
 			wait = 0
 		}
 	})
+	t.Run("new connection without a request", func(t *testing.T) {
+		mux := http.NewServeMux()
+		(&adminapi.Handler{Group: g}).Register(mux)
+		s := httptest.NewUnstartedServer(mux)
+		s.Config.ConnContext = adminapi.WithConn
+		s.Start()
+		defer s.Close()
+		c, err := net.Dial("tcp", s.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		in := bufio.NewReader(c)
+		for _, want := range []int{http.StatusServiceUnavailable, http.StatusOK} {
+			<-time.After(time.Second)
+			fmt.Fprint(c, "PUT /zones/new/out HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			if resp.StatusCode != want || g.evacuated("new") != (want == http.StatusOK) {
+				t.Errorf("status %d, evacuated %v, want %d", resp.StatusCode, g.evacuated("new"), want)
+			}
+		}
+	})
 	t.Run("caller gone", func(t *testing.T) {
 		mux := http.NewServeMux()
 		(&adminapi.Handler{Group: g}).Register(mux)
--- a/lab/soak/evacuation_test.go
+++ b/lab/soak/evacuation_test.go
@@ -79,6 +79,9 @@
 	}
 }
 
+// maxHeld is the longest request that holdingProxy keeps, in bytes.
+const maxHeld = 4 << 10
+
 // holdingProxy forwards connections to a target; while hold is not closed, it keeps what callers send.
 func holdingProxy(t *testing.T, target string, hold <-chan struct{}) string {
 	t.Helper()
@@ -101,28 +104,32 @@
 				}
 				defer out.Close()
 				go func() { _, _ = io.Copy(in, out) }()
-				request, _ := io.ReadAll(in)
+				request := make([]byte, maxHeld)
+				n, _ := in.Read(request)
 				<-hold
-				_, _ = out.Write(request)
-				_ = out.(*net.TCPConn).CloseWrite()
-				_, _ = io.Copy(io.Discard, out)
+				_, _ = out.Write(request[:n])
+				_, _ = io.Copy(out, in) // ends when the caller closes
 			}()
 		}
 	}()
 	return ln.Addr().String()
 }
 
-// Guards against a withdrawal that the network held up until its caller had closed the connection and evacuated the zone again.
+// Guards against a withdrawal that the network held up until its caller had given it up and evacuated the zone again.
 func TestHeldUpWithdrawalDoesNotUndoEvacuation(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t)
 	const zone = 2
-	c.order(1, http.MethodPut, zones[zone])
-	release := make(chan struct{})
-	proxy := holdingProxy(t, c.control(0), release)
-	heldUpCall(t, proxy, http.MethodDelete, zones[zone], false)
-	c.order(1, http.MethodDelete, zones[zone])
-	c.order(1, http.MethodPut, zones[zone])
-	close(release)
-	c.expectEmpty(zone)
+	for _, keepOpen := range []bool{false, true} {
+		t.Logf("connection kept open %v", keepOpen)
+		c.order(1, http.MethodPut, zones[zone])
+		release := make(chan struct{})
+		proxy := holdingProxy(t, c.control(0), release)
+		heldUpCall(t, proxy, http.MethodDelete, zones[zone], keepOpen)
+		c.order(1, http.MethodDelete, zones[zone])
+		c.order(1, http.MethodPut, zones[zone])
+		close(release)
+		c.expectEmpty(zone)
+		c.order(1, http.MethodDelete, zones[zone])
+	}
 }
