--- a/core/coordination/admission/msg.go
+++ b/core/coordination/admission/msg.go
@@ -18,6 +18,8 @@
 	ID               attempt.ID
 	Deadline         time.Time
 	Priority         rule.Priority
+	Rank             int                // priority number of a request on a route, 0 for the most urgent
+	Account          string             // client account of the request, empty for none
 	Route            string             // requests of one route have similar service times
 	ObjectiveAt      time.Time          // when LatencyObjective ends; a later answer loses part of its use
 	LatencyObjective time.Duration      // time left for the request on its arrival, 0 if none is left
--- a/core/protocol/attempt/header.go
+++ b/core/protocol/attempt/header.go
@@ -8,6 +8,8 @@
 	HeaderDepth        = "Pollenhill-Depth"       // number of calls above this one in the call chain
 	HeaderRevision     = "Pollenhill-Revision"    // revision of the rules that the sender uses
 	HeaderPriority     = "Pollenhill-Priority"
+	HeaderAccount      = "Pollenhill-Account" // name of the client account of the request; absent for none
+	HeaderRank         = "Pollenhill-Rank"    // priority number of the request, 0 for the most urgent
 	HeaderService      = "Pollenhill-Service"
 	HeaderRoute        = "Pollenhill-Route"
 	HeaderObjective    = "Pollenhill-Aim"     // remaining time of the latency objective in milliseconds, may be negative
--- a/core/protocol/header/names.go
+++ b/core/protocol/header/names.go
@@ -12,5 +12,6 @@
 	RemainingColdStart string `json:"cold"`     // from back ends, in responses to health checks: milliseconds until the cold start ends
 	RequestLimit       string `json:"limit"`    // from back ends: requests per second that the instance takes from all nodes together; absent for no limit
 	Leaving            string `json:"leaving"`  // from back ends: present if the instance is about to end and must get no new requests
+	Account            string `json:"account"`  // to back ends: name of the client account that the request belongs to
 	CallerService      string `json:"caller"`   // to back ends: service of the node where the request entered
 }
--- a/core/protocol/refusal/reason.go
+++ b/core/protocol/refusal/reason.go
@@ -63,7 +63,11 @@
 	BackendSlow // slow
 	// RequestLimit means that the back end already gets as many requests per second as it takes by its own word.
 	RequestLimit // limit
+	// UnknownKey means that the request has no key of an account, or one that no account holds.
+	UnknownKey // key
+	// OverAllowance means that the account of the request has used up its allowance over all nodes.
+	OverAllowance // allowance
 )
 
 // lastReason is the newest Reason.
-const lastReason = RequestLimit
+const lastReason = OverAllowance
--- a/core/protocol/refusal/reason_string.go
+++ b/core/protocol/refusal/reason_string.go
@@ -36,11 +36,13 @@
 	_ = x[Internal-25]
 	_ = x[BackendSlow-26]
 	_ = x[RequestLimit-27]
+	_ = x[UnknownKey-28]
+	_ = x[OverAllowance-29]
 }
 
-const _Reason_name = "nonefulllatecolddrainingleavingzone-outbackend-outabsentincarnationcancelledduplicatedeepshedbudgetno-quorumroutebrokentimeoutlargeheadermalformedheldmismatchupgradeinternalslowlimit"
+const _Reason_name = "nonefulllatecolddrainingleavingzone-outbackend-outabsentincarnationcancelledduplicatedeepshedbudgetno-quorumroutebrokentimeoutlargeheadermalformedheldmismatchupgradeinternalslowlimitkeyallowance"
 
-var _Reason_index = [...]uint8{0, 4, 8, 12, 16, 24, 31, 39, 50, 56, 67, 76, 85, 89, 93, 99, 108, 113, 119, 126, 131, 137, 146, 150, 158, 165, 173, 177, 182}
+var _Reason_index = [...]uint8{0, 4, 8, 12, 16, 24, 31, 39, 50, 56, 67, 76, 85, 89, 93, 99, 108, 113, 119, 126, 131, 137, 146, 150, 158, 165, 173, 177, 182, 185, 194}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/core/protocol/refusal/refusal.go
+++ b/core/protocol/refusal/refusal.go
@@ -20,7 +20,7 @@
 type Refusal struct {
 	Reason     Reason
 	Outcome    attempt.Outcome
-	RetryAfter time.Duration // suggested wait until a retry, sent with status 503
+	RetryAfter time.Duration // suggested wait until a retry, sent with status 429 and 503
 	Node       string        // node that refused
 	Depth      int           // depth in the call chain of the request that was refused
 
@@ -38,7 +38,7 @@
 		{HeaderProxyStatus, r.ProxyStatus()},
 		{attempt.HeaderOutcome, r.Outcome.String()},
 	}
-	if r.StatusCode() == 503 {
+	if code := r.StatusCode(); code == 503 || code == 429 {
 		fields = append(fields, HeaderField{HeaderRetryAfter, r.retryAfterSeconds()})
 	}
 	return fields
@@ -107,12 +107,16 @@
 		return 431
 	case Malformed, UpgradeUnsupported:
 		return 400
+	case UnknownKey:
+		return 401
 	case NoRoute:
 		return 404
 	case ClaimHeld:
 		return 409
 	case FingerprintMismatch:
 		return 422
+	case OverAllowance:
+		return 429
 	}
 	return 503
 }
@@ -126,11 +130,11 @@
 		return "http_response_timeout"
 	case CallTooDeep:
 		return "proxy_loop_detected"
-	case BodyTooLarge, HeaderTooLarge, Malformed, UpgradeUnsupported, ClaimHeld, FingerprintMismatch:
+	case BodyTooLarge, HeaderTooLarge, Malformed, UpgradeUnsupported, ClaimHeld, FingerprintMismatch, UnknownKey:
 		return "http_request_error"
 	case NoRoute:
 		return "destination_not_found"
-	case AtCapacity, Shed, MemoryBudget, RequestLimit:
+	case AtCapacity, Shed, MemoryBudget, RequestLimit, OverAllowance:
 		return "connection_limit_reached"
 	case Internal:
 		return "proxy_internal_error"
--- a/core/state/routingtable/doc.go
+++ b/core/state/routingtable/doc.go
@@ -1,3 +1,3 @@
-// Package routingtable converts the routes, pools and caller limits of the rules from and to the JSON that programs read
+// Package routingtable converts the routes, pools, accounts and caller limits of the rules from and to the JSON that programs read
 // and change.
 package routingtable
--- a/core/state/routingtable/table.go
+++ b/core/state/routingtable/table.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -13,12 +14,13 @@
 	"pollenhill.example/core/state/rule"
 )
 
-// Table is one version of all routes, pools and caller limits.
+// Table is one version of all routes, pools, accounts and caller limits.
 type Table struct {
 	Version  uint64        `json:"version"`
 	Routes   []route       `json:"routes"`
 	Services []pool        `json:"services"`
 	Limits   *callerLimits `json:"limits,omitempty"`
+	Accounts []account     `json:"accounts,omitempty"`
 }
 
 // Patch sets and drops single items of a Table by their names.
@@ -28,10 +30,12 @@
 		Routes   []route       `json:"routes"`
 		Services []pool        `json:"services"`
 		Limits   *callerLimits `json:"limits"`
+		Accounts []account     `json:"accounts"`
 	} `json:"set"`
 	Drop struct {
 		Routes   []string `json:"routes"`
 		Services []string `json:"services"`
+		Accounts []string `json:"accounts"`
 	} `json:"drop"`
 }
 
@@ -47,6 +51,7 @@
 	Service                string  `json:"service,omitempty"`
 	Split                  []part  `json:"split,omitempty"`
 	MaxTries               int     `json:"tries"`
+	Open                   *bool   `json:"open,omitempty"` // requests need no key; nil if the sender did not say
 	unknownFields
 }
 
@@ -66,6 +71,16 @@
 	unknownFields
 }
 
+// account is the JSON form of a rule.Account.
+type account struct {
+	Name     string   `json:"name"`
+	Keys     []string `json:"keys"`
+	Priority *int     `json:"rank,omitempty"`
+	Rate     float64  `json:"quota,omitempty"`
+	Burst    float64  `json:"burst,omitempty"`
+	unknownFields
+}
+
 // callerLimits is the JSON form of rule.CallerLimits.
 type callerLimits struct {
 	MaxHeaderBytes      int     `json:"header"`
@@ -116,6 +131,16 @@
 			unknownFields:     parseUnknownFields(p.UnknownFields),
 		})
 	}
+	for _, a := range set.Accounts {
+		t.Accounts = append(t.Accounts, account{
+			Name:          a.Name,
+			Keys:          append([]string{}, a.Keys...),
+			Priority:      a.Priority,
+			Rate:          a.Rate,
+			Burst:         a.Burst,
+			unknownFields: parseUnknownFields(a.UnknownFields),
+		})
+	}
 	if l := set.CallerLimits; l != nil {
 		t.Limits = &callerLimits{
 			MaxHeaderBytes:      l.MaxHeaderBytes,
@@ -138,6 +163,7 @@
 		LatencyObjectiveMillis: toMillis(r.LatencyObjective),
 		Priority:               r.Priority,
 		MaxTries:               r.MaxTries,
+		Open:                   newOpen(r.Access),
 		unknownFields:          parseUnknownFields(r.UnknownFields),
 	}
 	if !r.Weighted {
@@ -148,11 +174,32 @@
 	return out
 }
 
+// newOpen returns the JSON form of an Access.
+func newOpen(a rule.Access) *bool {
+	if a == rule.AccessUnset {
+		return nil
+	}
+	open := a == rule.AccessOpen
+	return &open
+}
+
+// access returns the Access that an open field stands for.
+func access(open *bool) rule.Access {
+	switch {
+	case open == nil:
+		return rule.AccessUnset
+	case *open:
+		return rule.AccessOpen
+	}
+	return rule.AccessKeyed
+}
+
 // Apply returns the table with the changes of p.
 func (t Table) Apply(p Patch) Table {
 	next := Table{Version: p.Version, Limits: t.Limits}
 	next.Routes = applyItems(t.Routes, p.Set.Routes, p.Drop.Routes, func(r route) string { return r.Name })
 	next.Services = applyItems(t.Services, p.Set.Services, p.Drop.Services, func(s pool) string { return s.Name })
+	next.Accounts = applyItems(t.Accounts, p.Set.Accounts, p.Drop.Accounts, func(a account) string { return a.Name })
 	if p.Set.Limits != nil {
 		next.Limits = p.Set.Limits
 	}
@@ -208,6 +255,13 @@
 		}
 		out.Routes = append(out.Routes, converted)
 	}
+	for _, a := range t.Accounts {
+		converted, err := a.toRule()
+		if err != nil {
+			return out, errors.Wrapf(err, "account %q", a.Name)
+		}
+		out.Accounts = append(out.Accounts, converted)
+	}
 	if l := t.Limits; l != nil {
 		out.CallerLimits = &rule.CallerLimits{
 			MaxHeaderBytes: l.MaxHeaderBytes,
@@ -232,6 +286,7 @@
 		Priority:         r.Priority,
 		MaxTries:         r.MaxTries,
 		Weighted:         len(r.Split) > 0,
+		Access:           access(r.Open),
 		UnknownFields:    r.unknownFields.encode(),
 	}
 	switch {
@@ -251,6 +306,25 @@
 	return out, nil
 }
 
+func (a account) toRule() (rule.Account, error) {
+	switch {
+	case a.Name == "":
+		return rule.Account{}, errors.New("no name")
+	case slices.Contains(a.Keys, ""):
+		return rule.Account{}, errors.New("a key is empty")
+	case a.Rate < 0 || a.Burst < 0:
+		return rule.Account{}, errors.New("quota and burst: want numbers from 0")
+	}
+	return rule.Account{
+		Name:          a.Name,
+		Keys:          a.Keys,
+		Priority:      a.Priority,
+		Rate:          a.Rate,
+		Burst:         a.Burst,
+		UnknownFields: a.unknownFields.encode(),
+	}, nil
+}
+
 func toMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func fromMillis(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
--- a/core/state/routingtable/table_test.go
+++ b/core/state/routingtable/table_test.go
@@ -12,10 +12,12 @@
 
 const tableJSON = `{"version":7,"routes":[
  {"name":"r1","host":"a.example","path":"/x/","kind":"unsafe","timeout":800,"aim":250,"rank":1,"service":"s","tries":2},
- {"name":"r2","host":"a.example","path":"/y/","kind":"idempotent","timeout":1200,"aim":200.5,"rank":2,"split":[{"service":"s","weight":90},{"service":"t","weight":10}],"tries":2,"homes":["oslo"]}],
+ {"name":"r2","host":"a.example","path":"/y/","kind":"idempotent","timeout":1200,"aim":200.5,"rank":2,"split":[{"service":"s","weight":90},{"service":"t","weight":10}],"tries":2,"open":false,"homes":["oslo"]},
+ {"name":"r3","host":"a.example","path":"/z/","kind":"upload","timeout":3000,"aim":1200,"rank":0,"service":"s","tries":2,"open":true}],
  "services":[{"name":"s","health":"/health","connections":260,"protocol":"h1","tls":false,"cold":3.0,"rate":42.5},
  {"name":"t","health":"/health","connections":260,"protocol":"h1","tls":false,"cold":0,"rate":0}],
- "limits":{"header":16384,"body":67108864,"read":3000,"idle":15000,"later":{"a":1}}}`
+ "limits":{"header":16384,"body":67108864,"read":3000,"idle":15000,"later":{"a":1}},
+ "accounts":[{"name":"kari club","keys":["k=1,#%","k2"],"rank":0,"quota":231,"burst":12.5,"homes":["oslo"]},{"name":"b","keys":[]}]}`
 
 func decode(t *testing.T, body string) routingtable.Table {
 	t.Helper()
@@ -71,7 +73,7 @@
 	p, err := routingtable.DecodePatch([]byte(`{"version":9,"set":{"routes":[
  {"name":"new","host":"b.example","path":"/","kind":"download","timeout":100,"aim":10,"rank":0,"service":"t","tries":1},
  {"name":"r1","host":"a.example","path":"/x/","kind":"unsafe","timeout":900,"aim":250,"rank":1,"service":"t","tries":2}]},
- "drop":{"routes":["r2","absent"]}}`))
+ "drop":{"routes":["r2","r3","absent"]}}`))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -79,7 +81,7 @@
 	raw, _ := json.Marshal(got.Routes)
 	want := `[{"name":"r1","host":"a.example","path":"/x/","kind":"unsafe","timeout":900,"aim":250,"rank":1,"service":"t","tries":2},` +
 		`{"name":"new","host":"b.example","path":"/","kind":"download","timeout":100,"aim":10,"rank":0,"service":"t","tries":1}]`
-	if string(raw) != want || got.Version != 9 || len(got.Services) != 2 || got.Limits == nil {
+	if string(raw) != want || got.Version != 9 || len(got.Services) != 2 || got.Limits == nil || len(got.Accounts) != 2 {
 		t.Errorf("got %s, version %d", raw, got.Version)
 	}
 }
@@ -99,8 +101,13 @@
 		"same name twice":        {`"name":"r2"`, `"name":"r1"`},
 		"service and split":      {`"split":`, `"service":"s","split":`},
 		"service without a name": {`"name":"t"`, `"name":""`},
-		"cut short":              {`"later":{"a":1}}}`, `"later":{"a":1}`},
-		"data after it":          {`"later":{"a":1}}}`, `"later":{"a":1}}}{}`},
+		"shared key":             {`"keys":[]`, `"keys":["k2"]`},
+		"empty key":              {`"keys":[]`, `"keys":[""]`},
+		"account without a name": {`"name":"b"`, `"name":""`},
+		"same account twice":     {`"name":"b"`, `"name":"kari club"`},
+		"negative quota":         {`"quota":231`, `"quota":-1`},
+		"cut short":              {`"keys":[]}]}`, `"keys":[]}]`},
+		"data after it":          {`"keys":[]}]}`, `"keys":[]}]}{}`},
 		"field of another type":  {`"version":7`, `"version":"x"`},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -140,7 +147,8 @@
 	}
 	_, err := routingtable.DecodePatch([]byte(`{"set":[]}`))
 	want := `read table: json: cannot unmarshal array into Go struct field Patch.set of type struct { ` +
-		`Routes []table.route "json:\"routes\""; Services []table.pool "json:\"services\""; Limits *table.bound "json:\"limits\"" }`
+		`Routes []table.route "json:\"routes\""; Services []table.pool "json:\"services\""; Limits *table.bound "json:\"limits\""; ` +
+		`Accounts []table.account "json:\"accounts\"" }`
 	if err == nil || err.Error() != want {
 		t.Errorf("got %v, want %s", err, want)
 	}
--- a/core/state/routingtable/unknown_fields.go
+++ b/core/state/routingtable/unknown_fields.go
@@ -58,6 +58,18 @@
 	return encodeFields(plain(p), p.unknownFields)
 }
 
+// UnmarshalJSON decodes the known fields and keeps the others as they are.
+func (a *account) UnmarshalJSON(raw []byte) error {
+	type plain account
+	return decodeFields(raw, (*plain)(a), &a.unknownFields)
+}
+
+// MarshalJSON encodes the known and the unknown fields.
+func (a account) MarshalJSON() ([]byte, error) {
+	type plain account
+	return encodeFields(plain(a), a.unknownFields)
+}
+
 // UnmarshalJSON decodes the known fields and keeps the others as they are.
 func (l *callerLimits) UnmarshalJSON(raw []byte) error {
 	type plain callerLimits
--- a/core/state/rule/parse.go
+++ b/core/state/rule/parse.go
@@ -33,6 +33,7 @@
 	outZoneLines []outZoneLine
 	explicit     map[string]bool // limits that the rules set, with keys such as "retry booking"; defaults do not replace a zero among them
 	routeTargets []routeTarget
+	keyHolders   map[KeyDigest]string // names of accounts
 }
 
 // Parse compiles the text of a rule file. Its error is of type Problems and lists all problems, up to a limit.
@@ -42,6 +43,7 @@
 		services:   map[string]*Service{},
 		firstLines: map[string]line{},
 		explicit:   map[string]bool{},
+		keyHolders: map[KeyDigest]string{},
 	}
 	if p.checkEncoding(text) {
 		lines := p.parseLines(text)
@@ -65,6 +67,7 @@
 	}
 	p.set.serviceRoutes = sortedServiceRoutes(p.set.Services)
 	p.set.indexTrafficRules()
+	p.set.indexAccounts()
 }
 
 // sortedProblems returns the first maxListedProblems problems in the order of their positions.
--- a/core/state/rule/requestkind_string.go
+++ b/core/state/rule/requestkind_string.go
@@ -11,11 +11,12 @@
 	_ = x[KindUnsafe-0]
 	_ = x[KindIdempotent-1]
 	_ = x[KindDownload-2]
+	_ = x[KindUpload-3]
 }
 
-const _RequestKind_name = "unsafeidempotentdownload"
+const _RequestKind_name = "unsafeidempotentdownloadupload"
 
-var _RequestKind_index = [...]uint8{0, 6, 16, 24}
+var _RequestKind_index = [...]uint8{0, 6, 16, 24, 30}
 
 func (i RequestKind) String() string {
 	idx := int(i) - 0
--- a/core/state/rule/rewrite.go
+++ b/core/state/rule/rewrite.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// ReplaceTrafficRules returns text as change number, with traffic in place of its routes, pools and caller limits.
+// ReplaceTrafficRules returns text as change number, with traffic in place of its routes, pools, accounts and caller limits.
 // Lines whose meaning does not change stay byte for byte; the others get the comment "who: why" in attribution.
 // The rules of each verb take the places of the old lines of that verb, in the order of traffic; the remaining ones
 // follow at the end.
@@ -103,6 +103,9 @@
 	for _, r := range t.Routes {
 		rules = append(rules, trafficRule{"route " + r.Name, r.ruleText()})
 	}
+	for _, a := range t.Accounts {
+		rules = append(rules, trafficRule{"account " + a.Name, a.ruleText()})
+	}
 	return rules
 }
 
@@ -114,7 +117,7 @@
 	switch verb := l.words[0].text; {
 	case verb == "bound":
 		return verb, true
-	case len(l.words) > 1 && (verb == "route" || verb == "pool"):
+	case len(l.words) > 1 && (verb == "route" || verb == "pool" || verb == "account"):
 		return verb + " " + unescape(l.words[1].text), true
 	}
 	return "", false
@@ -148,6 +151,14 @@
 	return strconv.Itoa(n)
 }
 
+// formatFloat returns "" for 0, so that writeOption leaves the option out.
+func formatFloat(n float64) string {
+	if n == 0 {
+		return ""
+	}
+	return strconv.FormatFloat(n, 'g', -1, 64)
+}
+
 // formatDuration returns "" for 0, so that writeOption leaves the option out.
 func formatDuration(d time.Duration) string {
 	if d == 0 {
@@ -176,6 +187,7 @@
 		}
 	}
 	writeOption(&b, "to", strings.Join(services, ","))
+	writeOption(&b, "open", r.Access.String())
 	writeOption(&b, "more", escape(r.UnknownFields))
 	return b.String()
 }
@@ -186,9 +198,7 @@
 	writeOption(&b, "health", escape(p.HealthPath))
 	writeOption(&b, "connections", formatInt(p.MaxConnections))
 	writeOption(&b, "cold", formatDuration(p.ColdPeriod))
-	if p.ColdRate != 0 {
-		writeOption(&b, "rate", strconv.FormatFloat(p.ColdRate, 'g', -1, 64))
-	}
+	writeOption(&b, "rate", formatFloat(p.ColdRate))
 	writeOption(&b, "more", escape(p.UnknownFields))
 	return b.String()
 }
--- a/core/state/rule/set.go
+++ b/core/state/rule/set.go
@@ -13,11 +13,13 @@
 	Routes         []Route       `json:",omitempty"`
 	Pools          []Pool        `json:",omitempty"`
 	CallerLimits   *CallerLimits `json:"Bound,omitempty"`
+	Accounts       []Account     `json:",omitempty"`
 	EvacuatedZones []string      `json:"Evacuated,omitempty"` // zones that "evacuate" rules take out of service
 
 	serviceRoutes  []serviceRoute // most specific first
 	routesByPrefix map[routeKey]*Route
 	poolsByName    map[string]Pool
+	accountsByKey  map[KeyDigest]*Account
 }
 
 // Zone is an availability zone.
--- a/core/state/rule/traffic_rules.go
+++ b/core/state/rule/traffic_rules.go
@@ -16,7 +16,8 @@
 	Priority         int               `json:"Rank"`   // 0 is the most urgent
 	MaxTries         int               `json:"Tries"`  // limit on the back ends that one request is sent to; zero: no limit
 	Services         []WeightedService `json:"Parts"`
-	Weighted         bool              `json:"Split"`          // the rule gives weights, even if it names one service only
+	Weighted         bool              `json:"Split"` // the rule gives weights, even if it names one service only
+	Access           Access            `json:"Open,omitempty"`
 	UnknownFields    string            `json:"More,omitempty"` // JSON object of the fields in the admin API that this version does not know
 }
 
@@ -45,11 +46,12 @@
 	UnknownFields  string        `json:"More,omitempty"`
 }
 
-// TrafficRules holds the rules that programs change through the admin API: routes, pools and caller limits.
+// TrafficRules holds the rules that programs change through the admin API: routes, pools, accounts and caller limits.
 type TrafficRules struct {
 	Routes       []Route
 	Pools        []Pool
 	CallerLimits *CallerLimits
+	Accounts     []Account
 }
 
 // Bounds on extra attempts per call to a pool. They are high enough to make up for a back end that becomes slow or fails
@@ -73,9 +75,9 @@
 	return Route{}, false
 }
 
-// TrafficRules returns the routes, pools and caller limits in the order of their lines.
+// TrafficRules returns the routes, pools, accounts and caller limits in the order of their lines.
 func (s *Set) TrafficRules() TrafficRules {
-	return TrafficRules{Routes: s.Routes, Pools: s.Pools, CallerLimits: s.CallerLimits}
+	return TrafficRules{Routes: s.Routes, Pools: s.Pools, CallerLimits: s.CallerLimits, Accounts: s.Accounts}
 }
 
 // Pool returns a pool by name, or false if there is none.
--- a/core/state/rule/traffic_verbs.go
+++ b/core/state/rule/traffic_verbs.go
@@ -9,7 +9,7 @@
 
 // Options of the traffic rules. Tests that parse the rules which ruleText writes fail if an option is missing here.
 var (
-	routeOptions       = []string{"host", "path", "kind", "within", "aim", "rank", "tries", "to", "more"}
+	routeOptions       = []string{"host", "path", "kind", "within", "aim", "rank", "tries", "to", "open", "more"}
 	poolOptions        = []string{"health", "connections", "cold", "rate", "more"}
 	callerLimitOptions = []string{"header", "body", "read", "idle", "more"}
 )
@@ -49,14 +49,26 @@
 	}
 	if kind, ok := opts["kind"]; ok {
 		if r.Kind, ok = ParseRequestKind(kind.text); !ok {
-			p.report(l, kind.offset, verbs["route"].example, "%q is not a kind; kinds are unsafe, idempotent and download", kind.text)
+			p.report(l, kind.offset, verbs["route"].example, "%q is not a kind; kinds are unsafe, idempotent, download and upload", kind.text)
 		}
 	}
+	r.Access = p.parseAccess(l, opts["open"])
 	p.checkRouteMatch(l, args, &r)
 	r.Services, r.Weighted = p.parseRouteServices(l, opts["to"])
 	p.set.Routes = append(p.set.Routes, r)
 }
 
+// parseAccess parses open=yes or open=no; a missing one is AccessUnset.
+func (p *parser) parseAccess(l line, w word) Access {
+	for access := AccessUnset; access <= AccessOpen; access++ {
+		if w.text == access.String() {
+			return access
+		}
+	}
+	p.report(l, w.offset, verbs["route"].example, "%q is not an access; write open=yes or open=no", w.text)
+	return AccessUnset
+}
+
 // checkRouteMatch checks the host and the path prefix of a route.
 func (p *parser) checkRouteMatch(l line, args []word, r *Route) {
 	if r.Host == "" {
--- a/core/state/rule/verbs.go
+++ b/core/state/rule/verbs.go
@@ -36,6 +36,7 @@
 		"pool":       {example: "pool records health=/health connections=240 cold=3s rate=35 # kari: behind routes", parse: parsePoolRule},
 		"route":      {example: "route lookup host=booking.example path=/free/ kind=idempotent within=500ms aim=200ms rank=2 tries=2 to=booking # kari: lookups", parse: parseRouteRule},
 		"bound":      {example: "bound header=16384 body=67108864 read=3s idle=15s # ola: what callers may send", parse: parseBoundRule},
+		"account":    {example: "account harbour keys=k7wq2m5t9x,p3vd8n6r4z rank=1 quota=40 burst=80 # kari: harbour office", parse: parseAccountRule},
 		"evacuate":   {example: "evacuate oslo-c # kari: rewiring", parse: parseEvacuateRule},
 	}
 }
--- a/node/protocol/message/attempt.go
+++ b/node/protocol/message/attempt.go
@@ -22,6 +22,8 @@
 	Depth       int    // position in the call chain, 0 for a call from outside
 	Revision    uint64 // revision of the rules at the entry node
 	Priority    rule.Priority
+	Rank        int    // priority number of a request on a route, 0 for the most urgent
+	Account     string // client account of the request, empty for none
 	Service     string
 	Route       string             // empty if a service line of the rules matched the request, not a route
 	Rerun       bool               // an earlier attempt of the same request may still be running or have run
@@ -48,8 +50,12 @@
 	if _, limited := a.KnownLimit.PerSecond(); limited {
 		h.Set(attempt.HeaderRequestLimit, a.KnownLimit.String())
 	}
+	if a.Account != "" {
+		h.Set(attempt.HeaderAccount, a.Account)
+	}
 	if a.Route != "" {
 		h.Set(attempt.HeaderRoute, a.Route)
+		h.Set(attempt.HeaderRank, strconv.Itoa(a.Rank))
 		h.Set(attempt.HeaderObjective, strconv.FormatInt(a.Objective.Milliseconds(), 10))
 	}
 }
@@ -84,6 +90,7 @@
 	a.Movable = len(h.Peek(attempt.HeaderMovable)) > 0
 	// A value that cannot be read is like none: the destination node then waits for the word of its back end.
 	a.KnownLimit, _ = requestlimit.Parse(string(h.Peek(attempt.HeaderRequestLimit)))
+	a.Account = string(h.Peek(attempt.HeaderAccount))
 	a.Route = string(h.Peek(attempt.HeaderRoute))
 	if a.Route != "" {
 		objective, err := strconv.ParseInt(string(h.Peek(attempt.HeaderObjective)), 10, 64)
@@ -91,6 +98,8 @@
 			return a, errors.Wrapf(err, "read header %s", attempt.HeaderObjective)
 		}
 		a.Objective = time.Duration(objective) * time.Millisecond
+		// A node of an earlier version sends none; its requests then have the highest rank, as their Priority says more.
+		a.Rank, _ = strconv.Atoi(string(h.Peek(attempt.HeaderRank)))
 	}
 	return a, nil
 }
--- a/node/protocol/message/message.go
+++ b/node/protocol/message/message.go
@@ -22,6 +22,8 @@
 	Service        string
 	Idempotent     bool
 	Priority       rule.Priority
+	Rank           int           // priority number of a request on a route, 0 for the most urgent
+	Account        string        // client account of the request, empty for none
 	Arrived        time.Time     // arrival at the entry node
 	PipelinedAhead int           // earlier requests of the same connection that were unanswered on arrival
 	Deadline       time.Time     // for the whole response
--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -31,6 +31,8 @@
 		Service:     a.Service,
 		Deadline:    a.Deadline,
 		Priority:    a.Priority,
+		Rank:        a.Rank,
+		Account:     a.Account,
 		Depth:       a.Depth,
 		Route:       a.Route,
 		Objective:   a.Objective,
--- a/node/transport/caller/runner.go
+++ b/node/transport/caller/runner.go
@@ -158,6 +158,8 @@
 		Deadline:    r.req.Deadline,
 		Depth:       r.req.Depth,
 		Priority:    r.req.Priority,
+		Rank:        r.req.Rank,
+		Account:     r.req.Account,
 		Service:     r.req.Service,
 		Route:       r.req.Route,
 		Rerun:       cmd.Rerun,
--- a/pollenhill/protocol/refusalhelp/entries.go
+++ b/pollenhill/protocol/refusalhelp/entries.go
@@ -91,4 +91,12 @@
 		"limit", "The back end already gets as many requests per second as it takes by its own word. Nothing ran.",
 		"Callers come back when Retry-After says. If it lasts, find out why the back end is in need (event 1015, backend_limit) or add back ends.",
 	},
+	{
+		"key", "The request has no key of a client account, or one that no account holds. Nothing ran.",
+		"Compare the accounts of \"pollenhill show\" with the caller's: its key may have been withdrawn. The caller has to use another key.",
+	},
+	{
+		"allowance", "The client account has sent as many requests as its allowance over all nodes permits. Nothing ran.",
+		"Callers come back when Retry-After says. If the account needs more, raise quota or burst in its \"account\" rule.",
+	},
 }
