caller: check the keys of client accounts at the entry node

A request on a route that is not open now needs a key; 401 with a challenge otherwise, before its body is read, and once more when the body is there, since keys come and go with versions. The key ends at the entry node, which sets the account header whatever the caller sent; a destination node with newer rules removes what an entry node without accounts let through. Pollenhill-Account and Pollenhill-Rank were missing among the headers that callers cannot set: an attempt without an account was sent with the caller's.

Calls of back ends run on open routes without a key. The node beside the back end knows the requests that it runs by their IDs, and gives such a call the account and the rank of its parent, for scheduling between nodes only.

--- a/core/protocol/refusal/refusal.go
+++ b/core/protocol/refusal/refusal.go
@@ -14,8 +14,12 @@
 const (
 	HeaderProxyStatus = "Proxy-Status" // RFC 9209
 	HeaderRetryAfter  = "Retry-After"  // seconds, RFC 9110
+	HeaderChallenge   = "WWW-Authenticate"
 )
 
+// Challenge tells a caller without a known key how to send one (RFC 6750, section 3).
+const Challenge = `Bearer realm="pollenhill"`
+
 // Refusal is a response that a node generates in place of one from a back end.
 type Refusal struct {
 	Reason     Reason
@@ -41,6 +45,9 @@
 	if code := r.StatusCode(); code == 503 || code == 429 {
 		fields = append(fields, HeaderField{HeaderRetryAfter, r.retryAfterSeconds()})
 	}
+	if r.Reason == UnknownKey {
+		fields = append(fields, HeaderField{HeaderChallenge, Challenge})
+	}
 	return fields
 }
 
--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -28,6 +28,11 @@
 	BackendHistoryRead                           // history of the back end read
 )
 
+// Kinds of events of nodes about client accounts.
+const (
+	KeyRefused Kind = 1030 // request without a known key refused
+)
+
 // Kinds of events of control processes.
 const (
 	ControlStarted        Kind = iota + 2000 // control started
--- a/core/state/rule/account.go
+++ b/core/state/rule/account.go
@@ -38,6 +38,9 @@
 // RequiresKeys reports whether requests need the key of an account, unless their route is open.
 func (s *Set) RequiresKeys() bool { return len(s.Accounts) > 0 }
 
+// KeyCount returns the number of keys of all accounts.
+func (s *Set) KeyCount() int { return len(s.accountsByKey) }
+
 // AccountByKey returns the account that holds a key, or false if none does.
 func (s *Set) AccountByKey(key string) (Account, bool) {
 	a, ok := s.accountsByKey[DigestKey(key)]
--- a/node/program/metrics.go
+++ b/node/program/metrics.go
@@ -24,6 +24,7 @@
 	calls         metric.Int64Counter
 	extraAttempts metric.Int64Counter
 	refusals      metric.Int64Counter
+	refusedKeys   metric.Int64Counter
 	headerLatency metric.Float64Histogram
 	addedLatency  metric.Float64Histogram
 }
@@ -59,6 +60,10 @@
 	if m.refusals, err = meter.Int64Counter("refusals", metric.WithDescription("refused calls by service and reason")); err != nil {
 		return err
 	}
+	m.refusedKeys, err = meter.Int64Counter("keys.refused", metric.WithDescription("requests without a known key, by whether they sent one"))
+	if err != nil {
+		return err
+	}
 	m.headerLatency, err = meter.Float64Histogram("call.latency", metric.WithUnit("s"), latencyBuckets,
 		metric.WithDescription("time until the response header"))
 	if err != nil {
@@ -84,6 +89,8 @@
 		return int64(math.Round(n.backend.RequestLimit()))
 	}},
 	{"calls.open", "calls in progress", func(n *Node) int64 { return int64(n.engine.View().Calls) }},
+	{"rules.accounts", "client accounts in the rules in force", func(n *Node) int64 { return int64(len(n.activeRules.Load().set.Accounts)) }},
+	{"rules.keys", "keys of all client accounts in the rules in force", func(n *Node) int64 { return int64(n.activeRules.Load().set.KeyCount()) }},
 	{"rules.revision", "revision of the rules in force", func(n *Node) int64 { return int64(n.rulesRevision()) }},
 	{"rules.age", "seconds since the rules came into force here", func(n *Node) int64 {
 		return int64(time.Since(n.activeRules.Load().appliedAt).Seconds())
@@ -134,6 +141,12 @@
 	}
 }
 
+// recordRefusedKey counts a request without a known key. Its label says only whether one was sent, since keys and accounts
+// would give a series for each.
+func (m *metrics) recordRefusedKey(sent bool) {
+	m.refusedKeys.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("sent", sent)))
+}
+
 func (m *metrics) close() error {
 	return m.provider.Shutdown(context.Background())
 }
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -16,6 +16,7 @@
 	"pollenhill.example/node/coordination/call"
 	"pollenhill.example/node/coordination/destination"
 	"pollenhill.example/node/coordination/engine"
+	"pollenhill.example/node/coordination/parent"
 	"pollenhill.example/node/protocol/loadreport"
 	"pollenhill.example/node/protocol/message"
 	"pollenhill.example/node/transport/backend"
@@ -48,6 +49,7 @@
 	n.injector = i
 	do.ProvideValue(i, n)
 	do.ProvideValue(i, semaphore.NewWeighted(int64(n.cfg.Limits.BodyMemory)))
+	do.ProvideValue(i, &parent.Table{})
 	do.Provide(i, newEngine)
 	do.Provide(i, newBackend)
 	do.Provide(i, newPeerClient)
@@ -161,6 +163,8 @@
 		CancelByClose:    n.cfg.Backend.CancelByClose,
 		History:          n.controlClient,
 		PoolSettings:     n.poolSettings,
+		AccountsInForce:  func() bool { return n.activeRules.Load().set.RequiresKeys() },
+		Parents:          do.MustInvoke[*parent.Table](i),
 		OnAnnouncementChange: func() {
 			n.announceMember()
 			n.applyControlState()
@@ -235,6 +239,8 @@
 		OnCallDone:       do.MustInvoke[*metrics](i).recordCall,
 		Events:           n.events,
 		OnCallStart:      n.onCallStart,
+		OnKeyRefused:     do.MustInvoke[*metrics](i).recordRefusedKey,
+		Parents:          do.MustInvoke[*parent.Table](i),
 		MaxCalls:         n.cfg.Limits.MaxCalls,
 		MaxPipelined:     n.cfg.Limits.MaxPipelined,
 		MaxReadAhead:     n.cfg.Limits.MaxReadAhead,
--- a/node/protocol/message/message.go
+++ b/node/protocol/message/message.go
@@ -24,6 +24,7 @@
 	Priority       rule.Priority
 	Rank           int           // priority number of a request on a route, 0 for the most urgent
 	Account        string        // client account of the request, empty for none
+	Inherited      bool          // Account is that of the request for which a back end makes this call, which has no key itself
 	Arrived        time.Time     // arrival at the entry node
 	PipelinedAhead int           // earlier requests of the same connection that were unanswered on arrival
 	Deadline       time.Time     // for the whole response
@@ -120,6 +121,7 @@
 	attempt.HeaderAttempt, attempt.HeaderIncarnation, attempt.HeaderDeadline, attempt.HeaderDepth,
 	attempt.HeaderRevision, attempt.HeaderPriority, attempt.HeaderService, attempt.HeaderRoute, attempt.HeaderObjective,
 	attempt.HeaderRerun, attempt.HeaderMovable, attempt.HeaderRequestLimit, attempt.HeaderHint, attempt.HeaderClock,
+	attempt.HeaderAccount, attempt.HeaderRank,
 }
 
 // header is the common interface of fasthttp's request and response headers.
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -19,6 +19,7 @@
 	"pollenhill.example/node/coordination/destination"
 	"pollenhill.example/node/coordination/engine"
 	"pollenhill.example/node/coordination/instance"
+	"pollenhill.example/node/coordination/parent"
 )
 
 // LeaseDuration is how long an announcement is valid unless it is renewed.
@@ -77,6 +78,9 @@
 
 	// PoolSettings returns the path of health checks and the connections per back end, from the rules of a service.
 	PoolSettings func(service string) (healthPath string, maxConnections int)
+
+	AccountsInForce func() bool   // reports whether the rules in force have accounts; nil for never
+	Parents         *parent.Table // receives the requests that the back end runs while accounts are in force; may be nil
 }
 
 // New returns a Backend that is absent until its first announcement or heartbeat.
--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -89,7 +89,8 @@
 	}()
 	deadlineTimer := time.AfterFunc(time.Until(a.Deadline), func() { cancel(errDeadlinePassed) })
 	start := time.Now()
-	stop := sync.OnceFunc(func() { deadlineTimer.Stop(); close(finished); cancel(nil) })
+	endParent := b.startParent(a, req)
+	stop := sync.OnceFunc(func() { deadlineTimer.Stop(); close(finished); cancel(nil); endParent() })
 	reply, result, ended := b.exchange(ctx, a, req)
 	latency := time.Since(start)
 	done := func(result admission.Result) {
@@ -172,6 +173,7 @@
 	h := &fasthttp.RequestHeader{}
 	req.Header.CopyTo(h)
 	h.SetNoDefaultContentType(true)
+	b.removeForeignIdentity(h, a)
 	h.Set(cmp.Or(b.cfg.Headers.Deadline, attempt.HeaderDeadline), message.DeadlineValue(a.Deadline, time.Now()))
 	h.Set(attempt.HeaderDepth, strconv.Itoa(a.Depth+1))
 	if name := b.cfg.Headers.TargetInstance; name != "" && id != "" {
--- a/node/transport/caller/calllog.go
+++ b/node/transport/caller/calllog.go
@@ -23,6 +23,8 @@
 	failedCallBurst      = 200
 	servedCallsPerSecond = 5
 	servedCallBurst      = 20
+	refusedKeysPerSecond = 1
+	refusedKeyBurst      = 10
 )
 
 // callLog logs the results of calls with their attempts; it is safe for concurrent use.
@@ -30,6 +32,7 @@
 	cfg           Config
 	failedLimiter *event.RateLimiter
 	servedLimiter *event.RateLimiter
+	keyLimiter    *event.RateLimiter // apart, as callers that guess keys must not suppress the lines of other calls
 }
 
 func newCallLog(cfg Config) callLog {
@@ -37,6 +40,7 @@
 		cfg:           cfg,
 		failedLimiter: event.NewRateLimiter(failedCallsPerSecond, failedCallBurst),
 		servedLimiter: event.NewRateLimiter(servedCallsPerSecond, servedCallBurst),
+		keyLimiter:    event.NewRateLimiter(refusedKeysPerSecond, refusedKeyBurst),
 	}
 }
 
--- a/node/transport/caller/request.go
+++ b/node/transport/caller/request.go
@@ -42,19 +42,28 @@
 	}
 	path := string(req.Header.RequestURI())
 	if r, ok := set.RouteFor(string(req.Header.Host()), path); ok {
-		return req, s.applyRoute(req, r, now)
+		return req, s.applyRoute(req, set, r, now)
 	}
 	service, ok := set.ServiceFor(string(req.Header.Host()), path)
 	if !ok {
 		return nil, refusal.NoRoute
 	}
+	account, reason := authenticate(set, &req.Header, false)
+	if reason != refusal.None {
+		return nil, reason
+	}
+	req.Account = account.Name
 	req.Service = service.Name
 	req.Idempotent = set.Idempotent(service.Name, string(req.Header.Method()), path)
 	req.Priority = set.Priority(service.Name, path)
+	if account.Priority != nil {
+		req.Priority = priorityOf(*account.Priority)
+	}
 	if reason := s.readCallerHeaders(req, service.Deadline, now); reason != refusal.None {
 		return nil, reason
 	}
 	message.StripHopByHop(&req.Header)
+	s.setAccountHeader(req, set)
 	req.Header.Add(headerVia, "1.1 "+s.cfg.Node)
 	s.setContentLength(req)
 	return req, refusal.None
@@ -116,12 +125,20 @@
 }
 
 // applyRoute sets the service, limits and headers of a request according to its route.
-func (s *Server) applyRoute(req *message.Request, r rule.Route, now time.Time) refusal.Reason {
+func (s *Server) applyRoute(req *message.Request, set *rule.Set, r rule.Route, now time.Time) refusal.Reason {
+	account, reason := authenticate(set, &req.Header, r.Access == rule.AccessOpen)
+	if reason != refusal.None {
+		return reason
+	}
 	req.Route = r.Name
+	req.Account = account.Name
+	req.Rank = account.RequestPriority(r.Priority)
+	if set.RequiresKeys() && req.Account == "" {
+		s.inheritFromParent(req)
+	}
 	req.Service = s.splitter.Pick(r)
 	req.Idempotent = r.Kind.Repeatable()
-	req.Rank = r.Priority
-	req.Priority = priorityOf(r.Priority)
+	req.Priority = priorityOf(req.Rank)
 	req.MaxTries = r.MaxTries
 	req.Objective = r.LatencyObjective
 	if reason := s.readCallerHeaders(req, cmp.Or(r.Timeout, rule.DefaultDeadline), now); reason != refusal.None {
@@ -129,6 +146,7 @@
 	}
 	req.FirstTry = s.refusedCallers.firstTry(req)
 	message.StripHopByHop(&req.Header)
+	s.setAccountHeader(req, set)
 	if s.cfg.Headers.CallerService != "" {
 		req.Header.Set(s.cfg.Headers.CallerService, s.cfg.LocalService)
 	}
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -21,6 +21,7 @@
 	"pollenhill.example/node/coordination/call"
 	"pollenhill.example/node/coordination/destination"
 	"pollenhill.example/node/coordination/engine"
+	"pollenhill.example/node/coordination/parent"
 	"pollenhill.example/node/protocol/message"
 	"pollenhill.example/node/transport/httpserver"
 	"pollenhill.example/node/transport/inbound"
@@ -62,6 +63,8 @@
 	OnCallDone       func(CallMetrics)    // receives every call whose reply header is known; may be nil
 	Events           *event.Log           // receives the log lines of calls; nil disables them
 	OnCallStart      func(service string) // receives the service of every new call; may be nil
+	OnKeyRefused     func(sent bool)      // called for each request refused with UnknownKey: whether it sent a key; may be nil
+	Parents          *parent.Table        // requests that the back end of this node runs; nil: calls inherit nothing
 	MaxCalls         int                  // limit of concurrent requests
 	MaxPipelined     int                  // limit of unanswered requests per connection
 	MaxReadAhead     int                  // limit, over all connections, of requests read while an earlier one of their connection is unanswered
@@ -95,6 +98,7 @@
 		Handler:        in,
 		Exclusive:      s.exclusive,
 		Deadline:       s.deadline,
+		Unwanted:       s.refuseUnread,
 		MaxHeaderBytes: cfg.MaxHeaderBytes,
 		MaxBodyBytes:   cfg.MaxBodyBytes,
 		MaxPipelined:   cfg.MaxPipelined,
@@ -128,7 +132,11 @@
 func (s *Server) refusalReply(h *fasthttp.RequestHeader, reason refusal.Reason) *message.Reply {
 	keyed := len(h.Peek(headerKey)) > 0
 	f := refusal.Refusal{Reason: reason, Outcome: call.UnclaimedOutcome(keyed), RetryAfter: time.Second, Node: s.cfg.Node}
-	return message.RefusalReply(s.withRetryAfter(f, nil))
+	reply := message.RefusalReply(s.withRetryAfter(f, nil))
+	if reason == refusal.UnknownKey {
+		s.reportRefusedKey(h, reply)
+	}
+	return reply
 }
 
 // panicReply logs a panic and returns the reply to its request, which may have run.
@@ -179,7 +187,9 @@
 	req, reason := s.routeRequest(in)
 	if reason != refusal.None {
 		reply := s.refusalReply(in.Header, reason)
-		s.log.logRefused(in.Header, reply)
+		if reason != refusal.UnknownKey { // reportRefusedKey has logged it
+			s.log.logRefused(in.Header, reply)
+		}
 		return reply
 	}
 	r := s.startCall(ctx, req)
--- a/node/transport/httpserver/exchange.go
+++ b/node/transport/httpserver/exchange.go
@@ -57,6 +57,10 @@
 		x.closeAfter = true
 		return true
 	}
+	if x.reason = x.unwanted(); x.reason != refusal.None {
+		x.closeAfter = true
+		return true
+	}
 	x.exclusive = c.server.cfg.Exclusive(&x.req.Header)
 	if !x.waitUntilRunnable() {
 		return false
@@ -109,6 +113,20 @@
 	return h.IsGet() || h.IsHead()
 }
 
+// hasBody reports whether a body follows the header of the request.
+func (x *exchange) hasBody() bool {
+	return x.req.Header.ContentLength() != 0 && !bodyless(&x.req.Header)
+}
+
+// unwanted returns why the request is refused before its body is read. One without a body is left to the handler, since
+// its connection can be kept.
+func (x *exchange) unwanted() refusal.Reason {
+	if x.conn.server.cfg.Unwanted == nil || !x.hasBody() {
+		return refusal.None
+	}
+	return x.conn.server.cfg.Unwanted(&x.req.Header)
+}
+
 // readBody reads the body and sets the reason if that fails.
 func (x *exchange) readBody() {
 	c := x.conn
@@ -136,7 +154,7 @@
 func (x *exchange) bodyDeadline() time.Time {
 	cfg := &x.conn.server.cfg
 	deadline := time.Now().Add(cfg.ReadTimeout)
-	if cfg.Deadline == nil || x.req.Header.ContentLength() == 0 || bodyless(&x.req.Header) {
+	if cfg.Deadline == nil || !x.hasBody() {
 		return deadline
 	}
 	if own := cfg.Deadline(&x.req.Header, x.in.Arrived); !own.IsZero() && own.Before(deadline) {
--- a/node/transport/httpserver/server.go
+++ b/node/transport/httpserver/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/semaphore"
 
+	"pollenhill.example/core/protocol/refusal"
 	"pollenhill.example/node/transport/inbound"
 )
 
@@ -34,6 +35,7 @@
 	Handler        *inbound.Handler
 	Exclusive      func(*fasthttp.RequestHeader) bool                           // reports whether a request must not run concurrently with others of its connection
 	Deadline       func(h *fasthttp.RequestHeader, arrived time.Time) time.Time // deadline for receiving the body; nil or a zero result for none
+	Unwanted       func(*fasthttp.RequestHeader) refusal.Reason                 // reports why a request is refused before its body is read, or None; nil for never
 	MaxHeaderBytes int                                                          // limit of one request header
 	MaxBodyBytes   int                                                          // limit of one request body
 	MaxPipelined   int                                                          // limit of unanswered requests per connection
