rule: no keys in problems, and counts of keys in show, check and status

A problem on an account line repeated words of the line and offered a corrected line: both went with the key into event 2004 of control processes, 1005 of nodes, answers of the change interface and the log of the group. Problems on account lines, also misspelt ones, now name no word that may be a key and offer the fixed example; the place says where it is.

TestProblemsShowNoKeys and TestKeysAreNotShown fail before it.

--- a/core/state/rule/account_test.go
+++ b/core/state/rule/account_test.go
@@ -46,3 +46,48 @@
 		t.Errorf("account without priority: got %d, want that of the route", got)
 	}
 }
+
+// Guards against a problem that shows a key, also one in a misspelt rule or option: problems are logged, and sent from one process
+// to another.
+func TestProblemsShowNoKeys(t *testing.T) {
+	const key = "secretkey"
+	lines := map[string]string{
+		"no comment":             "account a keys=" + key,
+		"option that is none":    "account a kyes=" + key + " # kari: test",
+		"key after a blank":      "account a keys=k1, " + key + " # kari: test",
+		"key without its option": "account a " + key + " # kari: test",
+		"too many words":         "account a keys=k1 rank=0 quota=1 burst=1 more=x rank=2 " + key + " # kari: test",
+		"repeated option":        "account a keys=k1 keys=" + key + " # kari: test",
+		"bad rank":               "account a keys=" + key + " rank=first # kari: test",
+		"bad quota":              "account a keys=" + key + " quota=-1 # kari: test",
+		"misspelt rule":          "acount a keys=" + key + " # kari: test",
+		"misspelt rule, option":  "acount a kyes=" + key + " # kari: test",
+		"control character":      "account a keys=x\x01" + key + " # kari: test",
+		"bad byte":               "account a keys=\xff" + key + " # kari: test",
+		"account twice":          "account b keys=" + key + " # kari: test\naccount b keys=other # kari: test",
+		"shared key":             "account b keys=" + key + " # kari: test\naccount c keys=" + key + " # kari: test",
+		"empty key":              "account b keys=" + key + ",, # kari: test",
+	}
+	for name, line := range lines {
+		_, err := rule.Parse("format 1\nchange 1 # kari: test\n" + line + "\n")
+		if err == nil || strings.Contains(err.Error(), key) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// Guards against a masked line that still shows a key, or that hides more than the keys.
+func TestHideKeys(t *testing.T) {
+	for line, want := range map[string]string{
+		"account a keys=k1,k2 rank=0 # kari: test": "account a keys=(2) rank=0 # kari: test",
+		"account a keys=k1":                        "account a keys=(1)",
+		"account a keys= rank=0":                   "account a keys=(0) rank=0",
+		"account a keys=k1 keys=k2,k3":             "account a keys=(1) keys=(2)",
+		"route r host=h path=/keys=/":              "route r host=h path=/keys=/",
+		"":                                         "",
+	} {
+		if got := rule.HideKeys(line); got != want {
+			t.Errorf("%q: got %q, want %q", line, got, want)
+		}
+	}
+}
--- a/core/state/rule/parse.go
+++ b/core/state/rule/parse.go
@@ -85,6 +85,12 @@
 
 // report adds a problem at a byte offset of l, with an example of a valid line.
 func (p *parser) report(l line, offset int, example, format string, args ...any) {
+	if l.mayHoldKeys() {
+		args = l.hideKeys(args)
+		if example != "" {
+			example = verbs["account"].example
+		}
+	}
 	p.problems = append(p.problems, Problem{
 		Line:    l.number,
 		Column:  l.column(offset),
--- a/pollenhill/command/check.go
+++ b/pollenhill/command/check.go
@@ -21,8 +21,8 @@
 	Zones         int            `json:"zones"`
 	Services      int            `json:"services"`
 	Problems      []rule.Problem `json:"problems"`
-	RemovedLines  []string       `json:"removed,omitempty"` // from the rules in force
-	AddedLines    []string       `json:"added,omitempty"`   // to the rules in force
+	RemovedLines  []string       `json:"removed,omitempty"` // from the rules in force, with the number of keys in place of keys
+	AddedLines    []string       `json:"added,omitempty"`   // to the rules in force, with the number of keys in place of keys
 }
 
 func checkCommand() *cli.Command {
@@ -99,8 +99,8 @@
 	o.NumberInForce = &number
 	lines := strings.SplitAfter(old, "\n")
 	for _, edit := range rule.Diff(old, text) {
-		o.RemovedLines = append(o.RemovedLines, trimLineEnds(lines[edit.Start:edit.Start+edit.Count])...)
-		o.AddedLines = append(o.AddedLines, trimLineEnds(edit.Lines)...)
+		o.RemovedLines = append(o.RemovedLines, printableLines(lines[edit.Start:edit.Start+edit.Count])...)
+		o.AddedLines = append(o.AddedLines, printableLines(edit.Lines)...)
 	}
 	if o.Valid && o.ChangeNumber != number+1 && text != old {
 		o.Valid = false
@@ -109,12 +109,13 @@
 	return nil
 }
 
-func trimLineEnds(lines []string) []string {
-	trimmed := make([]string, len(lines))
+// printableLines returns lines of rules without their ends and without the keys of accounts.
+func printableLines(lines []string) []string {
+	printable := make([]string, len(lines))
 	for i, line := range lines {
-		trimmed[i] = strings.TrimRight(line, "\r\n")
+		printable[i] = rule.HideKeys(strings.TrimRight(line, "\r\n"))
 	}
-	return trimmed
+	return printable
 }
 
 func (o *checkOutput) print(c *cli.Command) error {
--- a/pollenhill/command/run_test.go
+++ b/pollenhill/command/run_test.go
@@ -205,6 +205,27 @@
 	}
 }
 
+// Guards against keys of client accounts on the screen of whoever looks at the rules or compares a change with them.
+func TestKeysAreNotShown(t *testing.T) {
+	process := newHealthyProcess()
+	accounts := ruleFile + "account harbour keys=secret-1,secret-2 rank=0 # kari: harbour office\n"
+	process.rules = newRulesResponse(7, accounts)
+	address := serveControl(t, process)
+	next := strings.Replace(strings.Replace(accounts, "change 7", "change 8", 1), "secret-1", "secret-3,secret-1", 1)
+	for _, args := range [][]string{{"show"}, {"status"}, {"check", "-"}, {"check", "--json", "-"}} {
+		code, out, errText := runCommand(t, next, append(args, "--control", address)...)
+		if code != command.ExitOK || strings.Contains(out+errText, "secret") {
+			t.Errorf("%v: exit code %d, %s%s", args, code, out, errText)
+		}
+		if want := map[string]string{"show": "keys=(2)", "status": "accounts: 1 with 2 keys", "check": "keys=(3)"}[args[0]]; !strings.Contains(out, want) {
+			t.Errorf("%v: no %q in %s", args, want, out)
+		}
+	}
+	if _, out, _ := runCommand(t, "", "show", "--text", "--control", address); out != accounts {
+		t.Errorf("show --text is not byte for byte: %q", out)
+	}
+}
+
 // Guards against showing the old rules of a control process that is cut off, rules that do not match their hash, or nothing
 // because one control process is down.
 func TestShowNewestIntactRules(t *testing.T) {
--- a/pollenhill/command/show.go
+++ b/pollenhill/command/show.go
@@ -36,9 +36,10 @@
 
 func showCommand() *cli.Command {
 	return &cli.Command{
-		Name:        "show",
-		Usage:       "show the rules in force and who asked for every line",
-		Description: "The newest rules of all control processes that answer are shown; the leader is not needed.\n\n" + exitCodes,
+		Name:  "show",
+		Usage: "show the rules in force and who asked for every line",
+		Description: "The newest rules of all control processes that answer are shown; the leader is not needed.\n" +
+			"Keys of client accounts are shown with --text and --json only.\n\n" + exitCodes,
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "text", Usage: "print the accepted text byte for byte and nothing else"},
 			&cli.IntFlag{Name: "history", Usage: "also list the newest `N` accepted changes"},
@@ -122,12 +123,12 @@
 }
 
 // ruleText returns a line of the rules without the comment that names author and reason, since these have columns of
-// their own.
+// their own, and with the number of keys in place of the keys of an account.
 func ruleText(l rule.Attribution) string {
 	if l.Author == "" {
-		return l.Text
+		return rule.HideKeys(l.Text)
 	}
-	return l.Statement
+	return rule.HideKeys(l.Statement)
 }
 
 func (o showOutput) printHistory(c *cli.Command) {
--- a/pollenhill/command/status.go
+++ b/pollenhill/command/status.go
@@ -21,6 +21,7 @@
 	ControlProcesses []controlProcess `json:"control"`
 	Zones            []zoneSummary    `json:"zones"`
 	Nodes            []nodeStatus     `json:"nodes"`
+	Accounts         *accountSummary  `json:"accounts,omitempty"` // nil without accounts in the rules
 
 	mostCurrent *control.StatusResponse // answer from which nodes and group members are taken
 }
@@ -58,6 +59,12 @@
 	Slots        uint64 `json:"slots"` // of ready and cold back ends
 }
 
+// accountSummary counts the client accounts of the rules in force.
+type accountSummary struct {
+	Count int `json:"count"`
+	Keys  int `json:"keys"` // of all accounts
+}
+
 // nodeStatus is a node with its back ends.
 type nodeStatus struct {
 	Name        string          `json:"name"`
@@ -110,7 +117,11 @@
 	for _, a := range answers {
 		output.ControlProcesses = append(output.ControlProcesses, newControlProcess(a))
 	}
-	output.addMembers(best.GetMembers(), fetchParsedRules(ctx, clients), c.String("zone"), c.String("service"))
+	rules := fetchParsedRules(ctx, clients)
+	output.addMembers(best.GetMembers(), rules, c.String("zone"), c.String("service"))
+	if rules != nil && rules.RequiresKeys() {
+		output.Accounts = &accountSummary{Count: len(rules.Accounts), Keys: rules.KeyCount()}
+	}
 	if c.Bool("json") {
 		err = printJSON(c, output)
 	} else {
@@ -266,6 +277,9 @@
 	}
 	table.Flush()
 	o.printGroupMembers(c)
+	if o.Accounts != nil {
+		printf(c, "accounts: %d with %d keys\n", o.Accounts.Count, o.Accounts.Keys)
+	}
 	fmt.Fprintln(table, "\nzone\tregion\tservice\tnodes\tready\tcold\tdraining\tleaving\tslots")
 	for _, z := range o.Zones {
 		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n", z.Name, z.Region, z.serviceText(), z.Nodes, z.Ready, z.Cold, z.Draining, z.Leaving, z.Slots)
