program: tests of accounts over two nodes

Key and account on the wire between nodes and at the back end, an entry node whose rules are older, calls that inherit only while their parent runs, and a removed key that is offered again.

--- a/node/program/harness_test.go
+++ b/node/program/harness_test.go
@@ -73,6 +73,15 @@
 	ctl.changed = make(chan struct{})
 }
 
+// setRules makes nodes see a revision of the rules.
+func (ctl *fakeControl) setRules(revision uint64, text string) {
+	ctl.mu.Lock()
+	defer ctl.mu.Unlock()
+	ctl.state.Revision, ctl.state.RulesText = revision, text
+	close(ctl.changed)
+	ctl.changed = make(chan struct{})
+}
+
 func (ctl *fakeControl) State() *follow.State {
 	ctl.mu.Lock()
 	defer ctl.mu.Unlock()
--- a/node/program/pool_test.go
+++ b/node/program/pool_test.go
@@ -24,7 +24,7 @@
 var testHeaders = header.Names{
 	RequestID: "Test-Request", Deadline: "Test-Deadline", TargetInstance: "Test-Target", BackendMarker: "Test-Seal", NotRun: "Test-Refused",
 	LoadReport: "Test-Load", InstanceID: "Test-Instance", RemainingColdStart: "Test-Cold", CallerService: "Test-Caller",
-	RequestLimit: "Test-Limit", Leaving: "Test-Leaving",
+	RequestLimit: "Test-Limit", Leaving: "Test-Leaving", Account: "Test-Account",
 }
 
 // rawBackend is a TCP back end that writes the bytes that a test sets, so that it can break the protocol in any way.
