--- a/node/transport/caller/authenticate_test.go
+++ b/node/transport/caller/authenticate_test.go
@@ -34,8 +34,8 @@
 	unknownKey = "Authorization: Bearer former-key"
 )
 
-// Guards against a request that runs without the key of an account, one with a key that is refused, and routes that do not
-// exist answered as if they did.
+// Guards against a request that runs without the key of an account, one with a key that is refused, routes that do not exist
+// answered as if they did, and keys in the log.
 func TestKeyDecidesWhoIsServed(t *testing.T) {
 	tests := map[string]struct {
 		text   string
@@ -91,6 +91,13 @@
 	if s.refusedKeys(true) == 0 || s.refusedKeys(false) == 0 {
 		t.Errorf("refused keys are not reported: %v", s.keysRefused)
 	}
+	log := s.logText()
+	if !strings.Contains(log, `"event":1030`) || !strings.Contains(log, `"event":1007`) {
+		t.Errorf("refused keys or served calls are not logged: %s", log)
+	}
+	if strings.Contains(strings.ToLower(log), "-key") {
+		t.Errorf("a key is logged: %s", log)
+	}
 }
 
 // Guards against a node that has just started and tells callers with good keys to give up: 401 is not tried again.
--- a/node/transport/caller/harness_test.go
+++ b/node/transport/caller/harness_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"golang.org/x/sync/semaphore"
 
 	"pollenhill.example/core/coordination/admission"
@@ -22,6 +24,7 @@
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/header"
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/state/rule"
 	"pollenhill.example/node/coordination/call"
 	"pollenhill.example/node/coordination/destination"
@@ -111,7 +114,22 @@
 	rules   atomic.Pointer[rule.Set]
 
 	mu          sync.Mutex
-	keysRefused map[bool]int // by whether a key was sent
+	keysRefused map[bool]int    // by whether a key was sent
+	log         strings.Builder // lines of all events
+}
+
+// Write takes lines of the event log.
+func (s *testServer) Write(line []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.log.Write(line)
+}
+
+// logText returns the lines of all events.
+func (s *testServer) logText() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.log.String()
 }
 
 // startServer starts a server without rules; it runs until the test ends.
@@ -126,8 +144,10 @@
 	})
 	done := make(chan struct{})
 	go func() { defer close(done); s.engine.Run(ctx) }()
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(s), zapcore.InfoLevel)
 	server := caller.New(caller.Config{
-		Node: "n", Engine: s.engine, Sender: s.sender, Rules: s.rules.Load, Parents: s.parents,
+		Events: event.New(event.Config{Process: "n", Logger: zap.New(core), Clock: event.NewClock(time.Now)}),
+		Node:   "n", Engine: s.engine, Sender: s.sender, Rules: s.rules.Load, Parents: s.parents,
 		OnKeyRefused: func(sent bool) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
