httpserver: cancel requests of a client that leaves after its last one

Callers that asked to close their connection, or sent something malformed or a body cut short behind earlier requests, and then left, were served to the end: attempts, retries and inner calls went on for nobody.

The reader stops after the last request that a connection takes, and only the reader notices that the client is gone. It now watches the connection until the last reply is due, and discards input meanwhile, within the limit of a lingering close.

TestDisconnectCancelsAllRequests fails before it in its five new cases (20 s without a cancellation each) and passes after.

--- a/node/transport/httpserver/conn.go
+++ b/node/transport/httpserver/conn.go
@@ -47,7 +47,7 @@
 	}
 	c.releaseReader()
 	if last := c.newestUnanswered(); last != nil {
-		<-last.done
+		c.awaitLastReply(last.done)
 	}
 	if c.closeAnnounced() {
 		c.lingeringClose()
@@ -152,24 +152,43 @@
 // connection ended.
 func (c *conn) waitWatchingClose(done <-chan struct{}) bool {
 	c.acquireReader()
+	woken := c.interruptReadAt(done)
+	_, err := c.r.Peek(c.r.Size())
+	disconnected := err != nil && !isTimeout(err)
+	if disconnected {
+		c.cancel()
+	}
+	<-woken
+	return !disconnected && c.ctx.Err() == nil
+}
+
+// interruptReadAt makes a blocked read fail once done is closed or the connection ends. The returned channel is closed after
+// that.
+func (c *conn) interruptReadAt(done <-chan struct{}) (woken <-chan struct{}) {
 	// Cleared before the goroutine can set it: the other way round its wake-up would be lost.
 	_ = c.net.SetReadDeadline(time.Time{})
-	woken := make(chan struct{})
+	set := make(chan struct{})
 	go func() {
-		defer close(woken)
+		defer close(set)
 		select {
 		case <-done:
 		case <-c.ctx.Done():
 		}
 		_ = c.net.SetReadDeadline(expiredDeadline)
 	}()
-	_, err := c.r.Peek(c.r.Size())
-	disconnected := err != nil && !isTimeout(err)
-	if disconnected {
+	return set
+}
+
+// awaitLastReply waits until the last request that is read from the connection is answered, and cancels the unanswered ones
+// if the client disconnects before. Nothing more is accepted, so that input is discarded, within the limit of a lingering
+// close.
+func (c *conn) awaitLastReply(done <-chan struct{}) {
+	woken := c.interruptReadAt(done)
+	if _, err := io.CopyN(io.Discard, c.net, maxLingerBytes); err != nil && !isTimeout(err) {
 		c.cancel()
 	}
 	<-woken
-	return !disconnected && c.ctx.Err() == nil
+	<-done
 }
 
 // newestUnanswered returns the last request read if it is unanswered, or nil.
--- a/node/transport/httpserver/server_test.go
+++ b/node/transport/httpserver/server_test.go
@@ -92,14 +92,19 @@
 }
 
 // Guards against requests that keep running after their client has disconnected, whether one was read, several, as many as
-// MaxPipelined allows, or part of another.
+// MaxPipelined allows, or part of another, and whether or not the connection takes further requests.
 func TestDisconnectCancelsAllRequests(t *testing.T) {
 	for name, test := range map[string]struct{ text, last string }{
-		"one request":                {get("/a"), "/a"},
-		"several":                    {get("/a") + get("/b") + get("/c"), "/c"},
-		"after an exclusive request": {post("/a", "x") + get("/b"), "/a"},
-		"at the pipelining limit":    {get("/a") + get("/b") + get("/c") + get("/d") + get("/e"), "/c"},
-		"in the middle of a request": {get("/a") + "GET /b HTT", "/a"},
+		"one request":                 {get("/a"), "/a"},
+		"several":                     {get("/a") + get("/b") + get("/c"), "/c"},
+		"after an exclusive request":  {post("/a", "x") + get("/b"), "/a"},
+		"at the pipelining limit":     {get("/a") + get("/b") + get("/c") + get("/d") + get("/e"), "/c"},
+		"in the middle of a request":  {get("/a") + "GET /b HTT", "/a"},
+		"that asked to close":         {closing("/a"), "/a"},
+		"the last one asked to close": {get("/a") + closing("/b"), "/b"},
+		"behind the last one":         {get("/a") + closing("/b") + get("/c"), "/b"},
+		"before a malformed request":  {get("/a") + "GET /b\r\n\r\n", "/a"},
+		"in the middle of a body":     {get("/a") + "GET /b HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 5\r\n\r\nab", "/a"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newTestServer(t, func(cfg *httpserver.Config) { cfg.MaxPipelined = 3 })
--- a/node/transport/httpserver/testserver_test.go
+++ b/node/transport/httpserver/testserver_test.go
@@ -186,6 +186,10 @@
 	return "GET " + path + " HTTP/1.1\r\nHost: desk.example\r\n\r\n"
 }
 
+func closing(path string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n\r\n"
+}
+
 func post(path, body string) string {
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: desk.example\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
 }
