tcp: refuse a response whose status is outside 100 to 599

Callers got an answer with a status from 600 to 999 as it came, and a claim's recorded answer without a status as a 200. Other systems passed on a status 000 in the same way; that one was refused here already.

The status line was checked for three digits of which the first is not 0, and what a claim had recorded was not checked. Now a status line has a status from 100 to 599; any other head breaks the attempt, its outcome is unknown, so that a request that must not run twice is not repeated, and the connection is closed. A recorded answer needs 200 to 599, else the caller gets 502 with the outcome unknown.

--- a/core/transport/tcp/headerblock.go
+++ b/core/transport/tcp/headerblock.go
@@ -60,14 +60,15 @@
 }
 
 // isStatusLine reports whether line is a status line of RFC 9112, section 4, of HTTP/1.0 or HTTP/1.1; the reason may be missing
-// with its space. A line with a bare line feed would end the header for some parsers.
+// with its space. A line with a bare line feed would end the header for some parsers. The status is between 100 and 599: clients
+// do not know what another one promises.
 func isStatusLine(line []byte) bool {
 	rest, ok := bytes.CutPrefix(line, responsePrefix)
 	if !ok || len(rest) < len("1 200") || rest[0] != '0' && rest[0] != '1' || rest[1] != ' ' {
 		return false
 	}
 	code, reason := rest[2:5], rest[5:]
-	if code[0] < '1' || code[0] > '9' || !isNumber(code) {
+	if code[0] < '1' || code[0] > '5' || !isNumber(code) {
 		return false
 	}
 	hasControl := bytes.ContainsFunc(reason, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f })
--- a/core/transport/tcp/responsehead_test.go
+++ b/core/transport/tcp/responsehead_test.go
@@ -91,6 +91,37 @@
 	}
 }
 
+// Guards against a status outside 100 to 599 that callers get as an answer, or that is skipped as an interim response, so that
+// the next bytes are read as the answer.
+func TestImpossibleStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999", "1e2", "+20", "0200", "2OO", "٢٠٠"} {
+		for _, raw := range []string{
+			"HTTP/1.1 " + status + " x\r\nContent-Length: 0\r\n\r\n",
+			"HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+			"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + status + " x\r\nContent-Length: 4\r\n\r\nbody",
+		} {
+			if resp, body := exchangeWith(t, []byte(raw)); resp != nil {
+				t.Errorf("%q: status %d, body %q", raw, resp.Header.StatusCode(), body)
+			}
+		}
+	}
+	for _, status := range []string{"200", "299", "404", "599"} {
+		raw := "HTTP/1.1 " + status + " x\r\nContent-Length: 0\r\n\r\n"
+		if resp, _ := exchangeWith(t, []byte(raw)); resp == nil {
+			t.Errorf("%q is no response", raw)
+		}
+	}
+	for _, interim := range []string{"100", "102", "199"} {
+		raw := "HTTP/1.1 " + interim + " x\r\n\r\nHTTP/1.1 204 x\r\n\r\n"
+		if resp, _ := exchangeWith(t, []byte(raw)); resp == nil || resp.Header.StatusCode() != http.StatusNoContent {
+			t.Errorf("%q: the final response is not found", raw)
+		}
+		if resp, _ := exchangeWith(t, []byte("HTTP/1.1 "+interim+" x\r\nContent-Length: 0\r\n\r\n")); resp != nil {
+			t.Errorf("status %s alone is an answer", interim)
+		}
+	}
+}
+
 // FuzzResponseHead guards against bytes that this client reads as another response than a strict parser does.
 func FuzzResponseHead(f *testing.F) {
 	for _, seed := range []string{
@@ -101,6 +132,10 @@
 		"HTTP/1.1 200 OK\n\nbody\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
 		"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\nbody",
+		"HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 600 x\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 100 x\r\n\r\nHTTP/1.1 999 x\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 199 x\r\nContent-Length: 0\r\n\r\n",
 	} {
 		f.Add([]byte(seed))
 	}
@@ -109,6 +144,9 @@
 		if resp == nil {
 			return
 		}
+		if code := resp.Header.StatusCode(); code < 200 || code > 599 {
+			t.Fatalf("%q: status %d is a final response", raw, code)
+		}
 		r := bufio.NewReader(bytes.NewReader(raw))
 		for {
 			want, err := http.ReadResponse(r, nil)
--- a/node/program/claim_test.go
+++ b/node/program/claim_test.go
@@ -86,6 +86,7 @@
 		"unknown":            {rawResponse(""), 502, 409, "unknown", 1, true},
 		"not run":            {refuseWith503("not-run"), 503, 503, "not-run", 2, false},
 		"truncated response": {rawResponse("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhello"), 502, 409, "unknown", 1, true},
+		"impossible status":  {rawResponse("HTTP/1.1 600 x\r\nContent-Length: 0\r\n\r\n"), 502, 409, "unknown", 1, true},
 		"deadline passed":    {waitForCancel, 504, 409, "unknown", 1, true},
 	}
 	for name, test := range tests {
--- a/node/program/harness_test.go
+++ b/node/program/harness_test.go
@@ -308,3 +308,15 @@
 		}
 	}
 }
+
+// replaceAnswer replaces the recorded response of a key; false means that none is recorded.
+func (ctl *fakeControl) replaceAnswer(key string, a *control.Answer) bool {
+	ctl.mu.Lock()
+	defer ctl.mu.Unlock()
+	c := ctl.claims[key]
+	if c == nil || c.answer == nil {
+		return false
+	}
+	c.answer = a
+	return true
+}
--- a/node/transport/caller/claim.go
+++ b/node/transport/caller/claim.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
 
 	"pollenhill.example/core/protocol/attempt"
 	"pollenhill.example/core/protocol/control"
@@ -149,11 +150,23 @@
 func (r *callRunner) deliverStored() {
 	select {
 	case answer := <-r.storedAnswer:
-		r.sendReply(storedReply(answer))
+		if isFinalStatus(answer.GetStatus()) {
+			r.sendReply(storedReply(answer))
+			return
+		}
+		r.sendReply(r.brokenReply())
 	default:
 	}
 }
 
+// maxStatus is the highest status of a response in HTTP.
+const maxStatus = 599
+
+// isFinalStatus reports whether a recorded status is one of a final response. Without one, the reply would be sent as a 200.
+func isFinalStatus(status uint32) bool {
+	return status >= fasthttp.StatusOK && status <= maxStatus
+}
+
 func storedReply(answer *control.Answer) *message.Reply {
 	reply := &message.Reply{Outcome: attempt.Answered}
 	reply.Header.SetNoDefaultContentType(true)
