peer: ask the destination before a large body is sent

Nodes used 14 MB: memory was not what was short.

Bodies crossed before the destination said a word, all at once, and each short request waited behind all of them. Now an entry node sends the header of an upload from 16 KB on with Expect: 100-continue. What has crossed is not refused as slow any more. Until the body is asked for, a lost connection proves that the request did not run.

Routes of other kinds are sent as before.

--- a/core/transport/tcp/conn.go
+++ b/core/transport/tcp/conn.go
@@ -29,7 +29,8 @@
 	w          *bufio.Writer // nil while the connection is idle
 	written    *countingConn
 	idleSince  time.Time
-	reused     bool // it has carried an earlier exchange
+	reused     bool  // it has carried an earlier exchange
+	askedBytes int64 // bytes of the request that do not let the peer run it; 0 unless the exchange asks before it sends the body
 	finishOnce *sync.Once
 	peerDone   chan struct{} // see Error.PeerDone
 }
@@ -139,7 +140,7 @@
 			return
 		}
 		c.reused = c.reused || c.written.bytes > 0
-		c.written.bytes = 0
+		c.written.bytes, c.askedBytes = 0, 0
 		next := *c
 		next.releaseBuffers()
 		next.finishOnce = &sync.Once{}
--- a/core/transport/tcp/error.go
+++ b/core/transport/tcp/error.go
@@ -32,7 +32,7 @@
 type Error struct {
 	Step     Step
 	Peer     netip.AddrPort
-	WroteAny bool // the kernel accepted at least one byte of the request
+	WroteAny bool // the kernel accepted at least one byte of the request; of its body, if the exchange asks before it sends that
 	Err      error
 	// PeerDone is closed when Peer is known to have stopped working on the request, or when PoolConfig.AbandonTimeout
 	// has passed. It is nil if there was no connection, and for ReadBody.
--- a/core/transport/tcp/exchange.go
+++ b/core/transport/tcp/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,17 +30,28 @@
 // If ctx ends before the body was read, the connection is not used again. An error is an Error, whose PeerDone tells when
 // the other side has stopped working on the request.
 func (p *Pool) Exchange(ctx context.Context, req *fasthttp.RequestHeader, body []byte) (*Response, error) {
+	return p.exchange(ctx, req, body, false)
+}
+
+// ExchangeAsking is Exchange with a peer that runs a request only with its whole body: the body is sent after the peer asks
+// for it with 100 Continue, and Error.WroteAny is set only after that. A final response without it ends the connection.
+func (p *Pool) ExchangeAsking(ctx context.Context, req *fasthttp.RequestHeader, body []byte) (*Response, error) {
+	req.Set(fasthttp.HeaderExpect, "100-continue")
+	return p.exchange(ctx, req, body, true)
+}
+
+func (p *Pool) exchange(ctx context.Context, req *fasthttp.RequestHeader, body []byte, ask bool) (*Response, error) {
 	c, err := p.Get(ctx)
 	if err != nil {
 		return nil, err
 	}
 	stop := c.interruptOnDone(ctx)
-	resp, err := c.roundTrip(ctx, req, body, stop)
+	resp, err := c.roundTrip(ctx, req, body, ask, stop)
 	if err == nil {
 		return resp, nil
 	}
 	stop()
-	wroteAny := c.written.bytes > 0
+	wroteAny := c.written.bytes > c.askedBytes
 	if ctx.Err() != nil {
 		c.abandon()
 	} else {
@@ -55,12 +67,9 @@
 	return nil, &Error{Step: step, Peer: p.cfg.Address, WroteAny: wroteAny, Err: err, PeerDone: c.peerDone}
 }
 
-func (c *Conn) roundTrip(ctx context.Context, req *fasthttp.RequestHeader, body []byte, stop func() bool) (*Response, error) {
-	if err := c.sendRequest(req, body); err != nil {
-		return nil, err
-	}
+func (c *Conn) roundTrip(ctx context.Context, req *fasthttp.RequestHeader, body []byte, ask bool, stop func() bool) (*Response, error) {
 	resp := &Response{}
-	b, err := c.readOwnResponse(ctx, resp, req)
+	b, err := c.sendAndReceive(ctx, resp, req, body, ask)
 	if err != nil {
 		return nil, err
 	}
@@ -72,6 +81,64 @@
 	return resp, nil
 }
 
+// sendAndReceive sends the request and reads the header of its response into resp.
+func (c *Conn) sendAndReceive(ctx context.Context, resp *Response, req *fasthttp.RequestHeader, body []byte, ask bool) (*responseBody, error) {
+	if !ask {
+		if err := c.sendRequest(req, body); err != nil {
+			return nil, err
+		}
+		return c.readOwnResponse(ctx, resp, req)
+	}
+	proceed, err := c.askToSend(ctx, req, &resp.Header)
+	if err != nil {
+		return nil, err
+	}
+	if !proceed {
+		b, err := c.newBody(resp, req.IsHead())
+		if err == nil {
+			b.reuse = false
+		}
+		return b, err
+	}
+	if err := c.sendBody(body); err != nil {
+		return nil, err
+	}
+	return c.readOwnResponse(ctx, resp, req)
+}
+
+// askToSend sends the header of a request and reports whether the peer asks for its body. If not, h is the header of the
+// final response.
+func (c *Conn) askToSend(ctx context.Context, req *fasthttp.RequestHeader, h *fasthttp.ResponseHeader) (bool, error) {
+	// Until the body follows, nothing counts as written: the peer cannot run the request.
+	c.askedBytes = math.MaxInt64
+	if _, err := c.w.Write(req.Header()); err != nil {
+		return false, err
+	}
+	if err := c.w.Flush(); err != nil {
+		return false, err
+	}
+	for range maxInterimResponses + 1 {
+		if err := c.readHeader(ctx, h); err != nil {
+			return false, err
+		}
+		switch code := h.StatusCode(); {
+		case code == fasthttp.StatusContinue:
+			c.askedBytes = c.written.bytes
+			return true, nil
+		case code >= fasthttp.StatusOK:
+			return false, nil
+		}
+	}
+	return false, errTooManyInterim
+}
+
+func (c *Conn) sendBody(body []byte) error {
+	if _, err := c.w.Write(body); err != nil {
+		return err
+	}
+	return c.w.Flush()
+}
+
 // Bounds of what is read and dropped in an exchange; a faulty peer may send it without end.
 const (
 	maxMismatchedResponses = 4        // responses to earlier requests after which the exchange fails
@@ -134,35 +201,43 @@
 	if _, err := c.w.Write(req.Header()); err != nil {
 		return err
 	}
-	if _, err := c.w.Write(body); err != nil {
-		return err
-	}
-	return c.w.Flush()
+	return c.sendBody(body)
 }
 
+// Errors of interim responses.
+var (
+	errTooManyInterim    = errors.New("too many interim responses")
+	errSwitchesProtocols = errors.New("response switches protocols")
+)
+
 // readFinalHeader reads the header of the final response and drops interim responses.
 func (c *Conn) readFinalHeader(ctx context.Context, h *fasthttp.ResponseHeader) error {
 	for range maxInterimResponses + 1 {
-		h.Reset()
-		h.SetNoDefaultContentType(true)
-		block, err := c.awaitHeaderBlock(ctx)
-		if err != nil {
+		if err := c.readHeader(ctx, h); err != nil || h.StatusCode() >= fasthttp.StatusOK {
 			return err
 		}
-		if err := ValidateHeaderBlock(block); err != nil {
-			return err
-		}
-		if err := h.Read(c.r); err != nil {
-			return err
-		}
-		switch code := h.StatusCode(); {
-		case code == fasthttp.StatusSwitchingProtocols:
-			return errors.New("response switches protocols")
-		case code >= fasthttp.StatusOK:
-			return nil
-		}
 	}
-	return errors.New("too many interim responses")
+	return errTooManyInterim
+}
+
+// readHeader reads the header of the next response, interim ones included.
+func (c *Conn) readHeader(ctx context.Context, h *fasthttp.ResponseHeader) error {
+	h.Reset()
+	h.SetNoDefaultContentType(true)
+	block, err := c.awaitHeaderBlock(ctx)
+	if err != nil {
+		return err
+	}
+	if err := ValidateHeaderBlock(block); err != nil {
+		return err
+	}
+	if err := h.Read(c.r); err != nil {
+		return err
+	}
+	if h.StatusCode() == fasthttp.StatusSwitchingProtocols {
+		return errSwitchesProtocols
+	}
+	return nil
 }
 
 // awaitHeaderBlock waits for a header block. After its first byte, the rest must arrive within HeaderReadTimeout.
--- a/node/program/metrics.go
+++ b/node/program/metrics.go
@@ -83,6 +83,18 @@
 	{"backend.limit", "requests per second that the back end takes by its own word, 0 for no limit", func(n *Node) int64 {
 		return int64(math.Round(n.backend.RequestLimit()))
 	}},
+	{"uploads.waiting", "attempts of other nodes that wait to send a large body", func(n *Node) int64 {
+		waiting, _, _ := n.peerServer.UploadCounts()
+		return int64(waiting)
+	}},
+	{"uploads.receiving", "large bodies that arrive from other nodes", func(n *Node) int64 {
+		_, receiving, _ := n.peerServer.UploadCounts()
+		return int64(receiving)
+	}},
+	{"uploads.refused", "attempts of other nodes refused before their large bodies", func(n *Node) int64 {
+		_, _, refused := n.peerServer.UploadCounts()
+		return refused
+	}},
 	{"calls.open", "calls in progress", func(n *Node) int64 { return int64(n.engine.View().Calls) }},
 	{"rules.revision", "revision of the rules in force", func(n *Node) int64 { return int64(n.rulesRevision()) }},
 	{"rules.age", "seconds since the rules came into force here", func(n *Node) int64 {
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -211,6 +211,7 @@
 			return r.set.Revision, r.text
 		},
 		OnPeerRevision: n.onPeerRevision,
+		RefuseEarly:    n.refuseEarly,
 		Events:         n.events,
 		Clock:          n.events.Clock(),
 		MaxHeaderBytes: n.cfg.Limits.MaxHeaderBytes + message.MaxAttemptHeaderSize,
--- a/node/protocol/message/message.go
+++ b/node/protocol/message/message.go
@@ -21,6 +21,7 @@
 	Body           []byte
 	Service        string
 	Idempotent     bool
+	Upload         bool // the body may be large
 	Priority       rule.Priority
 	Rank           int           // priority number of a request on a route, 0 for the most urgent
 	Account        string        // client account of the request, empty for none
--- a/node/transport/caller/request.go
+++ b/node/transport/caller/request.go
@@ -120,6 +120,7 @@
 	req.Route = r.Name
 	req.Service = s.splitter.Pick(r)
 	req.Idempotent = r.Kind.Repeatable()
+	req.Upload = r.Kind == rule.KindUpload
 	req.Rank = r.Priority
 	req.Priority = priorityOf(r.Priority)
 	req.MaxTries = r.MaxTries
--- a/node/transport/httpserver/exchange.go
+++ b/node/transport/httpserver/exchange.go
@@ -28,6 +28,7 @@
 	exclusive    bool            // must not run concurrently with other requests of its connection
 	closeAfter   bool            // the connection closes after its reply
 	readAhead    bool            // holds one of Server.readAheadSlots
+	ticket       BodyTicket      // nil unless the body waits for its turn or is being received after that
 }
 
 // startRequest reads a request and runs it in a new goroutine; false means that no further request can be read.
@@ -58,10 +59,12 @@
 		return true
 	}
 	x.exclusive = c.server.cfg.Exclusive(&x.req.Header)
-	if !x.waitUntilRunnable() {
+	if !x.waitUntilRunnable() || !x.admitBody() {
 		return false
 	}
-	x.readBody()
+	if x.reason == refusal.None {
+		x.readBody()
+	}
 	return true
 }
 
@@ -109,26 +112,73 @@
 	return h.IsGet() || h.IsHead()
 }
 
+// BodyTicket is the place of a request in the queue for receiving its body.
+type BodyTicket interface {
+	Decided() <-chan struct{} // closed once Reason is final
+	Reason() refusal.Reason   // why the request is refused before its body, or None
+	Received(n int)           // reports bytes of the body
+	End()                     // reports that the body is complete or will not be; it may be called at any time
+}
+
+// admitBody sets the reason if the body must not be received. A request that expects 100 Continue waits for its turn and gets
+// that response; false means that the connection ended meanwhile.
+func (x *exchange) admitBody() bool {
+	c := x.conn
+	switch {
+	case x.req.Header.ContentLength() > c.server.cfg.MaxBodyBytes:
+		x.refuse(refusal.BodyTooLarge)
+		return true
+	case !x.req.MayContinue():
+		return true
+	}
+	if admit := c.server.cfg.AdmitBody; admit != nil {
+		x.ticket = admit(&x.req.Header, x.in.Arrived)
+		if !c.waitWatchingClose(x.ticket.Decided()) {
+			return false
+		}
+		if reason := x.ticket.Reason(); reason != refusal.None {
+			x.refuse(reason)
+			return true
+		}
+	}
+	if _, err := c.net.Write(continueResponse); err != nil {
+		x.refuse(refusal.Malformed)
+	}
+	return true
+}
+
+// refuse sets the reason. What is left of the body is not read, so that the connection closes.
+func (x *exchange) refuse(reason refusal.Reason) {
+	x.reason = reason
+	x.closeAfter = true
+}
+
 // readBody reads the body and sets the reason if that fails.
 func (x *exchange) readBody() {
 	c := x.conn
-	if x.req.Header.ContentLength() > c.server.cfg.MaxBodyBytes {
-		x.reason = refusal.BodyTooLarge
-	} else if x.req.MayContinue() {
-		if _, err := c.net.Write(continueResponse); err != nil {
-			x.reason = refusal.Malformed
-		}
+	deadline := x.bodyDeadline()
+	_ = c.net.SetReadDeadline(deadline)
+	var reason refusal.Reason
+	x.in.Body, reason = c.server.cfg.Handler.ReadBody(x.req, c.r, x.bodyReceived)
+	x.endTicket()
+	if reason == refusal.Malformed && !time.Now().Before(deadline) {
+		reason = refusal.TooLate // what arrived may be the start of a valid body
 	}
-	if x.reason == refusal.None {
-		deadline := x.bodyDeadline()
-		_ = c.net.SetReadDeadline(deadline)
-		x.in.Body, x.reason = c.server.cfg.Handler.ReadBody(x.req, c.r)
-		if x.reason == refusal.Malformed && !time.Now().Before(deadline) {
-			x.reason = refusal.TooLate // what arrived may be the start of a valid body
-		}
+	if reason != refusal.None {
+		x.refuse(reason)
 	}
-	if x.reason != refusal.None {
-		x.closeAfter = true
+}
+
+func (x *exchange) bodyReceived(n int) {
+	if x.ticket != nil {
+		x.ticket.Received(n)
+	}
+}
+
+func (x *exchange) endTicket() {
+	if x.ticket != nil {
+		x.ticket.End()
+		x.ticket = nil
 	}
 }
 
@@ -282,6 +332,7 @@
 }
 
 func (x *exchange) release() {
+	x.endTicket()
 	x.conn.server.cfg.Handler.ReleaseBody(x.in.Body)
 	if x.readAhead {
 		x.conn.server.readAheadSlots.Release(1)
--- a/node/transport/httpserver/server.go
+++ b/node/transport/httpserver/server.go
@@ -32,14 +32,15 @@
 // Config holds the handler and the limits of a Server.
 type Config struct {
 	Handler        *inbound.Handler
-	Exclusive      func(*fasthttp.RequestHeader) bool                           // reports whether a request must not run concurrently with others of its connection
-	Deadline       func(h *fasthttp.RequestHeader, arrived time.Time) time.Time // deadline for receiving the body; nil or a zero result for none
-	MaxHeaderBytes int                                                          // limit of one request header
-	MaxBodyBytes   int                                                          // limit of one request body
-	MaxPipelined   int                                                          // limit of unanswered requests per connection
-	MaxReadAhead   int                                                          // limit, over all connections, of requests read while an earlier one of their connection is unanswered
-	ReadTimeout    time.Duration                                                // for the first byte on a new connection, for each request header and for each body
-	IdleTimeout    time.Duration                                                // after which an unused connection is closed
+	Exclusive      func(*fasthttp.RequestHeader) bool                            // reports whether a request must not run concurrently with others of its connection
+	Deadline       func(h *fasthttp.RequestHeader, arrived time.Time) time.Time  // deadline for receiving the body; nil or a zero result for none
+	AdmitBody      func(h *fasthttp.RequestHeader, arrived time.Time) BodyTicket // decides when the body of a request that expects 100 Continue is received; nil: at once
+	MaxHeaderBytes int                                                           // limit of one request header
+	MaxBodyBytes   int                                                           // limit of one request body
+	MaxPipelined   int                                                           // limit of unanswered requests per connection
+	MaxReadAhead   int                                                           // limit, over all connections, of requests read while an earlier one of their connection is unanswered
+	ReadTimeout    time.Duration                                                 // for the first byte on a new connection, for each request header and for each body
+	IdleTimeout    time.Duration                                                 // after which an unused connection is closed
 }
 
 // New returns a Server; Serve starts it.
--- a/node/transport/inbound/handler.go
+++ b/node/transport/inbound/handler.go
@@ -94,9 +94,9 @@
 	return refusal.None
 }
 
-// ReadBody reads the whole body of req from r, within the free part of Config.BodyMemory. The caller must pass the
-// returned body to ReleaseBody, also with a reason other than refusal.None.
-func (h *Handler) ReadBody(req *fasthttp.Request, r *bufio.Reader) ([]byte, refusal.Reason) {
+// ReadBody reads the whole body of req from r, within the free part of Config.BodyMemory, and reports the bytes of each read to
+// received. The caller must pass the returned body to ReleaseBody, also with a reason other than refusal.None.
+func (h *Handler) ReadBody(req *fasthttp.Request, r *bufio.Reader, received func(n int)) ([]byte, refusal.Reason) {
 	if req.Header.ContentLength() > h.cfg.MaxBodyBytes {
 		return nil, refusal.BodyTooLarge
 	}
@@ -108,7 +108,7 @@
 	if length == 0 || stream == nil {
 		return nil, refusal.None
 	}
-	body, reason := h.readStream(stream, length)
+	body, reason := h.readStream(stream, length, received)
 	switch {
 	case reason != refusal.None:
 		return body, reason
@@ -124,7 +124,7 @@
 // initialBufferSize is the first buffer size for a body of unknown length, in bytes.
 const initialBufferSize = 4 << 10
 
-func (h *Handler) readStream(stream io.Reader, length int) ([]byte, refusal.Reason) {
+func (h *Handler) readStream(stream io.Reader, length int, received func(n int)) ([]byte, refusal.Reason) {
 	size := length
 	if size < 0 {
 		size = initialBufferSize
@@ -142,6 +142,7 @@
 		}
 		n, err := stream.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
+		received(n)
 		switch {
 		case errors.Is(err, io.EOF):
 			return body, refusal.None
--- a/node/transport/peer/client.go
+++ b/node/transport/peer/client.go
@@ -95,6 +95,10 @@
 	c.RetainPeers(nil)
 }
 
+// minAskedBody is the length from which the body of an upload is sent only after the destination asks for it, in bytes. At 6 Mbit/s
+// it takes 20 ms, more than the question takes between zones.
+const minAskedBody = 16 << 10
+
 // Send makes one attempt at the target. The reply is never nil; its outcome is unknown unless the response or the error
 // proves another one.
 func (c *Client) Send(ctx context.Context, target balancer.Target, a message.Attempt, req *message.Request) *message.Reply {
@@ -107,7 +111,12 @@
 	h.SetNoDefaultContentType(true)
 	a.Write(&h, time.Now())
 	setClockHeader(c.cfg.Clock, &h)
-	resp, err := c.poolFor(target.PeerAddress).Exchange(ctx, &h, req.Body)
+	pool := c.poolFor(target.PeerAddress)
+	send := pool.Exchange
+	if req.Upload && len(req.Body) >= minAskedBody {
+		send = pool.ExchangeAsking
+	}
+	resp, err := send(ctx, &h, req.Body)
 	if err != nil {
 		return c.failedExchangeReply(ctx, a, err)
 	}
--- a/node/transport/peer/server.go
+++ b/node/transport/peer/server.go
@@ -37,8 +37,9 @@
 
 // Server serves attempts, cancel requests and rules to other nodes.
 type Server struct {
-	cfg  ServerConfig
-	http *httpserver.Server
+	cfg    ServerConfig
+	http   *httpserver.Server
+	bodies *bodyGate
 }
 
 // ServerConfig holds the parameters of a Server and the parts of the node that it uses.
@@ -48,6 +49,7 @@
 	LocalHint      func() hint.Hint                      // returns the load hint of this node
 	Rules          func() (revision uint64, text string) // returns the rules in force
 	OnPeerRevision func(node string, revision uint64)    // called with each attempt: the entry node and its revision
+	RefuseEarly    func(message.Attempt) refusal.Reason  // returns why an attempt is refused before its body is sent, or None; nil: never
 	MaxHeaderBytes int                                   // limit of one request header
 	MaxBodyBytes   int                                   // limit of one request body
 	BodyMemory     *semaphore.Weighted                   // memory budget in bytes for the request bodies of all listeners
@@ -61,12 +63,13 @@
 
 // NewServer returns a Server that accepts connections once Serve is called.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{cfg: cfg}
+	s := &Server{cfg: cfg, bodies: newBodyGate()}
 	s.http = httpserver.New(httpserver.Config{
 		Handler: inbound.New(inbound.Config{MaxBodyBytes: cfg.MaxBodyBytes, BodyMemory: cfg.BodyMemory, RefusalReply: s.attemptRefusalReply, Serve: s.serve, PanicReply: s.panicReply, ExpiredReply: s.expiredReply}),
 		// Nodes send one attempt at a time on a connection.
 		Exclusive:      func(*fasthttp.RequestHeader) bool { return true },
 		Deadline:       attemptDeadline,
+		AdmitBody:      s.admitBody,
 		MaxHeaderBytes: cfg.MaxHeaderBytes,
 		MaxBodyBytes:   cfg.MaxBodyBytes,
 		MaxPipelined:   1,
@@ -109,6 +112,7 @@
 func (s *Server) attemptRefusalReply(h *fasthttp.RequestHeader, reason refusal.Reason) *message.Reply {
 	reply := s.refusalReply(reason)
 	reply.Header.SetBytesV(attempt.HeaderAttempt, h.Peek(attempt.HeaderAttempt))
+	reply.Header.Set(attempt.HeaderHint, s.cfg.LocalHint().String())
 	return reply
 }
 
@@ -139,12 +143,37 @@
 	return a.Deadline
 }
 
+// admitBody decides about an attempt whose entry node asks before it sends a large body.
+func (s *Server) admitBody(h *fasthttp.RequestHeader, arrived time.Time) httpserver.BodyTicket {
+	a, err := message.ReadAttempt(h, arrived)
+	if err != nil {
+		return s.bodies.refuse(refusal.Malformed)
+	}
+	if s.cfg.RefuseEarly != nil {
+		if reason := s.cfg.RefuseEarly(a); reason != refusal.None {
+			return s.bodies.refuse(reason)
+		}
+	}
+	return s.bodies.ask(a, h.ContentLength())
+}
+
+// UploadCounts returns the attempts that wait to send large bodies, the bodies that arrive, and the attempts refused so far
+// before their bodies.
+func (s *Server) UploadCounts() (waiting, receiving int, refused int64) {
+	waiting, receiving = s.bodies.counts()
+	return waiting, receiving, s.bodies.refused.Load()
+}
+
 // serveAttempt runs a completely received attempt.
 func (s *Server) serveAttempt(ctx context.Context, in inbound.Request) *message.Reply {
 	a, err := message.ReadAttempt(in.Header, time.Now())
 	if err != nil {
 		return s.attemptRefusalReply(in.Header, refusal.Malformed)
 	}
+	if len(in.Header.Peek(fasthttp.HeaderExpect)) > 0 {
+		// Its body has crossed the link after RefuseEarly let it; sending it to another node now would cost that again.
+		a.Movable = false
+	}
 	mergeClockHeader(s.cfg.Clock, in.Header)
 	s.cfg.OnPeerRevision(a.ID.Node, a.Revision)
 	req := &message.Request{Body: in.Body}
