inbound: take memory for a body as it arrives, not as it is announced

A client that announced a long body and sent little of it held the memory of all others: with the limit of 64 MB for a body and 64 MB for all, a single one had every other request with a body refused with 503.

The buffer was allocated and counted for the announced length at once. It now starts at 16 KB and doubles as bytes arrive.

TestAnnouncedLengthTakesNoMemory fails before it (no other body was taken while 32 clients announced twice the budget) and passes after, with bodies of lengths around each step of the buffer read whole.

--- a/node/transport/httpserver/server_test.go
+++ b/node/transport/httpserver/server_test.go
@@ -421,3 +421,31 @@
 	c.expectReply("/4")
 	s.stop()
 }
+
+// Guards against clients that announce long bodies and send little of them, so that there is no memory for the bodies of
+// others, and against bytes that are lost where a buffer grows.
+func TestAnnouncedLengthTakesNoMemory(t *testing.T) {
+	s := newTestServer(t, nil)
+	const slow = 2 * bodyMemory / (64 << 10) // together they announce twice the budget
+	for range slow {
+		c := s.dial()
+		defer c.Close()
+		c.send("POST /slow HTTP/1.1\r\nHost: desk.example\r\nExpect: 100-continue\r\nContent-Length: 65536\r\n\r\n")
+		if resp, err := http.ReadResponse(c.r, nil); err != nil || resp.StatusCode != http.StatusContinue {
+			t.Fatalf("%v, %v", resp, err)
+		}
+		c.send(strings.Repeat("b", 10<<10)) // more than fasthttp reads before the handler takes memory
+	}
+	for _, length := range []int{1, 16 << 10, 16<<10 + 1, 40_000, 64 << 10} {
+		c := s.dial()
+		path := numberedPath(length)
+		c.send(post(path, strings.Repeat("b", length)))
+		req := s.awaitStarted(path)
+		if string(req.body) != strings.Repeat("b", length) {
+			t.Errorf("%d bytes: %d arrived", length, len(req.body))
+		}
+		s.reply(path)
+		c.expectReply(path)
+		c.Close()
+	}
+}
--- a/node/transport/httpserver/testserver_test.go
+++ b/node/transport/httpserver/testserver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -33,6 +34,7 @@
 // startedRequest is a request that was passed to the handler; the test sends its reply.
 type startedRequest struct {
 	path  string
+	body  []byte
 	ctx   context.Context
 	reply chan *message.Reply
 }
@@ -92,7 +94,7 @@
 	if string(in.Header.RequestURI()) == "/panic" {
 		panic("fault")
 	}
-	req := &startedRequest{path: string(in.Header.RequestURI()), ctx: ctx, reply: make(chan *message.Reply, 1)}
+	req := &startedRequest{path: string(in.Header.RequestURI()), body: bytes.Clone(in.Body), ctx: ctx, reply: make(chan *message.Reply, 1)}
 	s.mu.Lock()
 	s.started[req.path] = req
 	s.cond.Broadcast()
--- a/node/transport/inbound/handler.go
+++ b/node/transport/inbound/handler.go
@@ -121,13 +121,17 @@
 	return body, refusal.None
 }
 
-// initialBufferSize is the first buffer size for a body of unknown length, in bytes.
-const initialBufferSize = 4 << 10
+// First buffer sizes of a body, in bytes. A body of known length starts small too: a client that announces much and sends
+// little must not hold the memory of all others.
+const (
+	initialBufferSize      = 4 << 10
+	initialKnownBufferSize = 16 << 10
+)
 
 func (h *Handler) readStream(stream io.Reader, length int, received func(n int)) ([]byte, refusal.Reason) {
-	size := length
-	if size < 0 {
-		size = initialBufferSize
+	size := initialBufferSize
+	if length >= 0 {
+		size = min(length, initialKnownBufferSize)
 	}
 	if !h.cfg.BodyMemory.TryAcquire(int64(size)) {
 		return nil, refusal.MemoryBudget
@@ -152,12 +156,12 @@
 	}
 }
 
-// growBuffer enlarges a full buffer: by one byte for a body of known length, to twice its size otherwise. It returns the
-// unchanged buffer and a reason if the body is too large or memory is short.
+// growBuffer enlarges a full buffer to twice its size, but not beyond what the body needs. It returns the unchanged buffer and a
+// reason if the body is too large or memory is short.
 func (h *Handler) growBuffer(body []byte, length int) ([]byte, refusal.Reason) {
 	if length >= 0 {
-		// The body is complete; a read needs one free byte to return io.EOF.
-		return h.resizeBuffer(body, length+1)
+		// After a complete body, a read needs one free byte to return io.EOF.
+		return h.resizeBuffer(body, min(max(2*cap(body), 1), length+1))
 	}
 	if len(body) > h.cfg.MaxBodyBytes {
 		return body, refusal.BodyTooLarge
