peer: count the deadline of an attempt from its header

Back ends were handed more time than callers had left: by as long as the body took between two nodes, up to half a second for an upload on a link of 6.1 Mbit/s and more while others shared it.

The destination read the remaining time from the header once the body was there, and counted it from then. It now counts from the arrival of the header, for the latency objective too.

TestDeadlineCountsFromHeader fails before it and passes after.

--- a/node/transport/peer/server.go
+++ b/node/transport/peer/server.go
@@ -166,10 +166,14 @@
 
 // serveAttempt runs a completely received attempt.
 func (s *Server) serveAttempt(ctx context.Context, in inbound.Request) *message.Reply {
-	a, err := message.ReadAttempt(in.Header, time.Now())
+	// Its times count from the header: a large body may have taken much of them.
+	a, err := message.ReadAttempt(in.Header, in.Arrived)
 	if err != nil {
 		return s.attemptRefusalReply(in.Header, refusal.Malformed)
 	}
+	if a.Objective > 0 {
+		a.Objective -= time.Since(in.Arrived)
+	}
 	if len(in.Header.Peek(fasthttp.HeaderExpect)) > 0 {
 		// Its body has crossed the link after RefuseEarly let it; sending it to another node now would cost that again.
 		a.Movable = false
