--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -28,6 +28,11 @@
 	BackendHistoryRead                           // history of the back end read
 )
 
+// Kinds of events of uploads at nodes.
+const (
+	UploadRefused Kind = iota + 1070 // upload refused before its body
+)
+
 // Kinds of events of control processes.
 const (
 	ControlStarted        Kind = iota + 2000 // control started
--- a/node/transport/peer/server.go
+++ b/node/transport/peer/server.go
@@ -40,6 +40,8 @@
 	cfg    ServerConfig
 	http   *httpserver.Server
 	bodies *bodyGate
+
+	uploadLog *event.RateLimiter // for uploads that are refused before their bodies
 }
 
 // ServerConfig holds the parameters of a Server and the parts of the node that it uses.
@@ -61,9 +63,15 @@
 	TLS            *mtls.Credentials                     // nil: plain connections
 }
 
+// Limits of the log entries about uploads that are refused before their bodies.
+const (
+	maxUploadLogsPerSecond = 10
+	maxUploadLogBurst      = 50 // entries at once after a quiet period
+)
+
 // NewServer returns a Server that accepts connections once Serve is called.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{cfg: cfg, bodies: newBodyGate()}
+	s := &Server{cfg: cfg, bodies: newBodyGate(), uploadLog: event.NewRateLimiter(maxUploadLogsPerSecond, maxUploadLogBurst)}
 	s.http = httpserver.New(httpserver.Config{
 		Handler: inbound.New(inbound.Config{MaxBodyBytes: cfg.MaxBodyBytes, BodyMemory: cfg.BodyMemory, RefusalReply: s.attemptRefusalReply, Serve: s.serve, PanicReply: s.panicReply, ExpiredReply: s.expiredReply}),
 		// Nodes send one attempt at a time on a connection.
@@ -110,12 +118,27 @@
 // attemptRefusalReply refuses an attempt that was not received completely or is malformed. The refusal repeats the
 // attempt ID, since the entry node drops responses without it.
 func (s *Server) attemptRefusalReply(h *fasthttp.RequestHeader, reason refusal.Reason) *message.Reply {
+	if len(h.Peek(fasthttp.HeaderExpect)) > 0 {
+		s.logUploadRefused(h, reason)
+	}
 	reply := s.refusalReply(reason)
 	reply.Header.SetBytesV(attempt.HeaderAttempt, h.Peek(attempt.HeaderAttempt))
 	reply.Header.Set(attempt.HeaderHint, s.cfg.LocalHint().String())
 	return reply
 }
 
+// logUploadRefused logs that an upload is refused before its body is complete.
+func (s *Server) logUploadRefused(h *fasthttp.RequestHeader, reason refusal.Reason) {
+	if s.cfg.Events == nil {
+		return
+	}
+	if fields, ok := s.uploadLog.Allow(); ok {
+		waiting, receiving := s.bodies.counts()
+		s.cfg.Events.Emit(event.UploadRefused, append(fields, zap.ByteString("attempt", h.Peek(attempt.HeaderAttempt)),
+			zap.Stringer("reason", reason), zap.Int("waiting", waiting), zap.Int("receiving", receiving))...)
+	}
+}
+
 // panicReply logs a panic of this node and answers the attempt that caused it, which may have run.
 func (s *Server) panicReply(h *fasthttp.RequestHeader, panicValue any) *message.Reply {
 	id := h.Peek(attempt.HeaderAttempt)
