tcp: read the response while a large body is sent

A back end that answers before it has read a long body, and reads on later or never, was not heard: its refusal, which says that the request did not run, reached nobody before the deadline, and the caller got 504 with the outcome unknown.

An exchange wrote the whole body before it read the response; on a full socket that write waits for the peer. A connection whose body was not sent whole is closed, so that the rest of a body never stands where the next request is due.

TestResponseBeforeBodyIsRead fails before it (no response within 10 s) and passes after; TestConnectionIsReusedAfterLargeBody holds the connection for 20 requests, plain and with TLS.

--- a/core/transport/tcp/body.go
+++ b/core/transport/tcp/body.go
@@ -122,7 +122,7 @@
 func (b *responseBody) endExchange() {
 	b.r = nil
 	// False from stopInterrupt means that ctx has ended and the connection is being interrupted.
-	b.c.finish(b.stopInterrupt() && b.reuse)
+	b.c.finish(b.stopInterrupt() && b.reuse && b.c.bodySent())
 }
 
 // Close closes the connection unless the body has been read to its end.
--- a/core/transport/tcp/conn.go
+++ b/core/transport/tcp/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,8 +30,9 @@
 	w          *bufio.Writer // nil while the connection is idle
 	written    *countingConn
 	idleSince  time.Time
-	reused     bool  // it has carried an earlier exchange
-	askedBytes int64 // bytes of the request that do not let the peer run it; 0 unless the exchange asks before it sends the body
+	reused     bool        // it has carried an earlier exchange
+	body       *bodyWriter // nil if the request of the exchange has no large body
+	askedBytes int64       // bytes of the request that do not let the peer run it; 0 unless the exchange asks before it sends the body
 	finishOnce *sync.Once
 	peerDone   chan struct{} // see Error.PeerDone
 }
@@ -38,7 +40,7 @@
 // countingConn counts the bytes of a request that the kernel accepted.
 type countingConn struct {
 	net.Conn
-	bytes int64
+	bytes atomic.Int64
 }
 
 // byteCounter is a connection that encodes what is written, such as TLS. BytesSent returns how many encoded bytes the
@@ -49,13 +51,13 @@
 	counter, encoded := c.Conn.(byteCounter)
 	if !encoded {
 		n, err := c.Conn.Write(b)
-		c.bytes += int64(n)
+		c.bytes.Add(int64(n))
 		return n, err
 	}
 	// A failed write of an encoded record reports no byte, although the kernel may have accepted a part of the record.
 	before := counter.BytesSent()
 	n, err := c.Conn.Write(b)
-	c.bytes += counter.BytesSent() - before
+	c.bytes.Add(counter.BytesSent() - before)
 	return n, err
 }
 
@@ -108,7 +110,7 @@
 // abandon ends an exchange whose response header has not arrived. The other side may still work on the request, so the
 // connection counts as in use until waitForPeer returns.
 func (c *Conn) abandon() {
-	if c.pool.cfg.AbandonTimeout == 0 || c.written.bytes == 0 {
+	if c.pool.cfg.AbandonTimeout == 0 || c.written.bytes.Load() == 0 {
 		c.finish(false)
 		return
 	}
@@ -139,8 +141,9 @@
 			c.release(c.pool.closeConn)
 			return
 		}
-		c.reused = c.reused || c.written.bytes > 0
-		c.written.bytes, c.askedBytes = 0, 0
+		c.reused = c.reused || c.written.bytes.Load() > 0
+		c.written.bytes.Store(0)
+		c.askedBytes, c.body = 0, nil
 		next := *c
 		next.releaseBuffers()
 		next.finishOnce = &sync.Once{}
--- a/core/transport/tcp/exchange.go
+++ b/core/transport/tcp/exchange.go
@@ -51,7 +51,8 @@
 		return resp, nil
 	}
 	stop()
-	wroteAny := c.written.bytes > c.askedBytes
+	c.stopBody()
+	wroteAny := c.written.bytes.Load() > c.askedBytes
 	if ctx.Err() != nil {
 		c.abandon()
 	} else {
@@ -123,7 +124,7 @@
 		}
 		switch code := h.StatusCode(); {
 		case code == fasthttp.StatusContinue:
-			c.askedBytes = c.written.bytes
+			c.askedBytes = c.written.bytes.Load()
 			return true, nil
 		case code >= fasthttp.StatusOK:
 			return false, nil
@@ -132,7 +133,15 @@
 	return false, errTooManyInterim
 }
 
+// sendBody sends a body, or begins to send a large one.
 func (c *Conn) sendBody(body []byte) error {
+	if len(body) >= concurrentBodySize {
+		if err := c.w.Flush(); err != nil {
+			return err
+		}
+		c.startBody(body)
+		return nil
+	}
 	if _, err := c.w.Write(body); err != nil {
 		return err
 	}
