--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -33,6 +33,11 @@
 	KeyRefused Kind = 1030 // request without a known key refused
 )
 
+// Kinds of events of uploads at nodes.
+const (
+	UploadRefused Kind = iota + 1070 // upload refused before its body
+)
+
 // Kinds of events of control processes.
 const (
 	ControlStarted        Kind = iota + 2000 // control started
--- a/node/transport/caller/request.go
+++ b/node/transport/caller/request.go
@@ -138,6 +138,7 @@
 	}
 	req.Service = s.splitter.Pick(r)
 	req.Idempotent = r.Kind.Repeatable()
+	req.Upload = r.Kind == rule.KindUpload
 	req.Priority = priorityOf(req.Rank)
 	req.MaxTries = r.MaxTries
 	req.Objective = r.LatencyObjective
--- a/node/transport/inbound/handler.go
+++ b/node/transport/inbound/handler.go
@@ -94,9 +94,9 @@
 	return refusal.None
 }
 
-// ReadBody reads the whole body of req from r, within the free part of Config.BodyMemory. The caller must pass the
-// returned body to ReleaseBody, also with a reason other than refusal.None.
-func (h *Handler) ReadBody(req *fasthttp.Request, r *bufio.Reader) ([]byte, refusal.Reason) {
+// ReadBody reads the whole body of req from r, within the free part of Config.BodyMemory, and reports the bytes of each read to
+// received. The caller must pass the returned body to ReleaseBody, also with a reason other than refusal.None.
+func (h *Handler) ReadBody(req *fasthttp.Request, r *bufio.Reader, received func(n int)) ([]byte, refusal.Reason) {
 	if req.Header.ContentLength() > h.cfg.MaxBodyBytes {
 		return nil, refusal.BodyTooLarge
 	}
@@ -108,7 +108,7 @@
 	if length == 0 || stream == nil {
 		return nil, refusal.None
 	}
-	body, reason := h.readStream(stream, length)
+	body, reason := h.readStream(stream, length, received)
 	switch {
 	case reason != refusal.None:
 		return body, reason
@@ -121,13 +121,17 @@
 	return body, refusal.None
 }
 
-// initialBufferSize is the first buffer size for a body of unknown length, in bytes.
-const initialBufferSize = 4 << 10
+// First buffer sizes of a body, in bytes. A body of known length starts small too: a client that announces much and sends
+// little must not hold the memory of all others.
+const (
+	initialBufferSize      = 4 << 10
+	initialKnownBufferSize = 16 << 10
+)
 
-func (h *Handler) readStream(stream io.Reader, length int) ([]byte, refusal.Reason) {
-	size := length
-	if size < 0 {
-		size = initialBufferSize
+func (h *Handler) readStream(stream io.Reader, length int, received func(n int)) ([]byte, refusal.Reason) {
+	size := initialBufferSize
+	if length >= 0 {
+		size = min(length, initialKnownBufferSize)
 	}
 	if !h.cfg.BodyMemory.TryAcquire(int64(size)) {
 		return nil, refusal.MemoryBudget
@@ -142,6 +146,7 @@
 		}
 		n, err := stream.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
+		received(n)
 		switch {
 		case errors.Is(err, io.EOF):
 			return body, refusal.None
@@ -151,12 +156,12 @@
 	}
 }
 
-// growBuffer enlarges a full buffer: by one byte for a body of known length, to twice its size otherwise. It returns the
-// unchanged buffer and a reason if the body is too large or memory is short.
+// growBuffer enlarges a full buffer to twice its size, but not beyond what the body needs. It returns the unchanged buffer and a
+// reason if the body is too large or memory is short.
 func (h *Handler) growBuffer(body []byte, length int) ([]byte, refusal.Reason) {
 	if length >= 0 {
-		// The body is complete; a read needs one free byte to return io.EOF.
-		return h.resizeBuffer(body, length+1)
+		// After a complete body, a read needs one free byte to return io.EOF.
+		return h.resizeBuffer(body, min(max(2*cap(body), 1), length+1))
 	}
 	if len(body) > h.cfg.MaxBodyBytes {
 		return body, refusal.BodyTooLarge
--- a/node/transport/peer/server.go
+++ b/node/transport/peer/server.go
@@ -37,8 +37,11 @@
 
 // Server serves attempts, cancel requests and rules to other nodes.
 type Server struct {
-	cfg  ServerConfig
-	http *httpserver.Server
+	cfg    ServerConfig
+	http   *httpserver.Server
+	bodies *bodyGate
+
+	uploadLog *event.RateLimiter // for uploads that are refused before their bodies
 }
 
 // ServerConfig holds the parameters of a Server and the parts of the node that it uses.
@@ -48,6 +51,7 @@
 	LocalHint      func() hint.Hint                      // returns the load hint of this node
 	Rules          func() (revision uint64, text string) // returns the rules in force
 	OnPeerRevision func(node string, revision uint64)    // called with each attempt: the entry node and its revision
+	RefuseEarly    func(message.Attempt) refusal.Reason  // returns why an attempt is refused before its body is sent, or None; nil: never
 	MaxHeaderBytes int                                   // limit of one request header
 	MaxBodyBytes   int                                   // limit of one request body
 	BodyMemory     *semaphore.Weighted                   // memory budget in bytes for the request bodies of all listeners
@@ -59,14 +63,21 @@
 	TLS            *mtls.Credentials                     // nil: plain connections
 }
 
+// Limits of the log entries about uploads that are refused before their bodies.
+const (
+	maxUploadLogsPerSecond = 10
+	maxUploadLogBurst      = 50 // entries at once after a quiet period
+)
+
 // NewServer returns a Server that accepts connections once Serve is called.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{cfg: cfg}
+	s := &Server{cfg: cfg, bodies: newBodyGate(), uploadLog: event.NewRateLimiter(maxUploadLogsPerSecond, maxUploadLogBurst)}
 	s.http = httpserver.New(httpserver.Config{
 		Handler: inbound.New(inbound.Config{MaxBodyBytes: cfg.MaxBodyBytes, BodyMemory: cfg.BodyMemory, RefusalReply: s.attemptRefusalReply, Serve: s.serve, PanicReply: s.panicReply, ExpiredReply: s.expiredReply}),
 		// Nodes send one attempt at a time on a connection.
 		Exclusive:      func(*fasthttp.RequestHeader) bool { return true },
 		Deadline:       attemptDeadline,
+		AdmitBody:      s.admitBody,
 		MaxHeaderBytes: cfg.MaxHeaderBytes,
 		MaxBodyBytes:   cfg.MaxBodyBytes,
 		MaxPipelined:   1,
@@ -107,11 +118,27 @@
 // attemptRefusalReply refuses an attempt that was not received completely or is malformed. The refusal repeats the
 // attempt ID, since the entry node drops responses without it.
 func (s *Server) attemptRefusalReply(h *fasthttp.RequestHeader, reason refusal.Reason) *message.Reply {
+	if len(h.Peek(fasthttp.HeaderExpect)) > 0 {
+		s.logUploadRefused(h, reason)
+	}
 	reply := s.refusalReply(reason)
 	reply.Header.SetBytesV(attempt.HeaderAttempt, h.Peek(attempt.HeaderAttempt))
+	reply.Header.Set(attempt.HeaderHint, s.cfg.LocalHint().String())
 	return reply
 }
 
+// logUploadRefused logs that an upload is refused before its body is complete.
+func (s *Server) logUploadRefused(h *fasthttp.RequestHeader, reason refusal.Reason) {
+	if s.cfg.Events == nil {
+		return
+	}
+	if fields, ok := s.uploadLog.Allow(); ok {
+		waiting, receiving := s.bodies.counts()
+		s.cfg.Events.Emit(event.UploadRefused, append(fields, zap.ByteString("attempt", h.Peek(attempt.HeaderAttempt)),
+			zap.Stringer("reason", reason), zap.Int("waiting", waiting), zap.Int("receiving", receiving))...)
+	}
+}
+
 // panicReply logs a panic of this node and answers the attempt that caused it, which may have run.
 func (s *Server) panicReply(h *fasthttp.RequestHeader, panicValue any) *message.Reply {
 	id := h.Peek(attempt.HeaderAttempt)
@@ -139,12 +166,41 @@
 	return a.Deadline
 }
 
+// admitBody decides about an attempt whose entry node asks before it sends a large body.
+func (s *Server) admitBody(h *fasthttp.RequestHeader, arrived time.Time) httpserver.BodyTicket {
+	a, err := message.ReadAttempt(h, arrived)
+	if err != nil {
+		return s.bodies.refuse(refusal.Malformed)
+	}
+	if s.cfg.RefuseEarly != nil {
+		if reason := s.cfg.RefuseEarly(a); reason != refusal.None {
+			return s.bodies.refuse(reason)
+		}
+	}
+	return s.bodies.ask(a, h.ContentLength())
+}
+
+// UploadCounts returns the attempts that wait to send large bodies, the bodies that arrive, and the attempts refused so far
+// before their bodies.
+func (s *Server) UploadCounts() (waiting, receiving int, refused int64) {
+	waiting, receiving = s.bodies.counts()
+	return waiting, receiving, s.bodies.refused.Load()
+}
+
 // serveAttempt runs a completely received attempt.
 func (s *Server) serveAttempt(ctx context.Context, in inbound.Request) *message.Reply {
-	a, err := message.ReadAttempt(in.Header, time.Now())
+	// Its times count from the header: a large body may have taken much of them.
+	a, err := message.ReadAttempt(in.Header, in.Arrived)
 	if err != nil {
 		return s.attemptRefusalReply(in.Header, refusal.Malformed)
 	}
+	if a.Objective > 0 {
+		a.Objective -= time.Since(in.Arrived)
+	}
+	if len(in.Header.Peek(fasthttp.HeaderExpect)) > 0 {
+		// Its body has crossed the link after RefuseEarly let it; sending it to another node now would cost that again.
+		a.Movable = false
+	}
 	mergeClockHeader(s.cfg.Clock, in.Header)
 	s.cfg.OnPeerRevision(a.ID.Node, a.Revision)
 	req := &message.Request{Body: in.Body}
