httpserver: keep the connection of a refused request whose short body is there

A request with an unknown key ended its connection whenever it had a body, and requests behind it had to come again on a new one.

--- a/node/transport/httpserver/exchange.go
+++ b/node/transport/httpserver/exchange.go
@@ -118,13 +118,17 @@
 	return x.req.Header.ContentLength() != 0 && !bodyless(&x.req.Header)
 }
 
-// unwanted returns why the request is refused before its body is read. One without a body is left to the handler, since
-// its connection can be kept.
+// unwanted returns why the request is refused before its body is read. One whose body is short and has arrived, or that has none,
+// is left to the handler, since its connection can be kept.
 func (x *exchange) unwanted() refusal.Reason {
-	if x.conn.server.cfg.Unwanted == nil || !x.hasBody() {
+	cfg := &x.conn.server.cfg
+	if cfg.Unwanted == nil || !x.hasBody() {
+		return refusal.None
+	}
+	if n := x.req.Header.ContentLength(); n > 0 && n <= min(x.conn.r.Buffered(), maxReadAheadBody) {
 		return refusal.None
 	}
-	return x.conn.server.cfg.Unwanted(&x.req.Header)
+	return cfg.Unwanted(&x.req.Header)
 }
 
 // readBody reads the body and sets the reason if that fails.
