caller: count the body of an upload in the choice of its zone

Uploads crossed zones for small gains: the choice counted what a usual response costs between zones, and nothing for a body of 60 KB. The length of an upload's body is now added to it.

Routes of other kinds are chosen as before.

TestUploadStaysInItsZone fails before it and passes after.

--- a/node/transport/caller/runner.go
+++ b/node/transport/caller/runner.go
@@ -78,7 +78,7 @@
 		Depth:        req.Depth,
 		Objective:    req.Objective,
 		Waited:       req.Arrived.Sub(req.FirstTry),
-		ResponseSize: s.responseSizes.average(req.Route),
+		ResponseSize: s.crossingBytes(req),
 		Urgent:       req.Priority == rule.PriorityHigh,
 		MaxTries:     req.MaxTries,
 		FreeRefusals: req.Route != "",
@@ -87,6 +87,16 @@
 	return r
 }
 
+// crossingBytes returns how many bytes of a request and its response are expected to cross zones if its back end is in another
+// one. Short request bodies are left out.
+func (s *Server) crossingBytes(req *message.Request) int {
+	n := s.responseSizes.average(req.Route)
+	if req.Upload {
+		n += len(req.Body)
+	}
+	return n
+}
+
 // loop executes commands and reports events to the engine until the call is forgotten and no response is pending.
 func (r *callRunner) loop(ctx context.Context) {
 	defer r.timer.Stop()
