admission: decide by rank, objective and work which requests give way

With Limits.ByCost the queue holds only what is expected to be in time in the order of the starts: by rank, nested requests first in their rank, accounts above their usual load last; an eighth of the slot time goes to ranks that wait behind others. What does not fit is refused at once, late requests use slots that nothing else needs. Rules with accounts or uploads ask for it (rule.Set.RanksByCost); all others are admitted as before.

--- a/core/coordination/admission/model.go
+++ b/core/coordination/admission/model.go
@@ -32,6 +32,13 @@
 	requestRate  requestRate
 	failureShare float64 // moving average, 0 to 1
 	slowdown     slowdownTracker
+
+	// State of admission by cost.
+	usedByFirst time.Duration // slot time of earlier classes since a passed-over one had its turn
+	shedInTime  decayingCount // refused requests that could have met their objective
+	accountLoad accountLoad
+	routeShares routeShares
+	costCounts  CostCounts
 }
 
 // inflightRequest is a request that the back end works on.
@@ -110,6 +117,9 @@
 	if m.exceedsRequestLimit(now, msg) {
 		return []Cmd{m.refuseForLimit(now, msg)}
 	}
+	if m.limits.FixedLimit && m.limits.ByCost {
+		return m.arriveByCost(now, msg)
+	}
 	if m.limits.FixedLimit {
 		return m.arriveWithObjective(now, msg)
 	}
@@ -167,6 +177,9 @@
 
 // startQueued starts queued attempts while the concurrency limit allows it.
 func (m *Model) startQueued(now time.Time) []Cmd {
+	if m.limits.FixedLimit && m.limits.ByCost {
+		return m.startQueuedByCost(now)
+	}
 	if m.limits.FixedLimit {
 		return m.startQueuedByObjective(now)
 	}
@@ -184,6 +197,9 @@
 
 // expire refuses queued attempts that can no longer meet their deadline.
 func (m *Model) expire(now time.Time) []Cmd {
+	if m.limits.FixedLimit && m.limits.ByCost {
+		return m.expireByCost(now)
+	}
 	if m.limits.FixedLimit {
 		return m.expireByObjective(now)
 	}
@@ -349,6 +365,7 @@
 		State:      m.state,
 		Limit:      m.limit(),
 		RerunShare: m.rerunShare(),
+		CostCounts: m.costCounts,
 	}
 }
 
--- a/core/coordination/admission/msg.go
+++ b/core/coordination/admission/msg.go
@@ -20,6 +20,7 @@
 	Priority         rule.Priority
 	Rank             int                // priority number of a request on a route, 0 for the most urgent
 	Account          string             // client account of the request, empty for none
+	Nested           bool               // sent on behalf of another request, which holds a slot until this one ends
 	Route            string             // requests of one route have similar service times
 	ObjectiveAt      time.Time          // when LatencyObjective ends; a later answer loses part of its use
 	LatencyObjective time.Duration      // time left for the request on its arrival, 0 if none is left
@@ -27,7 +28,10 @@
 	Movable          bool               // the entry node knows a faster back end with free slots
 	KnownLimit       requestlimit.Limit // request limit of the back end as the entry node has heard it
 
-	arrivedAt time.Time // set by Model
+	// Set by Model.
+	arrivedAt    time.Time
+	exceedsUsual bool // its account sends more than usual
+	neglected    bool // its route gets a smaller share of the starts than others
 }
 
 // Cancel asks that an attempt never start if it has not yet; the answer is Cancelled or Running.
@@ -56,6 +60,9 @@
 	// not adapted to latency and failures.
 	FixedLimit bool
 	ColdRate   float64 // with FixedLimit: requests per second while the back end is cold; 0 for no limit
+
+	// ByCost is set, with FixedLimit, if requests are ordered and refused by what their delay costs callers.
+	ByCost bool
 }
 
 // defaults returns l with defaults for the limits that are not set.
@@ -155,4 +162,5 @@
 	State      State
 	Limit      int     // current concurrency limit
 	RerunShare float64 // share of the requests in flight that may run for the second time
+	CostCounts CostCounts
 }
--- a/core/state/rule/parse.go
+++ b/core/state/rule/parse.go
@@ -68,6 +68,7 @@
 	p.set.serviceRoutes = sortedServiceRoutes(p.set.Services)
 	p.set.indexTrafficRules()
 	p.set.indexAccounts()
+	p.set.indexContention()
 }
 
 // sortedProblems returns the first maxListedProblems problems in the order of their positions.
--- a/core/state/rule/set.go
+++ b/core/state/rule/set.go
@@ -20,6 +20,7 @@
 	routesByPrefix map[routeKey]*Route
 	poolsByName    map[string]Pool
 	accountsByKey  map[KeyDigest]*Account
+	ranksByCost    bool
 }
 
 // Zone is an availability zone.
