node: pass overload on to callers at once, with a Retry-After after which there is room

A refused request went to up to three more full back ends and then came back after 60 to 180 ms, whatever the queues. Under rules that ask for admission by cost, the entry node now passes a refusal on if the best other back end has a full queue too (rank 0 and nested requests are still tried), and suggests the time in which the pool drains what waits, or a fifth of the time to the deadline if the caller can only be late, spread over half of that. It marks calls that back ends make (setting "nested", the separator in request IDs) and sends the mark with the attempt. Near the limit of a pool picks follow the hints less closely, since all entry nodes see the same free slots 100 ms late.

Pollenhill-Account, Pollenhill-Rank and Pollenhill-Nested are now dropped from requests of callers, who could otherwise set them for requests without an account; TestNestedIsSetByNodesOnly fails without it.

--- a/core/coordination/balancer/model.go
+++ b/core/coordination/balancer/model.go
@@ -207,6 +207,13 @@
 	return m.serviceState(service).totalLoad >= overloadThreshold
 }
 
+// DrainTime returns the mean time in which the back ends of a service finish the requests that wait there, by their hints.
+func (m *Model) DrainTime(service string) time.Duration {
+	s := m.serviceState(service)
+	waiting := max(0, s.totalLoad-1) // per slot
+	return time.Duration(waiting * s.serviceTime * float64(time.Second))
+}
+
 // Pick returns the target for one attempt, or false if no back end may get new work.
 func (m *Model) Pick(now time.Time, q Query) (Target, bool) {
 	t, ok := m.pick(now, q)
--- a/core/coordination/balancer/msg.go
+++ b/core/coordination/balancer/msg.go
@@ -31,6 +31,7 @@
 	HintAge          time.Duration // age of the last hint, 0 without one
 	Slowdown         float64       // expected service time over the normal one
 	Requests         float64       // at the back end or queued for it
+	Limit            int           // concurrency limit by the last hint, 0 without one
 	FastAlternatives int           // other back ends that were fast and had a free slot
 }
 
@@ -73,4 +74,5 @@
 	Exclude           []string // back ends already tried
 	ResponseBytes     int      // usual size of the response; large ones cost more between zones
 	SpareCapacityOnly bool     // only back ends with spare capacity, as for a hedge
+	Contended         bool     // callers compete for room: picks near the limit of a pool are spread
 }
--- a/core/coordination/balancer/pool.go
+++ b/core/coordination/balancer/pool.go
@@ -51,7 +51,7 @@
 	best := -1
 	lowest := 0.0
 	fast := 0
-	zonePenalty := m.zonePenalty(candidates)
+	zonePenalty, jitter := m.zonePenalty(candidates), m.jitter(q)
 	for i, c := range candidates {
 		b := m.backends[c.Backend]
 		if q.SpareCapacityOnly && !b.hasSpareCapacity(now, c) {
@@ -60,7 +60,7 @@
 		if b.isFastAndFree(now, c) && !m.isLimited(c.Backend) {
 			fast++
 		}
-		cost := b.expectedCost(now, c) * (1 + costJitter*m.cfg.Rand.Float64())
+		cost := b.expectedCost(now, c, m.poolLoad(now, b, q)) * (1 + jitter*m.cfg.Rand.Float64())
 		if c.Zone != m.cfg.Zone {
 			cost += zonePenalty + float64(q.ResponseBytes)/bytesPerServiceTime
 		}
@@ -73,7 +73,7 @@
 	}
 	t := candidates[best].Target
 	b := m.backends[t.Backend]
-	t.Observed = Observation{Slowdown: b.slowdown(now), Requests: b.otherRequests + float64(b.inflight)}
+	t.Observed = Observation{Slowdown: b.slowdown(now), Requests: b.otherRequests + float64(b.inflight), Limit: b.hint.Limit}
 	if !b.hintTime.IsZero() {
 		t.Observed.HintAge = now.Sub(b.hintTime)
 	}
@@ -118,12 +118,11 @@
 }
 
 // expectedCost returns the expected cost of one more request, in normal service times on an idle back end.
-func (b *backendState) expectedCost(now time.Time, c candidate) float64 {
+func (b *backendState) expectedCost(now time.Time, c candidate, load float64) float64 {
 	limit := float64(max(b.hint.Limit, 1))
 	if b.hintTime.IsZero() {
 		limit = max(c.limit, 1)
 	}
-	load := b.otherRequests + float64(b.inflight)
 	cost := b.slowdown(now) * (1 + loadWeight*min(load/limit, 1))
 	if excess := load + 1 - limit; excess > 0 {
 		cost += b.slowdown(now) * queueWeight * excess / limit
--- a/core/protocol/attempt/header.go
+++ b/core/protocol/attempt/header.go
@@ -9,6 +9,7 @@
 	HeaderRevision     = "Pollenhill-Revision"    // revision of the rules that the sender uses
 	HeaderPriority     = "Pollenhill-Priority"
 	HeaderAccount      = "Pollenhill-Account" // name of the client account of the request; absent for none
+	HeaderNested       = "Pollenhill-Nested"  // present if a back end sent the request on behalf of another one
 	HeaderRank         = "Pollenhill-Rank"    // priority number of the request, 0 for the most urgent
 	HeaderService      = "Pollenhill-Service"
 	HeaderRoute        = "Pollenhill-Route"
--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -28,6 +28,11 @@
 	BackendHistoryRead                           // history of the back end read
 )
 
+// Kinds of events of nodes about requests that give way under overload.
+const (
+	RequestsShed Kind = iota + 1060 // requests give way under overload
+)
+
 // Kinds of events of control processes.
 const (
 	ControlStarted        Kind = iota + 2000 // control started
--- a/node/coordination/call/attempt.go
+++ b/node/coordination/call/attempt.go
@@ -123,7 +123,7 @@
 		return nil
 	}
 	target, ok := m.pickTarget(now, s, false)
-	if !ok {
+	if !ok || m.isPointless(s, msg.Refusal.Reason, target) {
 		return nil
 	}
 	// While no attempt has reached a back end, another one is not an extra attempt there.
--- a/node/coordination/call/model.go
+++ b/node/coordination/call/model.go
@@ -33,6 +33,7 @@
 	serviceTimes         servicetime.ByRoute        // usual service time of each route as measured here
 	outstandingByBackend map[string][]*attemptState // attempts without a response
 	sequence             uint64
+	now                  time.Time // time of the last Update
 }
 
 // Config identifies the node and holds the load balancing model, which only this Model may use afterwards.
@@ -105,6 +106,7 @@
 
 // Update applies one message at the given time and returns the effects.
 func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	m.now = now
 	switch msg := msg.(type) {
 	case Begin:
 		return m.begin(now, msg)
@@ -223,7 +225,7 @@
 	if len(s.attempts) >= MaxAttempts || s.MaxTries > 0 && s.reachedBackends() >= s.MaxTries {
 		return balancer.Target{}, false
 	}
-	return m.cfg.Balancer.Pick(now, balancer.Query{Service: s.Service, Exclude: s.tried, SpareCapacityOnly: spareOnly, ResponseBytes: s.ResponseSize})
+	return m.cfg.Balancer.Pick(now, balancer.Query{Service: s.Service, Exclude: s.tried, SpareCapacityOnly: spareOnly, ResponseBytes: s.ResponseSize, Contended: s.ByCost})
 }
 
 // pickHedgeTarget picks the back end for a hedge. For a call with a latency objective it must have spare capacity, so
@@ -334,7 +336,7 @@
 	f := refusal.Refusal{
 		Reason:     reason,
 		Outcome:    outcome,
-		RetryAfter: s.retryAfter(reason),
+		RetryAfter: m.retryAfter(s, reason),
 		Node:       m.cfg.Node,
 		Depth:      s.Depth,
 	}
@@ -346,10 +348,13 @@
 }
 
 // retryAfter returns the wait to suggest with a refusal. A request limit tells exactly when it allows another request.
-func (s *callState) retryAfter(reason refusal.Reason) time.Duration {
+func (m *Model) retryAfter(s *callState, reason refusal.Reason) time.Duration {
 	if reason == refusal.RequestLimit {
 		return s.lastRefusal.RetryAfter
 	}
+	if s.ByCost {
+		return m.roomAfter(s, reason)
+	}
 	return max(s.lastRefusal.RetryAfter, time.Second)
 }
 
--- a/node/coordination/call/msg.go
+++ b/node/coordination/call/msg.go
@@ -31,6 +31,8 @@
 	Urgent       bool          // its extra attempts take precedence over those of other calls
 	MaxTries     int           // largest number of back ends that the request may reach, 0 for no limit
 	RerunShare   float64       // share of reruns at the local back end; the calls that reruns make count as extra attempts
+	ByCost       bool          // under overload, requests give way by what their delay costs callers
+	Nested       bool          // sent by a back end on behalf of another request
 	FreeRefusals bool          // retrying a refusal by a node costs no retry budget, since it causes no work at a back end
 }
 
--- a/node/coordination/destination/model.go
+++ b/node/coordination/destination/model.go
@@ -116,7 +116,7 @@
 	return m.updateAdmission(now, admission.Arrive{
 		ID: msg.ID, Deadline: msg.Deadline, Priority: msg.Priority, Rank: msg.Rank, Account: msg.Account,
 		Route: msg.Route, ObjectiveAt: now.Add(msg.Objective), LatencyObjective: max(0, msg.Objective),
-		Rerun: msg.Rerun, Movable: msg.Movable, KnownLimit: msg.KnownLimit,
+		Nested: msg.Nested, Rerun: msg.Rerun, Movable: msg.Movable, KnownLimit: msg.KnownLimit,
 	}, false)
 }
 
@@ -212,6 +212,7 @@
 	}
 	if p, ok := m.rules.Pool(m.backend.Service); ok {
 		l.FixedLimit = true
+		l.ByCost = m.rules.RanksByCost()
 		l.ColdRate = p.ColdRate
 		l.Slots = m.backend.Slots
 		l.QueueLength = queuePerSlot * l.Slots
--- a/node/coordination/destination/msg.go
+++ b/node/coordination/destination/msg.go
@@ -22,6 +22,7 @@
 	Priority    rule.Priority
 	Rank        int    // priority number of a request on a route, 0 for the most urgent
 	Account     string // client account of the request, empty for none
+	Nested      bool   // sent on behalf of another request
 	Depth       int
 	Route       string             // empty if a service line of the rules matched the request, not a route
 	Rerun       bool               // an earlier attempt of the same request may still be running or have run
--- a/node/program/metrics.go
+++ b/node/program/metrics.go
@@ -104,6 +104,9 @@
 			return err
 		}
 	}
+	if err := registerShedCounters(meter, n); err != nil {
+		return err
+	}
 	return registerSentCounter(meter, n)
 }
 
--- a/node/program/settings.go
+++ b/node/program/settings.go
@@ -28,6 +28,7 @@
 	HintsAddress     netip.AddrPort   `json:"hints"` // UDP address for load reports from and to other nodes; invalid: only responses carry hints
 	Backend          BackendSettings  `json:"backend"`
 	Headers          header.Names     `json:"headers"` // names that callers and the back end use
+	NestedSeparator  string           `json:"nested"`  // in request IDs, between the ID of a request and that of a call made for it; empty: IDs do not tell
 	Limits           Limits           `json:"limits"`
 	LogFile          string           `json:"log"`           // path; empty: standard error
 	EventFile        string           `json:"events"`        // path; empty: same as log
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -246,6 +246,7 @@
 		WriteTimeout:     time.Duration(n.cfg.Limits.StallTimeout),
 		Headers:          n.cfg.Headers,
 		LocalService:     n.cfg.Backend.Service,
+		NestedSeparator:  n.cfg.NestedSeparator,
 		Guarantee503:     n.cfg.Limits.Guarantee503,
 	}), nil
 }
--- a/node/protocol/message/attempt.go
+++ b/node/protocol/message/attempt.go
@@ -24,6 +24,7 @@
 	Priority    rule.Priority
 	Rank        int    // priority number of a request on a route, 0 for the most urgent
 	Account     string // client account of the request, empty for none
+	Nested      bool   // sent by a back end on behalf of another request
 	Service     string
 	Route       string             // empty if a service line of the rules matched the request, not a route
 	Rerun       bool               // an earlier attempt of the same request may still be running or have run
@@ -50,6 +51,9 @@
 	if _, limited := a.KnownLimit.PerSecond(); limited {
 		h.Set(attempt.HeaderRequestLimit, a.KnownLimit.String())
 	}
+	if a.Nested {
+		h.Set(attempt.HeaderNested, presentValue)
+	}
 	if a.Account != "" {
 		h.Set(attempt.HeaderAccount, a.Account)
 	}
@@ -90,6 +94,7 @@
 	a.Movable = len(h.Peek(attempt.HeaderMovable)) > 0
 	// A value that cannot be read is like none: the destination node then waits for the word of its back end.
 	a.KnownLimit, _ = requestlimit.Parse(string(h.Peek(attempt.HeaderRequestLimit)))
+	a.Nested = len(h.Peek(attempt.HeaderNested)) > 0
 	a.Account = string(h.Peek(attempt.HeaderAccount))
 	a.Route = string(h.Peek(attempt.HeaderRoute))
 	if a.Route != "" {
--- a/node/protocol/message/message.go
+++ b/node/protocol/message/message.go
@@ -24,6 +24,8 @@
 	Priority       rule.Priority
 	Rank           int           // priority number of a request on a route, 0 for the most urgent
 	Account        string        // client account of the request, empty for none
+	Nested         bool          // sent by a back end on behalf of another request
+	ByCost         bool          // under overload, requests give way by what their delay costs callers
 	Arrived        time.Time     // arrival at the entry node
 	PipelinedAhead int           // earlier requests of the same connection that were unanswered on arrival
 	Deadline       time.Time     // for the whole response
@@ -120,6 +122,7 @@
 	attempt.HeaderAttempt, attempt.HeaderIncarnation, attempt.HeaderDeadline, attempt.HeaderDepth,
 	attempt.HeaderRevision, attempt.HeaderPriority, attempt.HeaderService, attempt.HeaderRoute, attempt.HeaderObjective,
 	attempt.HeaderRerun, attempt.HeaderMovable, attempt.HeaderRequestLimit, attempt.HeaderHint, attempt.HeaderClock,
+	attempt.HeaderAccount, attempt.HeaderRank, attempt.HeaderNested,
 }
 
 // header is the common interface of fasthttp's request and response headers.
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -40,13 +40,14 @@
 
 // Backend is the back end on the VM of the node; it is safe for concurrent use.
 type Backend struct {
-	cfg        Config
-	loadReport atomic.Pointer[LoadReport]
-	pollNow    chan struct{}      // requests a load report before the next tick of PollLoad
-	logLimiter *event.RateLimiter // for refused and lost attempts
-	limitLog   *event.RateLimiter // for the request limit, so that refusals do not suppress it
-	sent       sentRequests
-	conditions conditionTracker
+	cfg         Config
+	loadReport  atomic.Pointer[LoadReport]
+	pollNow     chan struct{}      // requests a load report before the next tick of PollLoad
+	logLimiter  *event.RateLimiter // for refused and lost attempts
+	overloadLog *event.RateLimiter
+	limitLog    *event.RateLimiter // for the request limit, so that refusals do not suppress it
+	sent        sentRequests
+	conditions  conditionTracker
 
 	mu             sync.Mutex // guards the fields below
 	announced      Announcement
@@ -91,6 +92,7 @@
 		recordedEnds: map[string]int64{},
 		pollNow:      make(chan struct{}, 1),
 		logLimiter:   event.NewRateLimiter(maxLogsPerSecond, maxLogBurst),
+		overloadLog:  event.NewRateLimiter(overloadLogsPerSecond, 1),
 		limitLog:     event.NewRateLimiter(maxLogsPerSecond, maxLogBurst),
 	}
 }
--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -33,6 +33,7 @@
 		Priority:    a.Priority,
 		Rank:        a.Rank,
 		Account:     a.Account,
+		Nested:      a.Nested,
 		Depth:       a.Depth,
 		Route:       a.Route,
 		Objective:   a.Objective,
@@ -50,6 +51,7 @@
 	}
 	if r, ok := cmd.(destination.Refuse); ok {
 		b.logRefusal(a, r)
+		b.logOverload(a, r)
 		return b.refusalReply(a, refusal.Refusal{Reason: r.Reason, Outcome: r.Outcome, RetryAfter: r.RetryAfter})
 	}
 	return b.runAttempt(ctx, a, req, commands)
--- /dev/null
+++ b/node/transport/caller/contention.go
@@ -0,0 +1,34 @@
+package caller
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"pollenhill.example/core/state/rule"
+	"pollenhill.example/node/protocol/message"
+)
+
+// setContention sets what decides under overload which requests give way.
+func (s *Server) setContention(req *message.Request, r rule.Route) {
+	set := s.cfg.Rules()
+	req.ByCost = set.RanksByCost()
+	// Where callers need keys, back ends make their calls on open routes. On others the ID alone proves nothing: callers
+	// could choose one to go before others.
+	open := r.Access == rule.AccessOpen || !set.RequiresKeys()
+	req.Nested = req.ByCost && open && message.HasNestedID(&req.Header, s.cfg.Headers.RequestID, s.cfg.NestedSeparator)
+}
+
+// isUrgent reports whether the extra attempts of a request take precedence over those of others.
+func isUrgent(req *message.Request) bool {
+	if req.ByCost {
+		return req.Nested || req.Rank == 0
+	}
+	return req.Priority == rule.PriorityHigh
+}
+
+// spreadRetryAfter returns a wait of at least the given one, at random, so that refused callers do not come back at the
+// same time and fill the room that was waited for. The wait ends before the deadline if it can.
+func spreadRetryAfter(wait, untilDeadline time.Duration) time.Duration {
+	spread := max(retryAfterJitter, wait/2)
+	return wait + rand.N(max(min(spread, untilDeadline-wait), time.Millisecond))
+}
--- a/node/transport/caller/request.go
+++ b/node/transport/caller/request.go
@@ -128,6 +128,7 @@
 		return reason
 	}
 	req.FirstTry = s.refusedCallers.firstTry(req)
+	s.setContention(req, r)
 	message.StripHopByHop(&req.Header)
 	if s.cfg.Headers.CallerService != "" {
 		req.Header.Set(s.cfg.Headers.CallerService, s.cfg.LocalService)
--- a/node/transport/caller/runner.go
+++ b/node/transport/caller/runner.go
@@ -11,7 +11,6 @@
 	"pollenhill.example/core/protocol/control"
 	"pollenhill.example/core/protocol/refusal"
 	"pollenhill.example/core/protocol/requestlimit"
-	"pollenhill.example/core/state/rule"
 	"pollenhill.example/node/coordination/call"
 	"pollenhill.example/node/coordination/destination"
 	"pollenhill.example/node/protocol/message"
@@ -79,7 +78,9 @@
 		Objective:    req.Objective,
 		Waited:       req.Arrived.Sub(req.FirstTry),
 		ResponseSize: s.responseSizes.average(req.Route),
-		Urgent:       req.Priority == rule.PriorityHigh,
+		Urgent:       isUrgent(req),
+		ByCost:       req.ByCost,
+		Nested:       req.Nested,
 		MaxTries:     req.MaxTries,
 		FreeRefusals: req.Route != "",
 	})
@@ -160,6 +161,7 @@
 		Priority:    r.req.Priority,
 		Rank:        r.req.Rank,
 		Account:     r.req.Account,
+		Nested:      r.req.Nested,
 		Service:     r.req.Service,
 		Route:       r.req.Route,
 		Rerun:       cmd.Rerun,
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -73,6 +73,7 @@
 	WriteTimeout     time.Duration        // of a single write to a connection
 	Headers          header.Names         // configured header names
 	LocalService     string               // service of the back end on this VM, sent to back ends as the caller
+	NestedSeparator  string               // between the ID of a request and that of a call made for it; empty if IDs do not tell
 	Guarantee503     bool                 // 503 guarantees that the request did not run, and Retry-After may be a fraction
 }
 
@@ -162,7 +163,11 @@
 	if f.Reason == refusal.RequestLimit {
 		wait = max(wait, f.RetryAfter)
 	}
-	f.RetryAfter = wait + rand.N(retryAfterJitter)
+	if req != nil && req.ByCost {
+		f.RetryAfter = spreadRetryAfter(max(wait, f.RetryAfter), time.Until(req.Deadline))
+	} else {
+		f.RetryAfter = wait + rand.N(retryAfterJitter)
+	}
 	if req != nil && req.CallerTimeout > 0 {
 		s.refusedCallers.add(req)
 	}
