--- a/node/protocol/message/message.go
+++ b/node/protocol/message/message.go
@@ -24,8 +24,8 @@
 	Priority       rule.Priority
 	Rank           int           // priority number of a request on a route, 0 for the most urgent
 	Account        string        // client account of the request, empty for none
-	Nested         bool          // sent by a back end on behalf of another request
 	ByCost         bool          // under overload, requests give way by what their delay costs callers
+	Inherited      bool          // Account and Rank are those of the request for which the local back end makes this call
 	Arrived        time.Time     // arrival at the entry node
 	PipelinedAhead int           // earlier requests of the same connection that were unanswered on arrival
 	Deadline       time.Time     // for the whole response
--- a/node/transport/caller/contention.go
+++ b/node/transport/caller/contention.go
@@ -8,20 +8,10 @@
 	"pollenhill.example/node/protocol/message"
 )
 
-// setContention sets what decides under overload which requests give way.
-func (s *Server) setContention(req *message.Request, r rule.Route) {
-	set := s.cfg.Rules()
-	req.ByCost = set.RanksByCost()
-	// Where callers need keys, back ends make their calls on open routes. On others the ID alone proves nothing: callers
-	// could choose one to go before others.
-	open := r.Access == rule.AccessOpen || !set.RequiresKeys()
-	req.Nested = req.ByCost && open && message.HasNestedID(&req.Header, s.cfg.Headers.RequestID, s.cfg.NestedSeparator)
-}
-
 // isUrgent reports whether the extra attempts of a request take precedence over those of others.
 func isUrgent(req *message.Request) bool {
 	if req.ByCost {
-		return req.Nested || req.Rank == 0
+		return req.Inherited || req.Rank == 0
 	}
 	return req.Priority == rule.PriorityHigh
 }
--- a/node/transport/caller/runner.go
+++ b/node/transport/caller/runner.go
@@ -80,7 +80,7 @@
 		ResponseSize: s.responseSizes.average(req.Route),
 		Urgent:       isUrgent(req),
 		ByCost:       req.ByCost,
-		Nested:       req.Nested,
+		Nested:       req.Inherited,
 		MaxTries:     req.MaxTries,
 		FreeRefusals: req.Route != "",
 	})
@@ -161,7 +161,7 @@
 		Priority:    r.req.Priority,
 		Rank:        r.req.Rank,
 		Account:     r.req.Account,
-		Nested:      r.req.Nested,
+		Nested:      r.req.Inherited,
 		Service:     r.req.Service,
 		Route:       r.req.Route,
 		Rerun:       cmd.Rerun,
