--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -38,6 +38,11 @@
 	UploadRefused Kind = iota + 1070 // upload refused before its body
 )
 
+// Kinds of events of nodes about requests that give way under overload.
+const (
+	RequestsShed Kind = iota + 1060 // requests give way under overload
+)
+
 // Kinds of events of control processes.
 const (
 	ControlStarted        Kind = iota + 2000 // control started
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -164,6 +164,7 @@
 		History:          n.controlClient,
 		PoolSettings:     n.poolSettings,
 		AccountsInForce:  func() bool { return n.activeRules.Load().set.RequiresKeys() },
+		RanksByCost:      func() bool { return n.activeRules.Load().set.RanksByCost() },
 		Parents:          do.MustInvoke[*parent.Table](i),
 		OnAnnouncementChange: func() {
 			n.announceMember()
--- a/node/transport/backend/account.go
+++ b/node/transport/backend/account.go
@@ -12,10 +12,15 @@
 	return b.cfg.AccountsInForce != nil && b.cfg.AccountsInForce()
 }
 
+// ranksByCost reports whether the rules in force decide by rank and account which requests give way under overload.
+func (b *Backend) ranksByCost() bool {
+	return b.cfg.RanksByCost != nil && b.cfg.RanksByCost()
+}
+
 // startParent stores an attempt that the back end begins to run, so that calls which the back end makes for it inherit its
 // account and rank. The returned function ends that.
 func (b *Backend) startParent(a message.Attempt, req *message.Request) (end func()) {
-	if b.cfg.Parents == nil || b.cfg.Headers.RequestID == "" || a.Route == "" || !b.accountsInForce() {
+	if b.cfg.Parents == nil || b.cfg.Headers.RequestID == "" || a.Route == "" || !b.ranksByCost() {
 		return func() {}
 	}
 	id := string(req.Header.Peek(b.cfg.Headers.RequestID))
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -41,13 +41,14 @@
 
 // Backend is the back end on the VM of the node; it is safe for concurrent use.
 type Backend struct {
-	cfg        Config
-	loadReport atomic.Pointer[LoadReport]
-	pollNow    chan struct{}      // requests a load report before the next tick of PollLoad
-	logLimiter *event.RateLimiter // for refused and lost attempts
-	limitLog   *event.RateLimiter // for the request limit, so that refusals do not suppress it
-	sent       sentRequests
-	conditions conditionTracker
+	cfg         Config
+	loadReport  atomic.Pointer[LoadReport]
+	pollNow     chan struct{}      // requests a load report before the next tick of PollLoad
+	logLimiter  *event.RateLimiter // for refused and lost attempts
+	overloadLog *event.RateLimiter
+	limitLog    *event.RateLimiter // for the request limit, so that refusals do not suppress it
+	sent        sentRequests
+	conditions  conditionTracker
 
 	mu             sync.Mutex // guards the fields below
 	announced      Announcement
@@ -80,7 +81,8 @@
 	PoolSettings func(service string) (healthPath string, maxConnections int)
 
 	AccountsInForce func() bool   // reports whether the rules in force have accounts; nil for never
-	Parents         *parent.Table // receives the requests that the back end runs while accounts are in force; may be nil
+	RanksByCost     func() bool   // reports whether calls inherit account and rank, since overload is decided by them; nil for never
+	Parents         *parent.Table // receives the requests that the back end runs while RanksByCost; may be nil
 }
 
 // New returns a Backend that is absent until its first announcement or heartbeat.
@@ -95,6 +97,7 @@
 		recordedEnds: map[string]int64{},
 		pollNow:      make(chan struct{}, 1),
 		logLimiter:   event.NewRateLimiter(maxLogsPerSecond, maxLogBurst),
+		overloadLog:  event.NewRateLimiter(overloadLogsPerSecond, 1),
 		limitLog:     event.NewRateLimiter(maxLogsPerSecond, maxLogBurst),
 	}
 }
--- a/node/transport/caller/request.go
+++ b/node/transport/caller/request.go
@@ -133,7 +133,8 @@
 	req.Route = r.Name
 	req.Account = account.Name
 	req.Rank = account.RequestPriority(r.Priority)
-	if set.RequiresKeys() && req.Account == "" {
+	req.ByCost = set.RanksByCost()
+	if req.ByCost && req.Account == "" {
 		s.inheritFromParent(req)
 	}
 	req.Service = s.splitter.Pick(r)
@@ -142,6 +143,9 @@
 	req.Priority = priorityOf(req.Rank)
 	req.MaxTries = r.MaxTries
 	req.Objective = r.LatencyObjective
+	if req.ByCost && req.Objective == 0 {
+		req.Objective = cmp.Or(r.Timeout, rule.DefaultDeadline) // without one the request would count as late from its start
+	}
 	if reason := s.readCallerHeaders(req, cmp.Or(r.Timeout, rule.DefaultDeadline), now); reason != refusal.None {
 		return reason
 	}
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -170,7 +170,11 @@
 	if f.Reason == refusal.RequestLimit {
 		wait = max(wait, f.RetryAfter)
 	}
-	f.RetryAfter = wait + rand.N(retryAfterJitter)
+	if req != nil && req.ByCost {
+		f.RetryAfter = spreadRetryAfter(max(wait, f.RetryAfter), time.Until(req.Deadline))
+	} else {
+		f.RetryAfter = wait + rand.N(retryAfterJitter)
+	}
 	if req != nil && req.CallerTimeout > 0 {
 		s.refusedCallers.add(req)
 	}
