admission: the rank of the route decides between requests of one rank

The rank of the route is now the second key of the order.

TestRouteDecidesBetweenRequestsOfOneRank fails with RouteRank left out of the class. The property test of admission now also runs with a fixed limit and by cost, with ranks, accounts and nested requests.

--- a/core/coordination/admission/cost.go
+++ b/core/coordination/admission/cost.go
@@ -18,7 +18,9 @@
 	// lateReserve is the share of the slots that requests past their objective leave free, and overloadedLateReserve the
 	// share if requests that could have been in time were refused a moment ago: others of them arrive soon.
 	lateReserve           = 1.0 / 6
-	overloadedLateReserve = 1.0 / 2
+	overloadedLateReserve = 1.0 / 4
+	// lateMaxWait is the longest wait of a request past its objective for a slot that nothing else needs.
+	lateMaxWait = 400 * time.Millisecond
 	// overloadedShed is the decayed count of such refusals from which the back end is overloaded.
 	overloadedShed = 1.0
 	// shorterWork is the ratio of the expected work from which a request gives way to one of its class that needs less.
@@ -159,7 +161,7 @@
 	}
 	capacity := max(1, int(bestEffortQueueShare*float64(m.limit())))
 	meetsDeadline := now.Add(m.expectedCompletion(a)).Before(a.Deadline)
-	if meetsDeadline && len(m.bestEffort) < capacity && now.Sub(a.arrivedAt) < bestEffortMaxWait && !m.isContended() {
+	if meetsDeadline && len(m.bestEffort) < capacity && now.Sub(a.arrivedAt) < lateMaxWait && !m.isContended() {
 		m.bestEffort = append(m.bestEffort, a)
 		return nil
 	}
@@ -180,7 +182,7 @@
 	cmds := m.shedUnmeetable(now)
 	contended, exceeds := m.isContended(), m.queueExceedsFreeSlots()
 	expired := m.bestEffort.remove(func(a Arrive) bool {
-		waited := exceeds && now.Sub(a.arrivedAt) >= bestEffortMaxWait
+		waited := exceeds && now.Sub(a.arrivedAt) >= lateMaxWait
 		return contended || waited || now.Add(m.expectedCompletion(a)).After(a.Deadline)
 	})
 	for _, a := range expired {
--- a/core/coordination/admission/cost_test.go
+++ b/core/coordination/admission/cost_test.go
@@ -185,6 +185,22 @@
 	}
 }
 
+// Guards against payments that wait behind downloads, or are refused for them, where the rank of an account goes before that
+// of the route and all accounts have the same. The load: twice as many downloads as there is room for beside payments.
+func TestRouteDecidesBetweenRequestsOfOneRank(t *testing.T) {
+	pay := &load{
+		name: "pay", perSecond: steady(15), took: 200 * time.Millisecond, objective: 500 * time.Millisecond,
+		request: admission.Arrive{Rank: 1, RouteRank: 0},
+	}
+	download := &load{
+		name: "download", perSecond: steady(110), took: 200 * time.Millisecond, objective: 1500 * time.Millisecond,
+		request: admission.Arrive{Rank: 1, RouteRank: 2},
+	}
+	if got := replay(costLimits, 12*time.Second, pay, download)("pay", 2, 10); got.share() < 0.97 {
+		t.Errorf("payments: %.2f in time, %+v", got.share(), got)
+	}
+}
+
 // Guards against an account that takes the room of the others. The load: one account of six sends six times its usual.
 func TestHotAccountDoesNotCostOthers(t *testing.T) {
 	account := func(name string, perSecond func(time.Duration) float64) *load {
--- a/core/coordination/admission/model_test.go
+++ b/core/coordination/admission/model_test.go
@@ -89,7 +89,13 @@
 		ID:       id(n),
 		Deadline: c.now.Add(time.Duration(rapid.IntRange(-1, 300).Draw(c.t, "deadline")) * time.Millisecond),
 		Priority: rule.Priority(rapid.IntRange(0, 2).Draw(c.t, "priority")),
+		Rank:     rapid.IntRange(0, 2).Draw(c.t, "rank"),
+		Nested:   rapid.Bool().Draw(c.t, "nested"),
+		Account:  rapid.SampledFrom([]string{"", "a", "b"}).Draw(c.t, "account"),
+		Route:    rapid.SampledFrom([]string{"", "r", "s"}).Draw(c.t, "route"),
 	}
+	objective := time.Duration(rapid.IntRange(-20, 200).Draw(c.t, "objective")) * time.Millisecond
+	msg.ObjectiveAt, msg.LatencyObjective = c.now.Add(objective), max(0, objective)
 	c.lastArrival = msg.ID
 	if !c.started[msg.ID] && !c.notRun[msg.ID] {
 		c.pending[msg.ID] = true
@@ -127,8 +133,13 @@
 // "not run" for an attempt that has started, and attempts with no answer or two.
 func TestEveryAttemptGetsOneAnswer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
+		limits := rapid.SampledFrom([]admission.Limits{
+			adaptiveLimits,
+			{Slots: 12, ColdSlots: 12, FixedLimit: true},
+			{Slots: 12, ColdSlots: 12, FixedLimit: true, ByCost: true},
+		}).Draw(t, "limits")
 		c := &modelChecker{
-			t: t, m: admission.New(adaptiveLimits), now: epoch, limits: adaptiveLimits,
+			t: t, m: admission.New(limits), now: epoch, limits: limits,
 			running: map[attempt.ID]bool{}, pending: map[attempt.ID]bool{},
 			started: map[attempt.ID]bool{}, notRun: map[attempt.ID]bool{},
 		}
--- a/core/coordination/admission/msg.go
+++ b/core/coordination/admission/msg.go
@@ -19,6 +19,7 @@
 	Deadline         time.Time
 	Priority         rule.Priority
 	Rank             int                // priority number of a request on a route, 0 for the most urgent
+	RouteRank        int                // priority number of the route, which decides between requests of the same Rank
 	Account          string             // client account of the request, empty for none
 	Nested           bool               // sent on behalf of another request, which holds a slot until this one ends
 	Route            string             // requests of one route have similar service times
--- a/core/coordination/admission/startorder.go
+++ b/core/coordination/admission/startorder.go
@@ -13,18 +13,20 @@
 // maxRank is the largest rank that is told apart.
 const maxRank = 15
 
-// class returns the position of a request among those that compete for slots, 0 for the first: by rank, and in a rank
-// nested requests first, since the requests that they run for hold slots. What an account sends above its usual load goes
-// after all others.
+// class returns the position of a request among those that compete for slots, 0 for the first: by rank, which may be that
+// of its account, then by the rank of its route, then nested requests first, since the requests that they run for hold
+// slots. What an account sends above its usual load goes after all others.
 func (a Arrive) class() int {
-	class := 2 * min(max(a.Rank, 0), maxRank)
-	if !a.Nested {
-		class++
-	}
+	class := 0
 	if a.exceedsUsual {
-		class += 2 * (maxRank + 1)
+		class = 1
+	}
+	class = class*(maxRank+1) + min(max(a.Rank, 0), maxRank)
+	class = class*(maxRank+1) + min(max(a.RouteRank, 0), maxRank)
+	if a.Nested {
+		return 2 * class
 	}
-	return class
+	return 2*class + 1
 }
 
 // compareCost orders requests by class, then neglected routes first, then by the latest start that still meets the
--- a/core/state/rule/set.go
+++ b/core/state/rule/set.go
@@ -19,6 +19,7 @@
 	serviceRoutes  []serviceRoute // most specific first
 	routesByPrefix map[routeKey]*Route
 	poolsByName    map[string]Pool
+	routesByName   map[string]*Route
 	accountsByKey  map[KeyDigest]*Account
 	ranksByCost    bool
 }
--- a/core/state/rule/traffic_rules.go
+++ b/core/state/rule/traffic_rules.go
@@ -86,13 +86,23 @@
 	return p, ok
 }
 
+// RoutePriority returns the priority number of a route by its name, 0 for an unknown one.
+func (s *Set) RoutePriority(name string) int {
+	if r, ok := s.routesByName[name]; ok {
+		return r.Priority
+	}
+	return 0
+}
+
 // indexTrafficRules indexes the routes and pools, and adds every pool to the services. The concurrency limit of a pool is
 // the one that its back ends announce, so the rules set no lower one.
 func (s *Set) indexTrafficRules() {
 	s.routesByPrefix = make(map[routeKey]*Route, len(s.Routes))
+	s.routesByName = make(map[string]*Route, len(s.Routes))
 	for i := range s.Routes {
 		r := &s.Routes[i]
 		s.routesByPrefix[routeKey{normalizeHost(r.Host), r.PathPrefix}] = r
+		s.routesByName[r.Name] = r
 	}
 	s.poolsByName = make(map[string]Pool, len(s.Pools))
 	for _, p := range s.Pools {
--- a/node/coordination/destination/model.go
+++ b/node/coordination/destination/model.go
@@ -114,7 +114,7 @@
 		return m.refuseUnadmitted(now, msg.ID, reason)
 	}
 	return m.updateAdmission(now, admission.Arrive{
-		ID: msg.ID, Deadline: msg.Deadline, Priority: msg.Priority, Rank: msg.Rank, Account: msg.Account,
+		ID: msg.ID, Deadline: msg.Deadline, Priority: msg.Priority, Rank: msg.Rank, RouteRank: m.rules.RoutePriority(msg.Route), Account: msg.Account,
 		Route: msg.Route, ObjectiveAt: now.Add(msg.Objective), LatencyObjective: max(0, msg.Objective),
 		Nested: msg.Nested, Rerun: msg.Rerun, Movable: msg.Movable, KnownLimit: msg.KnownLimit,
 	}, false)
--- a/node/protocol/message/message.go
+++ b/node/protocol/message/message.go
@@ -23,6 +23,7 @@
 	Idempotent     bool
 	Priority       rule.Priority
 	Rank           int           // priority number of a request on a route, 0 for the most urgent
+	RouteRank      int           // priority number of the route
 	Account        string        // client account of the request, empty for none
 	ByCost         bool          // under overload, requests give way by what their delay costs callers
 	Inherited      bool          // Account and Rank are those of the request for which the local back end makes this call
--- a/node/transport/caller/contention.go
+++ b/node/transport/caller/contention.go
@@ -11,7 +11,7 @@
 // isUrgent reports whether the extra attempts of a request take precedence over those of others.
 func isUrgent(req *message.Request) bool {
 	if req.ByCost {
-		return req.Inherited || req.Rank == 0
+		return req.Inherited || req.Rank == 0 || req.RouteRank == 0
 	}
 	return req.Priority == rule.PriorityHigh
 }
--- a/node/transport/caller/request.go
+++ b/node/transport/caller/request.go
@@ -133,7 +133,7 @@
 	req.Route = r.Name
 	req.Account = account.Name
 	req.Rank = account.RequestPriority(r.Priority)
-	req.ByCost = set.RanksByCost()
+	req.ByCost, req.RouteRank = set.RanksByCost(), r.Priority
 	if req.ByCost && req.Account == "" {
 		s.inheritFromParent(req)
 	}
