--- a/core/coordination/admission/cost.go
+++ b/core/coordination/admission/cost.go
@@ -15,14 +15,14 @@
 	// arrivalMargin scales the expected time of a request that arrives at a full back end. More urgent requests that
 	// arrive later go first, so that a queue filled to its edge would miss objectives.
 	arrivalMargin = 1.2
-	// lateReserve is the share of the slots that requests past their objective leave free, and overloadedLateReserve the
-	// share if requests that could have been in time were refused a moment ago: others of them arrive soon.
+	// lateReserve is the share of the slots that requests past their objective leave free. It grows to overloadedLateReserve
+	// with the number of requests refused lately that could have been in time: others of them arrive soon.
 	lateReserve           = 1.0 / 6
-	overloadedLateReserve = 1.0 / 4
+	overloadedLateReserve = 1.0 / 2
+	// overloadedShed is the decayed count of such refusals per slot from which the reserve is largest.
+	overloadedShed = 0.7
 	// lateMaxWait is the longest wait of a request past its objective for a slot that nothing else needs.
-	lateMaxWait = 400 * time.Millisecond
-	// overloadedShed is the decayed count of such refusals from which the back end is overloaded.
-	overloadedShed = 1.0
+	lateMaxWait = 250 * time.Millisecond
 	// shorterWork is the ratio of the expected work from which a request gives way to one of its class that needs less.
 	shorterWork = 1.5
 )
@@ -238,10 +238,8 @@
 
 // lateReserve returns the share of the slots that requests past their objective leave free.
 func (m *Model) lateReserve(now time.Time) float64 {
-	if m.shedInTime.read(now, recentWindow) >= overloadedShed {
-		return overloadedLateReserve
-	}
-	return lateReserve
+	overload := m.shedInTime.read(now, recentWindow) / (overloadedShed * float64(max(1, m.limit())))
+	return lateReserve + (overloadedLateReserve-lateReserve)*min(overload, 1)
 }
 
 // shed refuses a request for lack of room.
--- a/node/program/account_test.go
+++ b/node/program/account_test.go
@@ -130,7 +130,7 @@
 	}
 }
 
-// Guards against calls of a back end that are scheduled as if they belonged to nobody, and against an account that outlasts the
+// Guards against calls of a back end that are scheduled as if they belonged to nobody, or as if no slot waited for them, and against an account that outlasts the
 // request for which they are made.
 func TestCallInheritsFromRequestThatTheBackendRuns(t *testing.T) {
 	b := newRawBackend(t)
@@ -157,9 +157,15 @@
 	if account, rank, named := call(destination); account != "harbour" || rank != "0" || named != "" {
 		t.Errorf("call beside the back end: account %q, rank %q, header %q", account, rank, named)
 	}
+	if nested := other.last().Get("Pollenhill-Nested"); nested == "" {
+		t.Error("call beside the back end: not marked as nested")
+	}
 	if account, rank, _ := call(entry); account != "" || rank != "3" {
 		t.Errorf("call at another node: account %q, rank %q", account, rank)
 	}
+	if nested := other.last().Get("Pollenhill-Nested"); nested != "" {
+		t.Error("call at another node: marked as nested")
+	}
 	close(finish)
 	if status := <-done; status != http.StatusOK {
 		t.Errorf("status %d", status)
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -19,6 +19,7 @@
 	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/state/rule"
 	"pollenhill.example/node/coordination/call"
+	"pollenhill.example/node/coordination/callerretry"
 	"pollenhill.example/node/coordination/destination"
 	"pollenhill.example/node/coordination/engine"
 	"pollenhill.example/node/coordination/parent"
@@ -171,7 +172,7 @@
 		wait = max(wait, f.RetryAfter)
 	}
 	if req != nil && req.ByCost {
-		f.RetryAfter = spreadRetryAfter(max(wait, f.RetryAfter), time.Until(req.Deadline))
+		f.RetryAfter = callerretry.Spread(max(wait, f.RetryAfter), retryAfterJitter, time.Until(req.Deadline))
 	} else {
 		f.RetryAfter = wait + rand.N(retryAfterJitter)
 	}
