--- a/node/program/account_test.go
+++ b/node/program/account_test.go
@@ -20,7 +20,7 @@
 route read host=desk.example path=/read/ kind=idempotent within=5s aim=1s rank=2 tries=2 to=desk # test: lookups
 route look host=desk.example path=/look/ kind=idempotent within=5s aim=1s rank=3 tries=2 to=records open=yes # test: calls of back ends
 account harbour keys=harbour-key rank=0 # test: harbour office
-account club keys=club-key # test: rowing club
+account sj%C3%B8%20club keys=club-key # test: rowing club
 `
 
 // fakePeer is another node with a back end of the service records. It answers each attempt and keeps its headers.
@@ -80,21 +80,28 @@
 	b := newRawBackend(t)
 	entry, destination, _ := startAccountNodes(t, b)
 	for _, node := range []*testNode{entry, destination} {
-		b.setReply(func(r *http.Request) (string, bool) { return validResponse(r, ""), false })
-		resp := sendRequest(t, node, "GET", "/read/1", "", map[string]string{
-			"Authorization": "Bearer harbour-key", "Test-Account": "club", "Pollenhill-Account": "club", "Pollenhill-Rank": "7",
-		})
-		if resp.StatusCode != http.StatusOK || len(b.requests()) != 1 {
-			t.Fatalf("%s: status %d, %d requests", node.settings.Name, resp.StatusCode, len(b.requests()))
-		}
-		h := b.requests()[0].Header
-		if got := h.Values("Test-Account"); len(got) != 1 || got[0] != "harbour" {
-			t.Errorf("%s: account %q", node.settings.Name, got)
-		}
-		for name := range h {
-			if name == "Authorization" || strings.HasPrefix(name, "Pollenhill-") && name != "Pollenhill-Depth" {
-				t.Errorf("%s: %s: %q reached the back end", node.settings.Name, name, h[name])
+		for key, want := range map[string]string{"harbour-key": "harbour", "club-key": "sjø club"} {
+			b.setReply(func(r *http.Request) (string, bool) { return validResponse(r, ""), false })
+			resp := sendRequest(t, node, "GET", "/read/1", "", map[string]string{
+				"Authorization": "Bearer " + key, "Test-Account": "other", "Pollenhill-Account": "other", "Pollenhill-Rank": "7",
+			})
+			if resp.StatusCode != http.StatusOK || len(b.requests()) != 1 {
+				t.Fatalf("%s: status %d, %d requests", node.settings.Name, resp.StatusCode, len(b.requests()))
 			}
+			checkIdentity(t, b.requests()[0].Header, want)
+		}
+	}
+}
+
+// checkIdentity fails if a request at a back end has another account than want, or a header that only nodes and callers use.
+func checkIdentity(t *testing.T, h http.Header, want string) {
+	t.Helper()
+	if got := h.Values("Test-Account"); len(got) != 1 || got[0] != want {
+		t.Errorf("account %q, want %q", got, want)
+	}
+	for name := range h {
+		if name == "Authorization" || strings.HasPrefix(name, "Pollenhill-") && name != "Pollenhill-Depth" {
+			t.Errorf("%s: %q reached the back end", name, h[name])
 		}
 	}
 }
