allowances: rate and burst of an account hold over the sum of all nodes

Nothing counted what an account sends over all nodes.

Each node counts what it admits for limited accounts and reports it with the demand to the control process that it follows; control processes add up and exchange sums; the answer carries the totals, from which the node admits the fraction that fits and no more than a grant. Out of touch it admits less than an equal share of each window, which the others reserve. What is over is refused with 429 before a call starts; what no back end has run is given back.

--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"pollenhill.example/control/coordination/allowance"
 	"pollenhill.example/control/coordination/directory"
 	"pollenhill.example/control/coordination/raftgroup"
 	"pollenhill.example/control/coordination/watch"
@@ -41,6 +42,7 @@
 	group     *raftgroup.Group
 	hub       *watch.Hub
 	directory *directory.Directory
+	ledger    *allowance.Ledger
 	server    *http.Server
 	pauses    *pause.Detector
 	ruleFile  *ruleFile // nil if the settings name no rule file
@@ -79,6 +81,7 @@
 	d.clients = do.MustInvoke[*peer.Clients](i)
 	d.hub = do.MustInvoke[*watch.Hub](i)
 	d.directory = do.MustInvoke[*directory.Directory](i)
+	d.ledger = do.MustInvoke[*allowance.Ledger](i)
 	d.pauses = do.MustInvoke[*pause.Detector](i)
 	if d.server, err = do.Invoke[*http.Server](i); err != nil || d.settings.RuleFile == "" {
 		return err
@@ -107,6 +110,8 @@
 	g.Go(func() error { return d.clients.Run(inner) })
 	g.Go(func() error { return d.publishUpdates(inner) })
 	g.Go(func() error { d.pauses.Run(inner); return nil })
+	g.Go(func() error { d.exchangeTotals(inner); return nil })
+	g.Go(func() error { d.countMembers(inner); return nil })
 	if d.ruleFile != nil {
 		g.Go(func() error { return d.ruleFile.watcher.Run(inner) })
 	}
--- a/control/daemon/injector.go
+++ b/control/daemon/injector.go
@@ -11,6 +11,7 @@
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 
+	"pollenhill.example/control/coordination/allowance"
 	"pollenhill.example/control/coordination/directory"
 	"pollenhill.example/control/coordination/raftgroup"
 	"pollenhill.example/control/coordination/watch"
@@ -37,6 +38,7 @@
 	do.Provide(i, newGroup)
 	do.Provide(i, newHub)
 	do.Provide(i, newDirectory)
+	do.Provide(i, newLedger)
 	do.Provide(i, newServer)
 	do.Provide(i, newRuleFile)
 	return i
@@ -118,6 +120,10 @@
 	}), nil
 }
 
+func newLedger(i do.Injector) (*allowance.Ledger, error) {
+	return allowance.New(allowance.Config{Name: do.MustInvoke[Settings](i).Name}, time.Now()), nil
+}
+
 func newServer(i do.Injector) (*http.Server, error) {
 	g, err := do.Invoke[*raftgroup.Group](i)
 	if err != nil {
@@ -134,13 +140,14 @@
 	// Compression would save 145 of the 169 KB of a node's first state but nearly double the CPU time for it, which
 	// matters when a third of the nodes connects to this process at once.
 	noCompression := connect.WithCompression("gzip", nil, nil)
+	ledger, pauses := do.MustInvoke[*allowance.Ledger](i), do.MustInvoke[*pause.Detector](i)
 	mux := http.NewServeMux()
-	mux.Handle(controlconnect.NewControlHandler(&node.Handler{Group: g, Directory: d, Hub: hub}, noCompression))
+	mux.Handle(controlconnect.NewControlHandler(&node.Handler{Group: g, Directory: d, Hub: hub, Ledger: ledger, Pauses: pauses}, noCompression))
 	admin := &adminapi.Handler{
-		Group: g, Origin: do.MustInvoke[Settings](i).Name, Pauses: do.MustInvoke[*pause.Detector](i), Events: do.MustInvoke[*event.Log](i),
+		Group: g, Origin: do.MustInvoke[Settings](i).Name, Pauses: pauses, Events: do.MustInvoke[*event.Log](i),
 	}
 	admin.Register(mux)
-	mux.Handle(controlconnect.NewPeerHandler(&peer.Handler{Group: g, Directory: d}, noCompression))
+	mux.Handle(controlconnect.NewPeerHandler(&peer.Handler{Group: g, Directory: d, Ledger: ledger}, noCompression))
 	p := new(http.Protocols)
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
--- a/control/transport/node/handler.go
+++ b/control/transport/node/handler.go
@@ -44,6 +44,8 @@
 	Group     Group
 	Directory Directory
 	Hub       *watch.Hub
+	Ledger    Ledger          // nil: no process reports usage
+	Pauses    *pause.Detector // nil: this process is never frozen
 }
 
 // Announce renews the lease of a node and returns the revision and the members of the group; without a member, as in a
@@ -56,6 +58,9 @@
 		if err := h.Directory.Announce(ctx, m); err != nil {
 			return nil, connect.NewError(connect.CodeUnavailable, err)
 		}
+		if m.GetGone() && h.Ledger != nil {
+			h.Ledger.NodeLeft(time.Now(), m.GetNode())
+		}
 	}
 	v := h.Group.View()
 	resp := &control.AnnounceResponse{Revision: h.currentRules().Revision, Current: v.Current}
--- a/control/transport/peer/client.go
+++ b/control/transport/peer/client.go
@@ -193,6 +193,19 @@
 	return resp.Msg, nil
 }
 
+// Totals delivers account use to another control process and returns what that one knows of others.
+func (c *Clients) Totals(ctx context.Context, to string, req *control.TotalsRequest) (*control.TotalsResponse, error) {
+	p, ok := c.clientFor(to)
+	if !ok {
+		return nil, errors.Newf("totals for %s: not among the peers", to)
+	}
+	resp, err := p.other.Totals(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, errors.Wrapf(err, "totals for %s", to)
+	}
+	return resp.Msg, nil
+}
+
 // Forward proposes an encoded command at another control process and returns the encoded result.
 //
 // The error is a NotLeaderError only if the command was certainly not proposed; any other one is marked
--- a/control/transport/peer/handler.go
+++ b/control/transport/peer/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -21,10 +22,16 @@
 	Exchange(ctx context.Context, req *control.ExchangeRequest) (*control.ExchangeResponse, error)
 }
 
+// Ledger is the part of the accounting of limited accounts that the Handler uses.
+type Ledger interface {
+	Receive(now time.Time, req *control.TotalsRequest) *control.TotalsResponse
+}
+
 // Handler implements the Peer service.
 type Handler struct {
 	Group     Group
 	Directory Directory
+	Ledger    Ledger
 }
 
 // Raft passes Raft messages to the group.
@@ -42,6 +49,11 @@
 	return connect.NewResponse(resp), nil
 }
 
+// Totals takes the account use that another control process knows and returns what it has not heard.
+func (h *Handler) Totals(_ context.Context, req *connect.Request[control.TotalsRequest]) (*connect.Response[control.TotalsResponse], error) {
+	return connect.NewResponse(h.Ledger.Receive(time.Now(), req.Msg)), nil
+}
+
 // Forward proposes a command at this process. FailedPrecondition means that the command was not proposed; after Aborted
 // its outcome is unknown.
 func (h *Handler) Forward(ctx context.Context, req *connect.Request[control.ForwardRequest]) (*connect.Response[control.ForwardResponse], error) {
--- a/core/protocol/control/controlconnect/control.connect.go
+++ b/core/protocol/control/controlconnect/control.connect.go
@@ -53,12 +53,16 @@
 	ControlStatusProcedure = "/pollenhill.control.Control/Status"
 	// ControlRulesProcedure is the fully-qualified name of the Control's Rules RPC.
 	ControlRulesProcedure = "/pollenhill.control.Control/Rules"
+	// ControlUsageProcedure is the fully-qualified name of the Control's Usage RPC.
+	ControlUsageProcedure = "/pollenhill.control.Control/Usage"
 	// PeerRaftProcedure is the fully-qualified name of the Peer's Raft RPC.
 	PeerRaftProcedure = "/pollenhill.control.Peer/Raft"
 	// PeerExchangeProcedure is the fully-qualified name of the Peer's Exchange RPC.
 	PeerExchangeProcedure = "/pollenhill.control.Peer/Exchange"
 	// PeerForwardProcedure is the fully-qualified name of the Peer's Forward RPC.
 	PeerForwardProcedure = "/pollenhill.control.Peer/Forward"
+	// PeerTotalsProcedure is the fully-qualified name of the Peer's Totals RPC.
+	PeerTotalsProcedure = "/pollenhill.control.Peer/Totals"
 )
 
 // ControlClient is a client for the pollenhill.control.Control service.
@@ -81,6 +85,8 @@
 	Status(context.Context, *connect.Request[control.StatusRequest]) (*connect.Response[control.StatusResponse], error)
 	// Rules reads accepted rules without the leader.
 	Rules(context.Context, *connect.Request[control.RulesRequest]) (*connect.Response[control.RulesResponse], error)
+	// Usage reports what a node admitted for limited accounts and returns the totals over all nodes.
+	Usage(context.Context, *connect.Request[control.UsageRequest]) (*connect.Response[control.UsageResponse], error)
 }
 
 // NewControlClient constructs a client for the pollenhill.control.Control service. By default, it
@@ -148,6 +154,12 @@
 			connect.WithSchema(controlMethods.ByName("Rules")),
 			connect.WithClientOptions(opts...),
 		),
+		usage: connect.NewClient[control.UsageRequest, control.UsageResponse](
+			httpClient,
+			baseURL+ControlUsageProcedure,
+			connect.WithSchema(controlMethods.ByName("Usage")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -162,6 +174,7 @@
 	ended    *connect.Client[control.EndedRequest, control.EndedResponse]
 	status   *connect.Client[control.StatusRequest, control.StatusResponse]
 	rules    *connect.Client[control.RulesRequest, control.RulesResponse]
+	usage    *connect.Client[control.UsageRequest, control.UsageResponse]
 }
 
 // Announce calls pollenhill.control.Control.Announce.
@@ -209,6 +222,11 @@
 	return c.rules.CallUnary(ctx, req)
 }
 
+// Usage calls pollenhill.control.Control.Usage.
+func (c *controlClient) Usage(ctx context.Context, req *connect.Request[control.UsageRequest]) (*connect.Response[control.UsageResponse], error) {
+	return c.usage.CallUnary(ctx, req)
+}
+
 // ControlHandler is an implementation of the pollenhill.control.Control service.
 type ControlHandler interface {
 	// Announce renews the lease of a node and of its back ends.
@@ -229,6 +247,8 @@
 	Status(context.Context, *connect.Request[control.StatusRequest]) (*connect.Response[control.StatusResponse], error)
 	// Rules reads accepted rules without the leader.
 	Rules(context.Context, *connect.Request[control.RulesRequest]) (*connect.Response[control.RulesResponse], error)
+	// Usage reports what a node admitted for limited accounts and returns the totals over all nodes.
+	Usage(context.Context, *connect.Request[control.UsageRequest]) (*connect.Response[control.UsageResponse], error)
 }
 
 // NewControlHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -292,6 +312,12 @@
 		connect.WithSchema(controlMethods.ByName("Rules")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlUsageHandler := connect.NewUnaryHandler(
+		ControlUsageProcedure,
+		svc.Usage,
+		connect.WithSchema(controlMethods.ByName("Usage")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/pollenhill.control.Control/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ControlAnnounceProcedure:
@@ -312,6 +338,8 @@
 			controlStatusHandler.ServeHTTP(w, r)
 		case ControlRulesProcedure:
 			controlRulesHandler.ServeHTTP(w, r)
+		case ControlUsageProcedure:
+			controlUsageHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -357,6 +385,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Control.Rules is not implemented"))
 }
 
+func (UnimplementedControlHandler) Usage(context.Context, *connect.Request[control.UsageRequest]) (*connect.Response[control.UsageResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Control.Usage is not implemented"))
+}
+
 // PeerClient is a client for the pollenhill.control.Peer service.
 type PeerClient interface {
 	// Raft delivers consensus messages.
@@ -365,6 +397,8 @@
 	Exchange(context.Context, *connect.Request[control.ExchangeRequest]) (*connect.Response[control.ExchangeResponse], error)
 	// Forward passes a proposal to the leader and returns its result.
 	Forward(context.Context, *connect.Request[control.ForwardRequest]) (*connect.Response[control.ForwardResponse], error)
+	// Totals delivers the account use that the nodes of a control process have reported.
+	Totals(context.Context, *connect.Request[control.TotalsRequest]) (*connect.Response[control.TotalsResponse], error)
 }
 
 // NewPeerClient constructs a client for the pollenhill.control.Peer service. By default, it uses
@@ -396,6 +430,12 @@
 			connect.WithSchema(peerMethods.ByName("Forward")),
 			connect.WithClientOptions(opts...),
 		),
+		totals: connect.NewClient[control.TotalsRequest, control.TotalsResponse](
+			httpClient,
+			baseURL+PeerTotalsProcedure,
+			connect.WithSchema(peerMethods.ByName("Totals")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -404,6 +444,7 @@
 	raft     *connect.Client[control.RaftRequest, control.RaftResponse]
 	exchange *connect.Client[control.ExchangeRequest, control.ExchangeResponse]
 	forward  *connect.Client[control.ForwardRequest, control.ForwardResponse]
+	totals   *connect.Client[control.TotalsRequest, control.TotalsResponse]
 }
 
 // Raft calls pollenhill.control.Peer.Raft.
@@ -421,6 +462,11 @@
 	return c.forward.CallUnary(ctx, req)
 }
 
+// Totals calls pollenhill.control.Peer.Totals.
+func (c *peerClient) Totals(ctx context.Context, req *connect.Request[control.TotalsRequest]) (*connect.Response[control.TotalsResponse], error) {
+	return c.totals.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the pollenhill.control.Peer service.
 type PeerHandler interface {
 	// Raft delivers consensus messages.
@@ -429,6 +475,8 @@
 	Exchange(context.Context, *connect.Request[control.ExchangeRequest]) (*connect.Response[control.ExchangeResponse], error)
 	// Forward passes a proposal to the leader and returns its result.
 	Forward(context.Context, *connect.Request[control.ForwardRequest]) (*connect.Response[control.ForwardResponse], error)
+	// Totals delivers the account use that the nodes of a control process have reported.
+	Totals(context.Context, *connect.Request[control.TotalsRequest]) (*connect.Response[control.TotalsResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -456,6 +504,12 @@
 		connect.WithSchema(peerMethods.ByName("Forward")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerTotalsHandler := connect.NewUnaryHandler(
+		PeerTotalsProcedure,
+		svc.Totals,
+		connect.WithSchema(peerMethods.ByName("Totals")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/pollenhill.control.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerRaftProcedure:
@@ -464,6 +518,8 @@
 			peerExchangeHandler.ServeHTTP(w, r)
 		case PeerForwardProcedure:
 			peerForwardHandler.ServeHTTP(w, r)
+		case PeerTotalsProcedure:
+			peerTotalsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -484,3 +540,7 @@
 func (UnimplementedPeerHandler) Forward(context.Context, *connect.Request[control.ForwardRequest]) (*connect.Response[control.ForwardResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Peer.Forward is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Totals(context.Context, *connect.Request[control.TotalsRequest]) (*connect.Response[control.TotalsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Peer.Totals is not implemented"))
+}
--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -33,6 +33,12 @@
 	KeyRefused Kind = 1030 // request without a known key refused
 )
 
+// Kinds of events of nodes about the allowances of accounts.
+const (
+	AllowanceExceeded      Kind = iota + 1050 // requests over an allowance refused
+	AllowanceTotalsChanged                    // totals of accounts
+)
+
 // Kinds of events of control processes.
 const (
 	ControlStarted        Kind = iota + 2000 // control started
--- a/core/state/event/kind_string.go
+++ b/core/state/event/kind_string.go
@@ -28,6 +28,8 @@
 	_ = x[BackendEndRecorded-1017]
 	_ = x[BackendHistoryRead-1018]
 	_ = x[KeyRefused-1030]
+	_ = x[AllowanceExceeded-1050]
+	_ = x[AllowanceTotalsChanged-1051]
 	_ = x[ControlStarted-2000]
 	_ = x[ControlStopped-2001]
 	_ = x[LeaderChanged-2002]
@@ -44,14 +46,16 @@
 const (
 	_Kind_name_0 = "node startednode stoppingnode stoppedback end state changedattempt refusedrules in forceback end found by its health checkcall endedsettings read againcontrol process followedexchange of hints failedcall failedattempt lostrequest ended by a fault of the noderequest limit of the back end changedrequests sent under the limit of the back endback end says that it leavesend of the back end recordedhistory of the back end read"
 	_Kind_name_1 = "request without a known key refused"
-	_Kind_name_2 = "control startedcontrol stoppedleader changedchange acceptedchange rejectedmembers of the control group changedorder about a zone"
-	_Kind_name_3 = "TLS handshake failedTLS files not in uselog lines droppedconnection not accepted"
+	_Kind_name_2 = "requests over an allowance refusedtotals of accounts"
+	_Kind_name_3 = "control startedcontrol stoppedleader changedchange acceptedchange rejectedmembers of the control group changedorder about a zone"
+	_Kind_name_4 = "TLS handshake failedTLS files not in uselog lines droppedconnection not accepted"
 )
 
 var (
 	_Kind_index_0 = [...]uint16{0, 12, 25, 37, 59, 74, 88, 122, 132, 151, 175, 199, 210, 222, 258, 295, 340, 368, 396, 424}
-	_Kind_index_2 = [...]uint8{0, 15, 30, 44, 59, 74, 110, 128}
-	_Kind_index_3 = [...]uint8{0, 20, 40, 57, 80}
+	_Kind_index_2 = [...]uint8{0, 34, 52}
+	_Kind_index_3 = [...]uint8{0, 15, 30, 44, 59, 74, 110, 128}
+	_Kind_index_4 = [...]uint8{0, 20, 40, 57, 80}
 )
 
 func (i Kind) String() string {
@@ -61,12 +65,15 @@
 		return _Kind_name_0[_Kind_index_0[i]:_Kind_index_0[i+1]]
 	case i == 1030:
 		return _Kind_name_1
+	case 1050 <= i && i <= 1051:
+		i -= 1050
+		return _Kind_name_2[_Kind_index_2[i]:_Kind_index_2[i+1]]
 	case 2000 <= i && i <= 2006:
 		i -= 2000
-		return _Kind_name_2[_Kind_index_2[i]:_Kind_index_2[i+1]]
+		return _Kind_name_3[_Kind_index_3[i]:_Kind_index_3[i+1]]
 	case 5000 <= i && i <= 5003:
 		i -= 5000
-		return _Kind_name_3[_Kind_index_3[i]:_Kind_index_3[i+1]]
+		return _Kind_name_4[_Kind_index_4[i]:_Kind_index_4[i+1]]
 	default:
 		return "Kind(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/node/program/control.go
+++ b/node/program/control.go
@@ -27,6 +27,8 @@
 	State() *follow.State                    // newest rules and members
 	Changed() <-chan struct{}                // closed at the next change of State
 	OfferRules(revision uint64, text string) // takes rules from another node if they are newer
+	// ReportUsage reports the use of limited accounts and returns the totals over all nodes.
+	ReportUsage(ctx context.Context, req *control.UsageRequest) (*control.UsageResponse, error)
 }
 
 func newControlClient(cfg Settings, credentials *mtls.Credentials) ControlClient {
--- a/node/program/control_state.go
+++ b/node/program/control_state.go
@@ -41,6 +41,7 @@
 	set := n.updateRules(state.Revision, state.RulesText)
 	n.engine.Apply(engine.Update{Targets: targets, Rules: set})
 	n.updateSubscriptions(state.Members)
+	n.allowances.limiter.SetNodes(len(targets))
 	if len(state.Members) > 0 {
 		n.membersKnown.Store(true)
 	}
@@ -64,6 +65,7 @@
 		return nil
 	}
 	set.Revision = revision
+	n.allowances.limiter.SetAccounts(set.Accounts)
 	n.activeRules.Store(&activeRules{set: set, text: text, appliedAt: time.Now()})
 	n.events.Emit(event.RulesApplied, zap.Uint64("revision", revision), zap.Uint64("number", set.ChangeNumber))
 	return set
--- a/node/program/harness_test.go
+++ b/node/program/harness_test.go
@@ -97,6 +97,11 @@
 
 func (ctl *fakeControl) OfferRules(uint64, string) {}
 
+// ReportUsage returns the use of the node as the totals, as if there were no other.
+func (ctl *fakeControl) ReportUsage(_ context.Context, req *control.UsageRequest) (*control.UsageResponse, error) {
+	return &control.UsageResponse{Current: true, Nodes: 1, Accounts: req.GetAccounts()}, nil
+}
+
 func (ctl *fakeControl) Claim(_ context.Context, r *control.ClaimRequest) (*control.ClaimResponse, error) {
 	ctl.mu.Lock()
 	defer ctl.mu.Unlock()
--- a/node/program/metrics.go
+++ b/node/program/metrics.go
@@ -13,6 +13,7 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"pollenhill.example/core/protocol/refusal"
+	"pollenhill.example/node/coordination/allowance"
 	"pollenhill.example/node/transport/backend"
 	"pollenhill.example/node/transport/caller"
 )
@@ -95,6 +96,12 @@
 	{"rules.age", "seconds since the rules came into force here", func(n *Node) int64 {
 		return int64(time.Since(n.activeRules.Load().appliedAt).Seconds())
 	}},
+	{"allowance.touch", "1 if the totals over all nodes are fresh", func(n *Node) int64 {
+		if n.allowances.limiter.Stats(time.Now()).InTouch {
+			return 1
+		}
+		return 0
+	}},
 	{"responses.mismatched", "responses dropped because they belong to another attempt", func(n *Node) int64 {
 		return int64(n.peerClient.MismatchedResponses())
 	}},
@@ -111,9 +118,30 @@
 			return err
 		}
 	}
+	if err := registerAllowanceCounters(meter, n); err != nil {
+		return err
+	}
 	return registerSentCounter(meter, n)
 }
 
+// registerAllowanceCounters counts the decisions about limited accounts, summed over all of them.
+func registerAllowanceCounters(meter metric.Meter, n *Node) error {
+	counters := map[string]func(allowance.Stats) uint64{
+		"allowance.admitted": func(s allowance.Stats) uint64 { return s.Admitted },
+		"allowance.refused":  func(s allowance.Stats) uint64 { return s.Refused },
+	}
+	for name, read := range counters {
+		_, err := meter.Int64ObservableCounter(name, metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(read(n.allowances.limiter.Stats(time.Now()))))
+			return nil
+		}))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // registerSentCounter counts what the node sends to its back end.
 func registerSentCounter(meter metric.Meter, n *Node) error {
 	_, err := meter.Int64ObservableCounter("backend.sent", metric.WithDescription("requests to the back end by kind"),
--- a/node/program/node.go
+++ b/node/program/node.go
@@ -44,6 +44,7 @@
 	metrics        *metrics
 	hints          *hints.Endpoint // nil if the settings have no address for hints
 	recentServices recentServices
+	allowances     *allowances
 	activeRules    atomic.Pointer[activeRules]
 	shuttingDown   atomic.Bool // every response closes its connection, so that callers move to other nodes
 	backendLeaving atomic.Bool // while shutting down: the back end gets no new attempts through this node
@@ -81,6 +82,8 @@
 	backgroundDone.Go(func() { _ = n.controlClient.Run(backgroundCtx) })
 	backgroundDone.Go(func() { n.followControl(backgroundCtx) })
 	backgroundDone.Go(func() { n.watchSettingsFile(backgroundCtx) })
+	backgroundDone.Go(func() { n.reportUsage(backgroundCtx) })
+	backgroundDone.Go(func() { n.logAllowances(backgroundCtx) })
 	backgroundDone.Go(func() { n.backend.DiscoverInstance(backgroundCtx) })
 	backgroundDone.Go(func() { n.backend.PollLoad(backgroundCtx) })
 	if n.hints != nil {
--- a/node/program/settings.go
+++ b/node/program/settings.go
@@ -68,6 +68,7 @@
 	MaxBufferedBytes    int               `json:"whole" validate:"gte=0"`            // size up to which a response is received whole before it is passed on
 	GCPercent           int               `json:"collect" validate:"gte=0,lte=1000"` // growth of the heap between two garbage collections, in percent
 	ExtraAttemptRatio   float64           `json:"extra" validate:"gte=0,lte=1"`      // retry budget: extra attempts per call that all nodes together may send to a pool; 0: from the rules
+	AllowanceSlack      float64           `json:"slack" validate:"gte=0"`            // requests above the allowance of an account in 5 s that are tolerated; a part evens out small accounts
 	Guarantee503        bool              `json:"promise"`                           // callers take 503 as proof that the request did not run, and accept a Retry-After in fractions of a second
 }
 
@@ -111,6 +112,7 @@
 		BackendLeaveDelay:   min(l.BackendLeaveDelay, cmp.Or(l.ListenerCloseDelay, settings.Duration(defaultListenerCloseDelay))),
 		GCPercent:           cmp.Or(l.GCPercent, defaultGCPercent),
 		ExtraAttemptRatio:   l.ExtraAttemptRatio,
+		AllowanceSlack:      l.AllowanceSlack,
 		Guarantee503:        l.Guarantee503,
 	}
 }
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -37,6 +37,7 @@
 func New(cfg Config) (*Node, error) {
 	cfg.Settings.Limits = cfg.Settings.Limits.withDefaults()
 	n := &Node{settingsPath: cfg.SettingsPath, cfg: cfg.Settings, incarnation: uint64(time.Now().UnixNano()), events: cfg.Events, controlClient: cfg.ControlClient}
+	n.allowances = newAllowances(n)
 	var err error
 	if n.tlsCredentials, err = loadTLSCredentials(cfg); err != nil {
 		return nil, err
@@ -235,6 +236,7 @@
 		Engine:           do.MustInvoke[*engine.Engine](i),
 		Sender:           do.MustInvoke[*peer.Client](i),
 		Claims:           n.controlClient,
+		Allowances:       n.allowances,
 		Rules:            func() *rule.Set { return n.activeRules.Load().set },
 		OnCallDone:       do.MustInvoke[*metrics](i).recordCall,
 		Events:           n.events,
--- a/node/transport/caller/harness_test.go
+++ b/node/transport/caller/harness_test.go
@@ -107,11 +107,12 @@
 
 // testServer is a caller.Server with an engine that knows two back ends of the service desk, both at other nodes.
 type testServer struct {
-	address string
-	engine  *engine.Engine
-	sender  *fakeSender
-	parents *parent.Table
-	rules   atomic.Pointer[rule.Set]
+	address    string
+	engine     *engine.Engine
+	sender     *fakeSender
+	parents    *parent.Table
+	allowances *fakeAllowances
+	rules      atomic.Pointer[rule.Set]
 
 	mu          sync.Mutex
 	keysRefused map[bool]int    // by whether a key was sent
@@ -136,7 +137,7 @@
 func startServer(t *testing.T) *testServer {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background()) // t.Context ends before Shutdown, which needs the engine
-	s := &testServer{sender: &fakeSender{started: make(chan struct{}, 1)}, parents: &parent.Table{}, keysRefused: map[bool]int{}}
+	s := &testServer{sender: &fakeSender{started: make(chan struct{}, 1)}, parents: &parent.Table{}, allowances: &fakeAllowances{room: 1 << 30}, keysRefused: map[bool]int{}}
 	s.rules.Store(&rule.Set{})
 	s.engine = engine.New(engine.Config{
 		Call:        call.New(call.Config{Node: "n", Incarnation: 1, Balancer: balancer.New(balancer.Config{Zone: "a", Rand: rand.New(rand.NewPCG(1, 1))})}),
@@ -147,7 +148,7 @@
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(s), zapcore.InfoLevel)
 	server := caller.New(caller.Config{
 		Events: event.New(event.Config{Process: "n", Logger: zap.New(core), Clock: event.NewClock(time.Now)}),
-		Node:   "n", Engine: s.engine, Sender: s.sender, Rules: s.rules.Load, Parents: s.parents,
+		Node:   "n", Engine: s.engine, Sender: s.sender, Rules: s.rules.Load, Parents: s.parents, Allowances: s.allowances,
 		OnKeyRefused: func(sent bool) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -59,6 +59,7 @@
 	Engine           *engine.Engine
 	Sender           Sender
 	Claims           Claims
+	Allowances       Allowances           // nil: no account is limited
 	Rules            func() *rule.Set     // returns the current rules
 	OnCallDone       func(CallMetrics)    // receives every call whose reply header is known; may be nil
 	Events           *event.Log           // receives the log lines of calls; nil disables them
@@ -167,7 +168,7 @@
 	}
 	f.Guarantee503 = true
 	wait := minRetryAfter
-	if f.Reason == refusal.RequestLimit {
+	if f.Reason == refusal.RequestLimit || f.Reason == refusal.OverAllowance {
 		wait = max(wait, f.RetryAfter)
 	}
 	f.RetryAfter = wait + rand.N(retryAfterJitter)
@@ -192,8 +193,12 @@
 		}
 		return reply
 	}
+	if reply := s.refuseOverAllowance(in, req); reply != nil {
+		return reply
+	}
 	r := s.startCall(ctx, req)
 	reply := <-r.reply
+	s.giveBackAllowance(req, reply)
 	s.reportMetrics(r, reply, time.Since(arrived))
 	s.log.logCall(ctx, r, reply, time.Since(arrived))
 	return s.finishReply(req, reply)
