--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -43,6 +43,12 @@
 	RequestsShed Kind = iota + 1060 // requests give way under overload
 )
 
+// Kinds of events of nodes about the allowances of accounts.
+const (
+	AllowanceExceeded      Kind = iota + 1050 // requests over an allowance refused
+	AllowanceTotalsChanged                    // totals of accounts
+)
+
 // Kinds of events of control processes.
 const (
 	ControlStarted        Kind = iota + 2000 // control started
