rule, replica: rollouts of a service to another version

The rule verb rollout holds the order and its progress; the commands rollout and advance write it. An order that is sent again is acknowledged again, one that a newer order has overtaken has no effect, and a state that has ended is final.

--- a/core/state/replica/command.go
+++ b/core/state/replica/command.go
@@ -1,11 +1,13 @@
 package replica
 
 import (
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"pollenhill.example/core/state/protofield"
+	"pollenhill.example/core/state/rule"
 )
 
 //go:generate go tool -modfile=../../../tools/go.mod stringer -type=CommandKind,Verdict -linecomment -output=kind_string.go
@@ -15,7 +17,8 @@
 
 // Kinds of commands: change and edit replace the rule file and the routing table; claim, finish and release concern the claim
 // of an idempotency key; join and leave concern a member of the control group; zone evacuates a zone or puts it back; end
-// records the end of an instance of a back end.
+// records the end of an instance of a back end; rollout orders that a service moves to another version, and advance changes the
+// progress of that.
 // CommandNone has no effect.
 const (
 	CommandNone             CommandKind = iota // none
@@ -28,6 +31,8 @@
 	CommandChangeTable                         // edit
 	CommandSetZoneEvacuated                    // zone
 	CommandEndInstance                         // end
+	CommandOrderRollout                        // rollout
+	CommandAdvanceRollout                      // advance
 )
 
 // Command is one input of the state machine. Each kind uses only the fields listed for it.
@@ -65,6 +70,15 @@
 	Node        string // beside the back end
 	InstanceID  string
 	StartMillis int64 // instances with the ID and a start up to this one have ended, in Unix milliseconds
+
+	// CommandOrderRollout uses Service, Conditional, KnownOrder (of the rollout of the service) and these two.
+	Target string        // version that the service moves to
+	Within time.Duration // for the whole move, in milliseconds
+
+	// CommandAdvanceRollout uses Service, KnownOrder and these; it has no effect on another order than KnownOrder.
+	Share    rule.Ratio // in millionths
+	State    rule.RolloutState
+	Replaced []string
 }
 
 // Response is the response to a claimed request, which resends of the request get.
@@ -106,9 +120,19 @@
 	w.Int(19, c.StartMillis)
 	w.Uint(20, boolToUint(c.Conditional))
 	w.Uint(21, c.KnownOrder)
+	w.String(22, c.Target)
+	w.Uint(23, uint64(c.Within.Milliseconds()))
+	w.Uint(24, uint64(math.Round(float64(c.Share)*shareUnit)))
+	w.Uint(25, uint64(c.State))
+	for _, version := range c.Replaced {
+		w.String(26, version)
+	}
 	return w.Encoded()
 }
 
+// shareUnit is how many units of the encoding are the share 1.
+const shareUnit = 1e6
+
 func boolToUint(set bool) uint64 {
 	if set {
 		return 1
@@ -163,6 +187,16 @@
 			c.Conditional = f.Uint == 1
 		case 21:
 			c.KnownOrder = f.Uint
+		case 22:
+			c.Target = f.Text()
+		case 23:
+			c.Within = time.Duration(f.Uint) * time.Millisecond
+		case 24:
+			c.Share = rule.Ratio(f.Uint) / shareUnit
+		case 25:
+			c.State = rule.RolloutState(f.Uint)
+		case 26:
+			c.Replaced = append(c.Replaced, f.Text())
 		}
 		return nil
 	})
--- a/core/state/replica/kind_string.go
+++ b/core/state/replica/kind_string.go
@@ -18,11 +18,13 @@
 	_ = x[CommandChangeTable-7]
 	_ = x[CommandSetZoneEvacuated-8]
 	_ = x[CommandEndInstance-9]
+	_ = x[CommandOrderRollout-10]
+	_ = x[CommandAdvanceRollout-11]
 }
 
-const _CommandKind_name = "nonechangeclaimfinishreleasejoinleaveeditzoneend"
+const _CommandKind_name = "nonechangeclaimfinishreleasejoinleaveeditzoneendrolloutadvance"
 
-var _CommandKind_index = [...]uint8{0, 4, 10, 15, 21, 28, 32, 37, 41, 45, 48}
+var _CommandKind_index = [...]uint8{0, 4, 10, 15, 21, 28, 32, 37, 41, 45, 48, 55, 62}
 
 func (i CommandKind) String() string {
 	idx := int(i) - 0
--- a/core/state/replica/replica.go
+++ b/core/state/replica/replica.go
@@ -95,6 +95,10 @@
 		return r.setZoneEvacuated(index, c)
 	case CommandEndInstance:
 		return r.endInstance(c)
+	case CommandOrderRollout:
+		return r.orderRollout(index, c)
+	case CommandAdvanceRollout:
+		return r.advanceRollout(index, c)
 	}
 	return Result{}
 }
--- a/core/state/replica/rulechange.go
+++ b/core/state/replica/rulechange.go
@@ -58,9 +58,10 @@
 	if err := r.cfg.ValidateRules(c.Text); err != nil {
 		return r.rememberRefusal(c, hash, Result{Verdict: VerdictInvalid, Problem: err.Error()})
 	}
-	before := r.ruleSet().EvacuatedZones
+	before, rollouts := r.ruleSet().EvacuatedZones, r.ruleSet().Rollouts
 	change := r.acceptRules(index, c)
 	r.recordZoneChanges(index, before, r.ruleSet().EvacuatedZones)
+	r.recordRolloutChanges(index, rollouts, r.ruleSet().Rollouts)
 	return Result{Verdict: VerdictAccepted, Change: change}
 }
 
--- a/core/state/rule/set.go
+++ b/core/state/rule/set.go
@@ -14,6 +14,7 @@
 	Pools          []Pool        `json:",omitempty"`
 	CallerLimits   *CallerLimits `json:"Bound,omitempty"`
 	Accounts       []Account     `json:",omitempty"`
+	Rollouts       []Rollout     `json:",omitempty"`
 	EvacuatedZones []string      `json:"Evacuated,omitempty"` // zones that "evacuate" rules take out of service
 
 	serviceRoutes  []serviceRoute // most specific first
--- a/core/state/rule/verbs.go
+++ b/core/state/rule/verbs.go
@@ -37,6 +37,7 @@
 		"route":      {example: "route lookup host=booking.example path=/free/ kind=idempotent within=500ms aim=200ms rank=2 tries=2 to=booking # kari: lookups", parse: parseRouteRule},
 		"bound":      {example: "bound header=16384 body=67108864 read=3s idle=15s # ola: what callers may send", parse: parseBoundRule},
 		"account":    {example: "account harbour keys=k7wq2m5t9x,p3vd8n6r4z rank=1 quota=40 burst=80 # kari: harbour office", parse: parseAccountRule},
+		"rollout":    {example: "rollout booking target=v2 within=12s # ola: new version", parse: parseRolloutRule},
 		"evacuate":   {example: "evacuate oslo-c # kari: rewiring", parse: parseEvacuateRule},
 	}
 }
