--- a/control/transport/adminapi/handler.go
+++ b/control/transport/adminapi/handler.go
@@ -58,6 +58,8 @@
 		"PATCH /table":             func(w http.ResponseWriter, r *http.Request) { h.editTable(w, r, true) },
 		"PUT /zones/{zone}/out":    func(w http.ResponseWriter, r *http.Request) { h.setZone(w, r, true) },
 		"DELETE /zones/{zone}/out": func(w http.ResponseWriter, r *http.Request) { h.setZone(w, r, false) },
+		"POST /rollouts":           h.orderRollout,
+		"GET /rollouts/{service}":  h.readRollout,
 	} {
 		mux.HandleFunc(pattern, markUsed(handle))
 	}
@@ -96,25 +98,31 @@
 	arrived := time.Now().Add(-h.age(r))
 	cmd := replica.Command{Kind: replica.CommandSetZoneEvacuated, Zone: r.PathValue("zone"), Evacuated: out, Conditional: true}
 	var err error
-	cmd.KnownOrder, err = h.newestOrder(r.Context(), cmd.Zone)
+	cmd.KnownOrder, err = h.newestOrder(r.Context(), func(s *replica.Replica) uint64 { return s.ZoneOrder(cmd.Zone) })
+	res, err := h.commitOrder(r, arrived, cmd, err)
+	h.logOrder(cmd, time.Since(arrived), res, err)
+	respond(w, res, err)
+}
+
+// commitOrder commits an order whose KnownOrder is set, unless its caller may have given it up; err is that of newestOrder.
+func (h *Handler) commitOrder(r *http.Request, arrived time.Time, cmd replica.Command, err error) (replica.Result, error) {
 	if err == nil && (callerGone(r) || time.Since(arrived) > maxOrderAge) {
 		err = errHeldUp
 	}
-	var res replica.Result
-	if err == nil {
-		res, err = h.commit(r.Context(), cmd)
+	if err != nil {
+		return replica.Result{}, err
 	}
+	res, err := h.commit(r.Context(), cmd)
 	if err == nil && res.Verdict == replica.VerdictStale {
 		err = errOvertaken
 	}
-	h.logOrder(cmd, time.Since(arrived), res, err)
-	respond(w, res, err)
+	return res, err
 }
 
-// Reasons why an order about a zone was not carried out.
+// Reasons why an order was not carried out.
 var (
 	errHeldUp    = errors.New("the call was held up, and its caller may have given it up")
-	errOvertaken = errors.New("a newer order about the zone was carried out")
+	errOvertaken = errors.New("a newer order about the same was carried out")
 )
 
 func (h *Handler) logOrder(cmd replica.Command, took time.Duration, res replica.Result, err error) {
@@ -132,15 +140,15 @@
 	h.Events.Emit(event.ZoneOrderHandled, fields...)
 }
 
-// newestOrder returns the newest order about a zone that was carried out before the call.
-func (h *Handler) newestOrder(ctx context.Context, zone string) (uint64, error) {
+// newestOrder returns the newest order that was carried out before the call, which read takes from the replica.
+func (h *Handler) newestOrder(ctx context.Context, read func(*replica.Replica) uint64) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
 	defer cancel()
 	if err := h.Group.Barrier(ctx); err != nil {
 		return 0, err
 	}
 	var newest uint64
-	h.Group.ReadReplica(func(s *replica.Replica) { newest = s.ZoneOrder(zone) })
+	h.Group.ReadReplica(func(s *replica.Replica) { newest = read(s) })
 	return newest, nil
 }
 
--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -39,6 +39,12 @@
 	ZoneOrderHandled                         // order about a zone
 )
 
+// Kinds of events of control processes about rollouts.
+const (
+	RolloutOrdered  Kind = iota + 2030 // order for a rollout
+	RolloutAdvanced                    // rollout advanced
+)
+
 // Kinds of events of all programs.
 const (
 	TLSHandshakeFailed Kind = iota + 5000 // TLS handshake failed
--- a/core/state/event/kind_string.go
+++ b/core/state/event/kind_string.go
@@ -34,6 +34,8 @@
 	_ = x[ChangeRejected-2004]
 	_ = x[ControlMembersChanged-2005]
 	_ = x[ZoneOrderHandled-2006]
+	_ = x[RolloutOrdered-2030]
+	_ = x[RolloutAdvanced-2031]
 	_ = x[TLSHandshakeFailed-5000]
 	_ = x[TLSFilesRefused-5001]
 	_ = x[LogLinesDropped-5002]
@@ -43,13 +45,15 @@
 const (
 	_Kind_name_0 = "node startednode stoppingnode stoppedback end state changedattempt refusedrules in forceback end found by its health checkcall endedsettings read againcontrol process followedexchange of hints failedcall failedattempt lostrequest ended by a fault of the noderequest limit of the back end changedrequests sent under the limit of the back endback end says that it leavesend of the back end recordedhistory of the back end read"
 	_Kind_name_1 = "control startedcontrol stoppedleader changedchange acceptedchange rejectedmembers of the control group changedorder about a zone"
-	_Kind_name_2 = "TLS handshake failedTLS files not in uselog lines droppedconnection not accepted"
+	_Kind_name_2 = "order for a rolloutrollout advanced"
+	_Kind_name_3 = "TLS handshake failedTLS files not in uselog lines droppedconnection not accepted"
 )
 
 var (
 	_Kind_index_0 = [...]uint16{0, 12, 25, 37, 59, 74, 88, 122, 132, 151, 175, 199, 210, 222, 258, 295, 340, 368, 396, 424}
 	_Kind_index_1 = [...]uint8{0, 15, 30, 44, 59, 74, 110, 128}
-	_Kind_index_2 = [...]uint8{0, 20, 40, 57, 80}
+	_Kind_index_2 = [...]uint8{0, 19, 35}
+	_Kind_index_3 = [...]uint8{0, 20, 40, 57, 80}
 )
 
 func (i Kind) String() string {
@@ -60,9 +64,12 @@
 	case 2000 <= i && i <= 2006:
 		i -= 2000
 		return _Kind_name_1[_Kind_index_1[i]:_Kind_index_1[i+1]]
+	case 2030 <= i && i <= 2031:
+		i -= 2030
+		return _Kind_name_2[_Kind_index_2[i]:_Kind_index_2[i+1]]
 	case 5000 <= i && i <= 5003:
 		i -= 5000
-		return _Kind_name_2[_Kind_index_2[i]:_Kind_index_2[i+1]]
+		return _Kind_name_3[_Kind_index_3[i]:_Kind_index_3[i+1]]
 	default:
 		return "Kind(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
