Roll-outs: shares by version, observations of nodes, decisions of the leader

Entry nodes send the share in force to the target version; destination nodes refuse what their version must not get.

--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -43,6 +43,7 @@
 	directory *directory.Directory
 	server    *http.Server
 	pauses    *pause.Detector
+	rollouts  *rollouts
 	ruleFile  *ruleFile // nil if the settings name no rule file
 }
 
@@ -80,6 +81,7 @@
 	d.hub = do.MustInvoke[*watch.Hub](i)
 	d.directory = do.MustInvoke[*directory.Directory](i)
 	d.pauses = do.MustInvoke[*pause.Detector](i)
+	d.rollouts = do.MustInvoke[*rollouts](i)
 	if d.server, err = do.Invoke[*http.Server](i); err != nil || d.settings.RuleFile == "" {
 		return err
 	}
@@ -107,6 +109,7 @@
 	g.Go(func() error { return d.clients.Run(inner) })
 	g.Go(func() error { return d.publishUpdates(inner) })
 	g.Go(func() error { d.pauses.Run(inner); return nil })
+	g.Go(func() error { d.rollouts.Run(inner); return nil })
 	if d.ruleFile != nil {
 		g.Go(func() error { return d.ruleFile.watcher.Run(inner) })
 	}
--- a/control/daemon/injector.go
+++ b/control/daemon/injector.go
@@ -37,6 +37,7 @@
 	do.Provide(i, newGroup)
 	do.Provide(i, newHub)
 	do.Provide(i, newDirectory)
+	do.Provide(i, newRollouts)
 	do.Provide(i, newServer)
 	do.Provide(i, newRuleFile)
 	return i
@@ -131,16 +132,20 @@
 	if err != nil {
 		return nil, err
 	}
+	rollouts, err := do.Invoke[*rollouts](i)
+	if err != nil {
+		return nil, err
+	}
 	// Compression would save 145 of the 169 KB of a node's first state but nearly double the CPU time for it, which
 	// matters when a third of the nodes connects to this process at once.
 	noCompression := connect.WithCompression("gzip", nil, nil)
 	mux := http.NewServeMux()
-	mux.Handle(controlconnect.NewControlHandler(&node.Handler{Group: g, Directory: d, Hub: hub}, noCompression))
+	mux.Handle(controlconnect.NewControlHandler(&node.Handler{Group: g, Directory: d, Hub: hub, Observers: rollouts}, noCompression))
 	admin := &adminapi.Handler{
 		Group: g, Origin: do.MustInvoke[Settings](i).Name, Pauses: do.MustInvoke[*pause.Detector](i), Events: do.MustInvoke[*event.Log](i),
 	}
 	admin.Register(mux)
-	mux.Handle(controlconnect.NewPeerHandler(&peer.Handler{Group: g, Directory: d}, noCompression))
+	mux.Handle(controlconnect.NewPeerHandler(&peer.Handler{Group: g, Directory: d, Observers: rollouts}, noCompression))
 	p := new(http.Protocols)
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
--- a/control/transport/node/handler.go
+++ b/control/transport/node/handler.go
@@ -39,11 +39,25 @@
 	Members(ctx context.Context) ([]*control.Member, error)
 }
 
+// Observers takes the observations of nodes; Observe must not block.
+type Observers interface {
+	Observe(list []*control.Observation)
+}
+
 // Handler implements the Control service.
 type Handler struct {
 	Group     Group
 	Directory Directory
 	Hub       *watch.Hub
+	Observers Observers // nil: observations are dropped
+}
+
+// Observe takes what nodes saw of the back ends beside them during a rollout.
+func (h *Handler) Observe(_ context.Context, req *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error) {
+	if h.Observers != nil {
+		h.Observers.Observe(req.Msg.GetObservations())
+	}
+	return connect.NewResponse(&control.ObserveResponse{}), nil
 }
 
 // Announce renews the lease of a node and returns the revision and the members of the group; without a member, as in a
--- a/control/transport/peer/client.go
+++ b/control/transport/peer/client.go
@@ -193,6 +193,16 @@
 	return resp.Msg, nil
 }
 
+// Observe passes observations of nodes to a control process, which should be the leader.
+func (c *Clients) Observe(ctx context.Context, to string, list []*control.Observation) error {
+	p, ok := c.clientFor(to)
+	if !ok {
+		return errors.Newf("observe at %s: not among the peers", to)
+	}
+	_, err := p.other.Observe(ctx, connect.NewRequest(&control.ObserveRequest{Observations: list}))
+	return errors.Wrapf(err, "observe at %s", to)
+}
+
 // Forward proposes an encoded command at another control process and returns the encoded result.
 //
 // The error is a NotLeaderError only if the command was certainly not proposed; any other one is marked
--- a/control/transport/peer/handler.go
+++ b/control/transport/peer/handler.go
@@ -21,10 +21,24 @@
 	Exchange(ctx context.Context, req *control.ExchangeRequest) (*control.ExchangeResponse, error)
 }
 
+// Observers takes the observations of nodes; Observe must not block.
+type Observers interface {
+	Observe(list []*control.Observation)
+}
+
 // Handler implements the Peer service.
 type Handler struct {
 	Group     Group
 	Directory Directory
+	Observers Observers // nil: observations are dropped
+}
+
+// Observe takes the observations of nodes that another control process has received.
+func (h *Handler) Observe(_ context.Context, req *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error) {
+	if h.Observers != nil {
+		h.Observers.Observe(req.Msg.GetObservations())
+	}
+	return connect.NewResponse(&control.ObserveResponse{}), nil
 }
 
 // Raft passes Raft messages to the group.
--- a/core/coordination/balancer/model.go
+++ b/core/coordination/balancer/model.go
@@ -215,7 +215,7 @@
 }
 
 func (m *Model) pick(now time.Time, q Query) (Target, bool) {
-	candidates := m.candidates(now, q)
+	candidates := m.rolloutCandidates(now, q)
 	if len(candidates) == 0 {
 		return Target{}, false
 	}
@@ -291,12 +291,12 @@
 
 // candidates returns the targets that may get the attempt: those of the own region if there are any, else those of other
 // regions. The last resort are ejected back ends, cold ones at their limit, those beyond the share of their request limit
-// and those that admit nothing.
-func (m *Model) candidates(now time.Time, q Query) []candidate {
+// and those that admit nothing; onlyLastResort reports that there are no others.
+func (m *Model) candidates(now time.Time, q Query, side rolloutSide) (list []candidate, onlyLastResort bool) {
 	service, rules, outliers := m.serviceState(q.Service), m.rules.Services[q.Service], m.outlierModel(q.Service)
 	var ownRegion, otherRegions, lastResort []candidate
 	for _, t := range m.targets[q.Service] {
-		if !m.acceptsWork(t) || slices.Contains(q.Exclude, t.Backend) {
+		if !m.acceptsWork(t) || slices.Contains(q.Exclude, t.Backend) || !side.includes(t) {
 			continue
 		}
 		if q.SpareCapacityOnly && m.isLimited(t.Backend) {
@@ -315,12 +315,12 @@
 			ownRegion = append(ownRegion, c)
 		}
 	}
-	for _, cs := range [][]candidate{ownRegion, otherRegions, lastResort} {
+	for _, cs := range [][]candidate{ownRegion, otherRegions} {
 		if len(cs) > 0 {
-			return cs
+			return cs, false
 		}
 	}
-	return nil
+	return lastResort, true
 }
 
 // coldAtLimit reports whether a cold back end has as many requests as its destination admits.
--- a/core/coordination/balancer/msg.go
+++ b/core/coordination/balancer/msg.go
@@ -14,6 +14,7 @@
 type Target struct {
 	Backend     string
 	Service     string
+	Version     string // of its software, empty if it is not known
 	Node        string
 	PeerAddress netip.AddrPort // of the destination node
 	Zone        string
--- a/core/protocol/control/controlconnect/control.connect.go
+++ b/core/protocol/control/controlconnect/control.connect.go
@@ -49,6 +49,8 @@
 	ControlEndProcedure = "/pollenhill.control.Control/End"
 	// ControlEndedProcedure is the fully-qualified name of the Control's Ended RPC.
 	ControlEndedProcedure = "/pollenhill.control.Control/Ended"
+	// ControlObserveProcedure is the fully-qualified name of the Control's Observe RPC.
+	ControlObserveProcedure = "/pollenhill.control.Control/Observe"
 	// ControlStatusProcedure is the fully-qualified name of the Control's Status RPC.
 	ControlStatusProcedure = "/pollenhill.control.Control/Status"
 	// ControlRulesProcedure is the fully-qualified name of the Control's Rules RPC.
@@ -59,6 +61,8 @@
 	PeerExchangeProcedure = "/pollenhill.control.Peer/Exchange"
 	// PeerForwardProcedure is the fully-qualified name of the Peer's Forward RPC.
 	PeerForwardProcedure = "/pollenhill.control.Peer/Forward"
+	// PeerObserveProcedure is the fully-qualified name of the Peer's Observe RPC.
+	PeerObserveProcedure = "/pollenhill.control.Peer/Observe"
 )
 
 // ControlClient is a client for the pollenhill.control.Control service.
@@ -77,6 +81,8 @@
 	End(context.Context, *connect.Request[control.EndRequest]) (*connect.Response[control.EndResponse], error)
 	// Ended reads which instances with an ID have ended, as a quorum knows it.
 	Ended(context.Context, *connect.Request[control.EndedRequest]) (*connect.Response[control.EndedResponse], error)
+	// Observe passes on what a node saw of the back end beside it during a rollout of its service.
+	Observe(context.Context, *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error)
 	// Status reads the local state without the leader.
 	Status(context.Context, *connect.Request[control.StatusRequest]) (*connect.Response[control.StatusResponse], error)
 	// Rules reads accepted rules without the leader.
@@ -136,6 +142,12 @@
 			connect.WithSchema(controlMethods.ByName("Ended")),
 			connect.WithClientOptions(opts...),
 		),
+		observe: connect.NewClient[control.ObserveRequest, control.ObserveResponse](
+			httpClient,
+			baseURL+ControlObserveProcedure,
+			connect.WithSchema(controlMethods.ByName("Observe")),
+			connect.WithClientOptions(opts...),
+		),
 		status: connect.NewClient[control.StatusRequest, control.StatusResponse](
 			httpClient,
 			baseURL+ControlStatusProcedure,
@@ -160,6 +172,7 @@
 	release  *connect.Client[control.ReleaseRequest, control.ReleaseResponse]
 	end      *connect.Client[control.EndRequest, control.EndResponse]
 	ended    *connect.Client[control.EndedRequest, control.EndedResponse]
+	observe  *connect.Client[control.ObserveRequest, control.ObserveResponse]
 	status   *connect.Client[control.StatusRequest, control.StatusResponse]
 	rules    *connect.Client[control.RulesRequest, control.RulesResponse]
 }
@@ -199,6 +212,11 @@
 	return c.ended.CallUnary(ctx, req)
 }
 
+// Observe calls pollenhill.control.Control.Observe.
+func (c *controlClient) Observe(ctx context.Context, req *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error) {
+	return c.observe.CallUnary(ctx, req)
+}
+
 // Status calls pollenhill.control.Control.Status.
 func (c *controlClient) Status(ctx context.Context, req *connect.Request[control.StatusRequest]) (*connect.Response[control.StatusResponse], error) {
 	return c.status.CallUnary(ctx, req)
@@ -225,6 +243,8 @@
 	End(context.Context, *connect.Request[control.EndRequest]) (*connect.Response[control.EndResponse], error)
 	// Ended reads which instances with an ID have ended, as a quorum knows it.
 	Ended(context.Context, *connect.Request[control.EndedRequest]) (*connect.Response[control.EndedResponse], error)
+	// Observe passes on what a node saw of the back end beside it during a rollout of its service.
+	Observe(context.Context, *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error)
 	// Status reads the local state without the leader.
 	Status(context.Context, *connect.Request[control.StatusRequest]) (*connect.Response[control.StatusResponse], error)
 	// Rules reads accepted rules without the leader.
@@ -280,6 +300,12 @@
 		connect.WithSchema(controlMethods.ByName("Ended")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlObserveHandler := connect.NewUnaryHandler(
+		ControlObserveProcedure,
+		svc.Observe,
+		connect.WithSchema(controlMethods.ByName("Observe")),
+		connect.WithHandlerOptions(opts...),
+	)
 	controlStatusHandler := connect.NewUnaryHandler(
 		ControlStatusProcedure,
 		svc.Status,
@@ -308,6 +334,8 @@
 			controlEndHandler.ServeHTTP(w, r)
 		case ControlEndedProcedure:
 			controlEndedHandler.ServeHTTP(w, r)
+		case ControlObserveProcedure:
+			controlObserveHandler.ServeHTTP(w, r)
 		case ControlStatusProcedure:
 			controlStatusHandler.ServeHTTP(w, r)
 		case ControlRulesProcedure:
@@ -349,6 +377,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Control.Ended is not implemented"))
 }
 
+func (UnimplementedControlHandler) Observe(context.Context, *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Control.Observe is not implemented"))
+}
+
 func (UnimplementedControlHandler) Status(context.Context, *connect.Request[control.StatusRequest]) (*connect.Response[control.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Control.Status is not implemented"))
 }
@@ -365,6 +397,8 @@
 	Exchange(context.Context, *connect.Request[control.ExchangeRequest]) (*connect.Response[control.ExchangeResponse], error)
 	// Forward passes a proposal to the leader and returns its result.
 	Forward(context.Context, *connect.Request[control.ForwardRequest]) (*connect.Response[control.ForwardResponse], error)
+	// Observe passes observations of nodes to the leader.
+	Observe(context.Context, *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error)
 }
 
 // NewPeerClient constructs a client for the pollenhill.control.Peer service. By default, it uses
@@ -396,6 +430,12 @@
 			connect.WithSchema(peerMethods.ByName("Forward")),
 			connect.WithClientOptions(opts...),
 		),
+		observe: connect.NewClient[control.ObserveRequest, control.ObserveResponse](
+			httpClient,
+			baseURL+PeerObserveProcedure,
+			connect.WithSchema(peerMethods.ByName("Observe")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -404,6 +444,7 @@
 	raft     *connect.Client[control.RaftRequest, control.RaftResponse]
 	exchange *connect.Client[control.ExchangeRequest, control.ExchangeResponse]
 	forward  *connect.Client[control.ForwardRequest, control.ForwardResponse]
+	observe  *connect.Client[control.ObserveRequest, control.ObserveResponse]
 }
 
 // Raft calls pollenhill.control.Peer.Raft.
@@ -421,6 +462,11 @@
 	return c.forward.CallUnary(ctx, req)
 }
 
+// Observe calls pollenhill.control.Peer.Observe.
+func (c *peerClient) Observe(ctx context.Context, req *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error) {
+	return c.observe.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the pollenhill.control.Peer service.
 type PeerHandler interface {
 	// Raft delivers consensus messages.
@@ -429,6 +475,8 @@
 	Exchange(context.Context, *connect.Request[control.ExchangeRequest]) (*connect.Response[control.ExchangeResponse], error)
 	// Forward passes a proposal to the leader and returns its result.
 	Forward(context.Context, *connect.Request[control.ForwardRequest]) (*connect.Response[control.ForwardResponse], error)
+	// Observe passes observations of nodes to the leader.
+	Observe(context.Context, *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -456,6 +504,12 @@
 		connect.WithSchema(peerMethods.ByName("Forward")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerObserveHandler := connect.NewUnaryHandler(
+		PeerObserveProcedure,
+		svc.Observe,
+		connect.WithSchema(peerMethods.ByName("Observe")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/pollenhill.control.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerRaftProcedure:
@@ -464,6 +518,8 @@
 			peerExchangeHandler.ServeHTTP(w, r)
 		case PeerForwardProcedure:
 			peerForwardHandler.ServeHTTP(w, r)
+		case PeerObserveProcedure:
+			peerObserveHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -484,3 +540,7 @@
 func (UnimplementedPeerHandler) Forward(context.Context, *connect.Request[control.ForwardRequest]) (*connect.Response[control.ForwardResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Peer.Forward is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Observe(context.Context, *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Peer.Observe is not implemented"))
+}
--- a/core/state/rule/rollout.go
+++ b/core/state/rule/rollout.go
@@ -63,6 +63,12 @@
 	return version != "" && r.Share < 1
 }
 
+// VersionAllowed reports whether back ends of a version may run requests of a service at all; without a rollout all may.
+func (s *Set) VersionAllowed(service, version string) bool {
+	r, ok := s.Rollout(service)
+	return !ok || r.Allows(version)
+}
+
 // SetRollout returns text as change number, with a rule for a rollout in place of the one for the same service.
 // The comment "who: why" in attribution is for the change line and for the new rule.
 func SetRollout(text string, number uint64, attribution string, r Rollout) string {
--- a/node/coordination/destination/model.go
+++ b/node/coordination/destination/model.go
@@ -222,7 +222,7 @@
 	switch {
 	case m.rules.ZoneOut(m.cfg.Zone):
 		l.OutReason = refusal.ZoneOutOfService
-	case m.rules.BackendOut(m.backend.Name):
+	case m.rules.BackendOut(m.backend.Name), !m.rules.VersionAllowed(m.backend.Service, m.backend.Version):
 		l.OutReason = refusal.BackendOutOfService
 	}
 	return l
--- a/node/coordination/destination/model_test.go
+++ b/node/coordination/destination/model_test.go
@@ -48,6 +48,8 @@
 		"node leaving":        {func(m *destination.Model) { m.Update(epoch, destination.Leave{}) }, nil, refusal.Leaving, attempt.NotRun},
 		"zone out":            {func(m *destination.Model) { m.Update(epoch, destination.Rules{Set: zoneOut}) }, nil, refusal.ZoneOutOfService, attempt.NotRun},
 		"back end out":        {func(m *destination.Model) { m.Update(epoch, destination.Rules{Set: backendOut}) }, nil, refusal.BackendOutOfService, attempt.NotRun},
+		"version reverted":    {setRollout("v2"), nil, refusal.BackendOutOfService, attempt.NotRun},
+		"version unknown":     {setRollout(""), nil, refusal.BackendOutOfService, attempt.NotRun},
 		"cancelled before":    {func(m *destination.Model) { m.Update(epoch, cancel(1)) }, nil, refusal.Cancelled, attempt.NotRun},
 		"copy, first started": {func(m *destination.Model) { m.Update(epoch, arrive(1)) }, nil, refusal.DuplicateAttempt, attempt.Unknown},
 		"copy, first finished": {func(m *destination.Model) {
@@ -85,6 +87,14 @@
 	backendOut = &rule.Set{BackendsOut: map[string]bool{"desk-1": true}}
 )
 
+// setRollout returns a function that sets the version of the back end after a rollout to v2 was reverted.
+func setRollout(version string) func(m *destination.Model) {
+	return func(m *destination.Model) {
+		m.Update(epoch, destination.Rules{Set: &rule.Set{Rollouts: []rule.Rollout{{Service: "desk", Target: "v2", State: rule.RolloutReverted}}}})
+		m.Update(epoch, destination.Backend{Name: "desk-1", Service: "desk", Slots: 12, State: admission.Ready, Version: version})
+	}
+}
+
 func setState(m *destination.Model, s admission.State) {
 	m.Update(epoch, destination.Backend{Name: "desk-1", Service: "desk", Slots: 12, State: s})
 }
--- a/node/coordination/destination/msg.go
+++ b/node/coordination/destination/msg.go
@@ -50,6 +50,7 @@
 type Backend struct {
 	Name        string
 	Service     string
+	Version     string // of its software, empty if it is not known
 	Slots       int
 	Connections int
 	State       admission.State
--- a/node/coordination/instance/model.go
+++ b/node/coordination/instance/model.go
@@ -33,6 +33,7 @@
 	seenMillis   int64 // when it was first seen, if that was without its start
 	sequence     uint64
 	service      string
+	version      string
 	address      netip.AddrPort
 	slots        int
 	draining     bool
@@ -77,7 +78,7 @@
 	if i.id == "" || i.deregistered || i.gone {
 		return View{}
 	}
-	return View{ID: i.id, Service: i.service, Address: i.address, StartMillis: i.startMillis, Slots: i.slots, Draining: i.draining, ColdUntil: i.coldUntil}
+	return View{ID: i.id, Service: i.service, Version: i.version, Address: i.address, StartMillis: i.startMillis, Slots: i.slots, Draining: i.draining, ColdUntil: i.coldUntil}
 }
 
 // Known reports whether an instance has been seen since the node started and is not gone.
@@ -102,6 +103,7 @@
 	m.current.startMillis = msg.StartMillis
 	m.current.sequence = msg.Sequence
 	m.current.service = msg.Service
+	m.current.version = msg.Version
 	m.current.address = msg.Address
 	m.current.slots = msg.Slots
 	m.current.gone = false
--- a/node/coordination/instance/msg.go
+++ b/node/coordination/instance/msg.go
@@ -14,6 +14,7 @@
 	StartMillis int64  // start of the instance in Unix milliseconds, 0 if it does not say
 	Sequence    uint64 // increases with every heartbeat of an instance
 	Service     string
+	Version     string // of the software, empty if it does not say
 	Address     netip.AddrPort
 	Slots       int
 	Draining    bool
@@ -58,6 +59,7 @@
 type View struct {
 	ID          string // empty if the back end must not receive requests
 	Service     string
+	Version     string // empty if it is not known
 	Address     netip.AddrPort
 	StartMillis int64 // Unix time, 0 if it is not known
 	Slots       int
--- a/node/program/control.go
+++ b/node/program/control.go
@@ -27,6 +27,9 @@
 	State() *follow.State                    // newest rules and members
 	Changed() <-chan struct{}                // closed at the next change of State
 	OfferRules(revision uint64, text string) // takes rules from another node if they are newer
+
+	// Observe sends what this node saw of the back end beside it during a rollout.
+	Observe(ctx context.Context, o *control.Observation) error
 }
 
 func newControlClient(cfg Settings, credentials *mtls.Credentials) ControlClient {
@@ -82,6 +85,7 @@
 		Connections: uint32(a.Connections),
 		State:       control.State(state),
 		Start:       a.StartMillis,
+		Version:     a.Version,
 	}}
 	return m
 }
@@ -111,6 +115,7 @@
 			Slots:       int(b.GetSlots()),
 			State:       admission.State(b.GetState()),
 			StartMillis: b.GetStart(),
+			Version:     b.GetVersion(),
 		}
 	})
 }
--- a/node/program/control_state.go
+++ b/node/program/control_state.go
@@ -41,6 +41,7 @@
 	set := n.updateRules(state.Revision, state.RulesText)
 	n.engine.Apply(engine.Update{Targets: targets, Rules: set})
 	n.updateSubscriptions(state.Members)
+	n.updateObserver()
 	if len(state.Members) > 0 {
 		n.membersKnown.Store(true)
 	}
--- a/node/program/harness_test.go
+++ b/node/program/harness_test.go
@@ -88,6 +88,9 @@
 
 func (ctl *fakeControl) OfferRules(uint64, string) {}
 
+// Observe drops the observation; package rollout of the control module tests what follows from them.
+func (ctl *fakeControl) Observe(context.Context, *control.Observation) error { return nil }
+
 func (ctl *fakeControl) Claim(_ context.Context, r *control.ClaimRequest) (*control.ClaimResponse, error) {
 	ctl.mu.Lock()
 	defer ctl.mu.Unlock()
--- a/node/program/node.go
+++ b/node/program/node.go
@@ -19,6 +19,7 @@
 	"pollenhill.example/core/transport/tcp"
 	"pollenhill.example/node/coordination/destination"
 	"pollenhill.example/node/coordination/engine"
+	"pollenhill.example/node/coordination/observer"
 	"pollenhill.example/node/transport/backend"
 	"pollenhill.example/node/transport/caller"
 	"pollenhill.example/node/transport/hints"
@@ -33,6 +34,7 @@
 	incarnation    uint64
 	injector       *do.RootScope
 	engine         *engine.Engine
+	observer       *observer.Model
 	backend        *backend.Backend
 	peerClient     *peer.Client
 	peerServer     *peer.Server
@@ -83,6 +85,7 @@
 	backgroundDone.Go(func() { n.watchSettingsFile(backgroundCtx) })
 	backgroundDone.Go(func() { n.backend.DiscoverInstance(backgroundCtx) })
 	backgroundDone.Go(func() { n.backend.PollLoad(backgroundCtx) })
+	backgroundDone.Go(func() { n.reportObservations(backgroundCtx) })
 	if n.hints != nil {
 		backgroundDone.Go(func() { n.hints.Run(backgroundCtx) })
 	}
--- /dev/null
+++ b/node/program/rollout.go
@@ -0,0 +1,60 @@
+package program
+
+import (
+	"context"
+	"time"
+
+	"pollenhill.example/core/coordination/admission"
+	"pollenhill.example/core/protocol/control"
+	"pollenhill.example/core/protocol/observation"
+)
+
+// updateObserver makes the observer count while a rollout of the service of the local back end advances.
+func (n *Node) updateObserver() {
+	a, state := n.backend.CurrentAnnouncement()
+	r, ok := n.activeRules.Load().set.Rollout(a.Service)
+	if !ok || state == admission.Absent {
+		n.observer.SetRollout("", "", nil)
+		return
+	}
+	n.observer.SetRollout(a.Name, a.Version, &r)
+}
+
+// reportObservations sends what the observer has counted until ctx ends.
+func (n *Node) reportObservations(ctx context.Context) {
+	ticker := time.NewTicker(observation.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if o, ok := n.observe(); ok {
+			sendCtx, cancel := context.WithTimeout(ctx, observation.Interval)
+			_ = n.controlClient.Observe(sendCtx, o) // the next one includes its counts
+			cancel()
+		}
+	}
+}
+
+// observe returns the observation to send, or false if no rollout of the service of the local back end advances.
+func (n *Node) observe() (*control.Observation, bool) {
+	a, state := n.backend.CurrentAnnouncement()
+	routes, ok := n.observer.Counts()
+	if !ok || state == admission.Absent {
+		return nil, false
+	}
+	hint := n.engine.View().Admission.Hint
+	return &control.Observation{
+		Incarnation: n.incarnation,
+		Name:        a.Name,
+		Service:     a.Service,
+		Version:     a.Version,
+		State:       control.State(state),
+		Slots:       uint32(a.Slots),
+		Inflight:    uint32(hint.Inflight + hint.Queued),
+		Revision:    n.rulesRevision(),
+		Routes:      routes,
+	}, true
+}
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -16,6 +16,7 @@
 	"pollenhill.example/node/coordination/call"
 	"pollenhill.example/node/coordination/destination"
 	"pollenhill.example/node/coordination/engine"
+	"pollenhill.example/node/coordination/observer"
 	"pollenhill.example/node/protocol/loadreport"
 	"pollenhill.example/node/protocol/message"
 	"pollenhill.example/node/transport/backend"
@@ -35,7 +36,7 @@
 // address is used, before Run.
 func New(cfg Config) (*Node, error) {
 	cfg.Settings.Limits = cfg.Settings.Limits.withDefaults()
-	n := &Node{settingsPath: cfg.SettingsPath, cfg: cfg.Settings, incarnation: uint64(time.Now().UnixNano()), events: cfg.Events, controlClient: cfg.ControlClient}
+	n := &Node{settingsPath: cfg.SettingsPath, cfg: cfg.Settings, incarnation: uint64(time.Now().UnixNano()), events: cfg.Events, controlClient: cfg.ControlClient, observer: observer.New()}
 	var err error
 	if n.tlsCredentials, err = loadTLSCredentials(cfg); err != nil {
 		return nil, err
@@ -160,6 +161,7 @@
 		Address:          n.cfg.Backend.Address,
 		CancelByClose:    n.cfg.Backend.CancelByClose,
 		History:          n.controlClient,
+		Observer:         n.observer,
 		PoolSettings:     n.poolSettings,
 		OnAnnouncementChange: func() {
 			n.announceMember()
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -19,6 +19,7 @@
 	"pollenhill.example/node/coordination/destination"
 	"pollenhill.example/node/coordination/engine"
 	"pollenhill.example/node/coordination/instance"
+	"pollenhill.example/node/coordination/observer"
 )
 
 // LeaseDuration is how long an announcement is valid unless it is renewed.
@@ -72,6 +73,7 @@
 	MaxBufferedBytes int             // longest response body that is received before its header is passed on
 	Service          string          // service that heartbeats are expected to name
 	Address          netip.AddrPort  // address of the back end, invalid to accept that of any announcement or heartbeat
+	Observer         *observer.Model // counts answers during a rollout; nil: none are counted
 	History          InstanceHistory // keeps the ends of instances; nil: a restart forgets them
 	CancelByClose    bool            // cancel a request by closing its connection, not only the write side
 
@@ -105,6 +107,7 @@
 	Zone        string         `json:"zone"`
 	State       string         `json:"state" validate:"oneof=cold ready draining leaving"`
 	StartMillis int64          `json:"-"` // start of the instance, 0 if it does not say
+	Version     string         `json:"-"` // of its software, empty if it is not known
 }
 
 // admissionState returns the state, Absent for the zero Announcement.
@@ -193,6 +196,7 @@
 	b.cfg.Engine.UpdateDestination(destination.Backend{
 		Name:        a.Name,
 		Service:     a.Service,
+		Version:     a.Version,
 		Slots:       a.Slots,
 		Connections: a.Connections,
 		State:       a.admissionState(),
--- a/node/transport/backend/instance.go
+++ b/node/transport/backend/instance.go
@@ -54,7 +54,7 @@
 		return Announcement{}
 	}
 	_, connections := b.cfg.PoolSettings(v.Service)
-	a := Announcement{Name: v.ID, Service: v.Service, Address: v.Address, Slots: v.Slots, Connections: connections, Zone: b.cfg.Zone, StartMillis: v.StartMillis}
+	a := Announcement{Name: v.ID, Service: v.Service, Address: v.Address, Slots: v.Slots, Connections: connections, Zone: b.cfg.Zone, StartMillis: v.StartMillis, Version: v.Version}
 	coldTime := time.Until(v.ColdUntil)
 	switch {
 	case v.Draining:
--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -19,6 +19,7 @@
 	"pollenhill.example/core/transport/tcp"
 	"pollenhill.example/node/coordination/destination"
 	"pollenhill.example/node/coordination/instance"
+	"pollenhill.example/node/coordination/observer"
 	"pollenhill.example/node/protocol/message"
 )
 
@@ -88,7 +89,7 @@
 		}
 	}()
 	deadlineTimer := time.AfterFunc(time.Until(a.Deadline), func() { cancel(errDeadlinePassed) })
-	start := time.Now()
+	start, slowdown := time.Now(), max(1, b.cfg.Engine.View().Admission.Hint.Slowdown)
 	stop := sync.OnceFunc(func() { deadlineTimer.Stop(); close(finished); cancel(nil) })
 	reply, result, ended := b.exchange(ctx, a, req)
 	latency := time.Since(start)
@@ -97,12 +98,16 @@
 			result = admission.Failed
 		}
 		b.cfg.Engine.UpdateDestination(destination.Done{ID: a.ID, Result: result, Latency: latency})
+		if ended == nil {
+			b.observe(a, reply, result, scale(latency, slowdown))
+		}
 		stop()
 	}
 	switch {
 	case ended != nil:
 		// The attempt has failed or was cancelled, but the back end may still run it. It stays in flight until the back end
 		// has ended it, so that no other attempt starts in its place.
+		b.observe(a, reply, result, scale(latency, slowdown))
 		go func() {
 			<-ended
 			done(result)
@@ -118,6 +123,26 @@
 	return reply
 }
 
+// scale returns the time that an attempt would have taken without the slowdown at its start, which is that of the VM and not
+// of the version.
+func scale(latency time.Duration, slowdown float64) time.Duration {
+	return time.Duration(float64(latency) / slowdown)
+}
+
+// observe counts the end of an attempt that the back end ran, for a rollout of its service. An attempt that was cancelled had
+// waited for its answer that long.
+func (b *Backend) observe(a message.Attempt, reply *message.Reply, result admission.Result, latency time.Duration) {
+	if b.cfg.Observer == nil || result == admission.Shed || reply.Outcome == attempt.NotRun {
+		return
+	}
+	b.cfg.Observer.Record(observer.Answer{
+		Route:    a.Route,
+		Failed:   result == admission.Failed || result == admission.Reset,
+		Duration: latency,
+		Cold:     b.cfg.Engine.View().Admission.State == admission.Cold,
+	})
+}
+
 // Causes for which the context of an attempt ends.
 var (
 	errCancelled      = errors.New("attempt cancelled by the entry node")
--- a/node/transport/localapi/heartbeat.go
+++ b/node/transport/localapi/heartbeat.go
@@ -19,6 +19,7 @@
 	Service         string         `json:"service"`
 	Address         netip.AddrPort `json:"address"`
 	Zone            string         `json:"zone"`
+	Version         string         `json:"version"`
 	Slots           int            `json:"slots"`
 	State           string         `json:"state"`
 	ColdStartMillis float64        `json:"warming"` // duration of the cold start, 0 for none
@@ -46,6 +47,7 @@
 		StartMillis: h.StartMillis,
 		Sequence:    h.Sequence,
 		Service:     h.Service,
+		Version:     h.Version,
 		Address:     h.Address,
 		Slots:       h.Slots,
 		Draining:    h.State == stateDraining,
@@ -82,6 +84,8 @@
 		return "field address: missing"
 	case h.Zone != "" && h.Zone != zone:
 		return "field zone: this node is in zone " + zone
+	case len(h.Version) > instance.MaxVersionLength:
+		return fmt.Sprintf("field version: want at most %d bytes", instance.MaxVersionLength)
 	case h.Slots <= 0:
 		return "field slots: want a number above 0"
 	case h.Slots > instance.MaxSlots:
