--- a/control/daemon/injector.go
+++ b/control/daemon/injector.go
@@ -143,6 +143,7 @@
 	mux.Handle(controlconnect.NewControlHandler(&node.Handler{Group: g, Directory: d, Hub: hub, Observers: rollouts}, noCompression))
 	admin := &adminapi.Handler{
 		Group: g, Origin: do.MustInvoke[Settings](i).Name, Pauses: do.MustInvoke[*pause.Detector](i), Events: do.MustInvoke[*event.Log](i),
+		Versions: func(ctx context.Context, service string) []string { return servingVersions(ctx, d, service) },
 	}
 	admin.Register(mux)
 	mux.Handle(controlconnect.NewPeerHandler(&peer.Handler{Group: g, Directory: d, Observers: rollouts}, noCompression))
--- a/control/daemon/rollouts.go
+++ b/control/daemon/rollouts.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +11,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"pollenhill.example/control/coordination/directory"
 	"pollenhill.example/control/coordination/raftgroup"
 	"pollenhill.example/control/coordination/rollout"
 	"pollenhill.example/control/transport/peer"
@@ -65,6 +68,23 @@
 	}
 }
 
+// servingVersions returns the versions of the back ends of a service that the directory knows to serve, none if it is busy.
+func servingVersions(ctx context.Context, d *directory.Directory, service string) []string {
+	members, err := d.Members(ctx)
+	if err != nil {
+		return nil
+	}
+	versions := map[string]struct{}{}
+	for _, m := range members {
+		for _, b := range m.GetBackends() {
+			if serving := b.GetState() == control.State_STATE_READY || b.GetState() == control.State_STATE_COLD; serving && b.GetService() == service {
+				versions[b.GetVersion()] = struct{}{}
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(versions))
+}
+
 func (r *rollouts) takePending() []*control.Observation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/control/transport/adminapi/handler.go
+++ b/control/transport/adminapi/handler.go
@@ -43,7 +43,9 @@
 	Group  Group
 	Origin string     // name of this control process, recorded with each change
 	Events *event.Log // nil: orders are not logged
-	Pauses Pauses     // nil: requests that waited while this process was stopped are found by their connections only
+	// Versions returns the versions of the serving back ends of a service as far as this process knows; nil: none are known.
+	Versions func(ctx context.Context, service string) []string
+	Pauses   Pauses // nil: requests that waited while this process was stopped are found by their connections only
 
 	mu             sync.Mutex
 	cachedRevision uint64 // of cachedTable
--- a/control/transport/adminapi/rollout.go
+++ b/control/transport/adminapi/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -60,6 +61,9 @@
 		Kind: replica.CommandOrderRollout, Service: o.Service, Target: o.Target,
 		Within: time.Duration(o.Within * float64(time.Second)).Round(time.Millisecond), Conditional: true,
 	}
+	if h.Versions != nil && slices.Equal(h.Versions(r.Context(), o.Service), []string{o.Target}) {
+		cmd.State = rule.RolloutCompleted // nothing else runs
+	}
 	var err error
 	cmd.KnownOrder, err = h.newestOrder(r.Context(), func(s *replica.Replica) uint64 { return s.RolloutOrder(o.Service) })
 	res, err := h.commitOrder(r, arrived, cmd, err)
--- a/core/state/replica/command.go
+++ b/core/state/replica/command.go
@@ -71,7 +71,8 @@
 	InstanceID  string
 	StartMillis int64 // instances with the ID and a start up to this one have ended, in Unix milliseconds
 
-	// CommandOrderRollout uses Service, Conditional, KnownOrder (of the rollout of the service) and these two.
+	// CommandOrderRollout uses Service, Conditional, KnownOrder (of the rollout of the service), State (completed if no other
+	// version runs) and these two.
 	Target string        // version that the service moves to
 	Within time.Duration // for the whole move, in milliseconds
 
--- a/core/state/replica/rollout.go
+++ b/core/state/replica/rollout.go
@@ -41,7 +41,11 @@
 	}
 	r.recordZoneOrder(index, rolloutSubject(c.Service))
 	since := fromMillis(toMillis(c.ProposedAt)) // as the log keeps it, so that all members write the same text
-	return r.writeRollout(index, c, rule.Rollout{Service: c.Service, Target: c.Target, Within: c.Within, Since: since}, "ordered")
+	next := rule.Rollout{Service: c.Service, Target: c.Target, Within: c.Within, Since: since, State: c.State}
+	if c.State == rule.RolloutCompleted {
+		next.Share = 1
+	}
+	return r.writeRollout(index, c, next, "ordered")
 }
 
 // isResent reports whether an order asks for what the current rollout does or has done.
--- a/node/program/metrics.go
+++ b/node/program/metrics.go
@@ -84,6 +84,7 @@
 		return int64(math.Round(n.backend.RequestLimit()))
 	}},
 	{"calls.open", "calls in progress", func(n *Node) int64 { return int64(n.engine.View().Calls) }},
+	{"rollout.share", "percent of the requests for the target version while a rollout of the service of the back end advances, else -1", (*Node).rolloutPercent},
 	{"rules.revision", "revision of the rules in force", func(n *Node) int64 { return int64(n.rulesRevision()) }},
 	{"rules.age", "seconds since the rules came into force here", func(n *Node) int64 {
 		return int64(time.Since(n.activeRules.Load().appliedAt).Seconds())
--- a/node/program/rollout.go
+++ b/node/program/rollout.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"pollenhill.example/core/coordination/admission"
 	"pollenhill.example/core/protocol/control"
 	"pollenhill.example/core/protocol/observation"
+	"pollenhill.example/core/state/rule"
 )
 
 // updateObserver makes the observer count while a rollout of the service of the local back end advances.
@@ -20,6 +22,17 @@
 	n.observer.SetRollout(a.Name, a.Version, &r)
 }
 
+// rolloutPercent returns the share of the requests for the target version of the rollout of the service of the local back end,
+// -1 if none advances.
+func (n *Node) rolloutPercent() int64 {
+	a, _ := n.backend.CurrentAnnouncement()
+	r, ok := n.activeRules.Load().set.Rollout(a.Service)
+	if !ok || r.State != rule.RolloutAdvancing {
+		return -1
+	}
+	return int64(math.Round(float64(r.Share) * 100))
+}
+
 // reportObservations sends what the observer has counted until ctx ends.
 func (n *Node) reportObservations(ctx context.Context) {
 	ticker := time.NewTicker(observation.Interval)
