--- a/control/coordination/rollout/judge.go
+++ b/control/coordination/rollout/judge.go
@@ -18,7 +18,7 @@
 
 // recentSlots is the number of the newest slots in which a fault that comes late is looked for; earlier good answers would
 // hide it.
-const recentSlots = 2
+const recentSlots = 4
 
 // judge compares the target version with the others on each route and on all of them, over the whole rollout and over the
 // recent past.
--- a/control/coordination/rollout/model.go
+++ b/control/coordination/rollout/model.go
@@ -27,7 +27,7 @@
 	evidencePeriod     = 1200 * time.Millisecond // of observations before the first decision of a leader
 	decisionTimeout    = 600 * time.Millisecond  // after which a decision that had no effect is made again
 	minStage           = 700 * time.Millisecond  // a stage shows nothing before nodes have it and answers come
-	slotLength         = time.Second             // of the slots within which versions are compared
+	slotLength         = 500 * time.Millisecond  // of the slots within which versions are compared
 
 	startPart   = 0.3  // after which the rollout begins with few back ends of the target version
 	suspectPart = 0.85 // up to which more evidence is waited for
@@ -38,7 +38,7 @@
 
 // Bounds of the counts.
 const (
-	maxSlots        = 64   // earlier ones are dropped
+	maxSlots        = 128  // earlier ones are dropped
 	minSlotAnswers  = 50   // of the other versions in a slot for a comparison; with fewer, earlier slots are added
 	minStageAnswers = 12   // of the target version before the share is widened
 	maxStageDelay   = 0.07 // part of the time limit for which a stage waits for them
--- a/control/coordination/rollout/model_test.go
+++ b/control/coordination/rollout/model_test.go
@@ -16,9 +16,10 @@
 var epoch = time.Unix(1_000_000, 0)
 
 const (
-	step       = 100 * time.Millisecond
-	applyDelay = 300 * time.Millisecond // until nodes have a new share
-	canaries   = 0.28                   // share of the back ends that get a small share of the requests
+	step           = 100 * time.Millisecond
+	decideInterval = 200 * time.Millisecond
+	applyDelay     = 300 * time.Millisecond // until nodes have a new share
+	canaries       = 0.28                   // share of the back ends that get a small share of the requests
 )
 
 // answer is one answer of a back end.
@@ -89,7 +90,7 @@
 	endedAt        time.Duration
 	requests       int
 	targetRequests int
-	badAnswers     int           // of the target version
+	badAnswers     int           // failures of the target version
 	fiftieth       time.Duration // when it gave its 50th bad answer
 	lastAtTarget   time.Duration // last request at the target version
 	lastAtOthers   time.Duration
@@ -122,7 +123,9 @@
 	for elapsed := time.Duration(0); elapsed < s.within+5*time.Second; elapsed += step {
 		sim.serve(elapsed)
 		sim.observe(elapsed)
-		sim.decide(elapsed)
+		if elapsed%decideInterval == 0 {
+			sim.decide(elapsed)
+		}
 	}
 	return sim.result
 }
@@ -152,17 +155,14 @@
 		s.result.targetRequests++
 		s.result.lastAtTarget = elapsed
 		a := s.target(c)
-		if a.failed || a.duration > 200*time.Millisecond && a.duration > 0 {
-			s.countBad(a, elapsed)
+		if a.failed {
+			s.countBad(elapsed)
 		}
 		s.count("v2", c, a)
 	}
 }
 
-func (s *simulation) countBad(a answer, elapsed time.Duration) {
-	if !a.failed {
-		return
-	}
+func (s *simulation) countBad(elapsed time.Duration) {
 	if s.result.badAnswers++; s.result.badAnswers == 50 {
 		s.result.fiftieth = elapsed
 	}
--- a/control/coordination/rollout/sample.go
+++ b/control/coordination/rollout/sample.go
@@ -64,13 +64,14 @@
 	return sum / float64(max(c.answered(), 1))
 }
 
-// tail returns the share of the answers that are above bucket k.
-func (c *counts) tail(k int) float64 {
-	above := uint64(0)
-	for _, n := range c.times[min(k+1, len(c.times)):] {
-		above += n
+// tails returns the share of the answers that are above each bucket, and 0 for one more.
+func (c *counts) tails() (list [observation.Buckets + 1]float64) {
+	answered, above := float64(max(c.answered(), 1)), uint64(0)
+	for k := observation.Buckets - 1; k > 0; k-- {
+		above += c.times[k]
+		list[k-1] = float64(above) / answered
 	}
-	return float64(above) / float64(max(c.answered(), 1))
+	return list
 }
 
 // Outliers are the worst back ends of each version by failures, and those by times. They are left out of comparisons: a fault
@@ -194,8 +195,9 @@
 		}
 		answers += n
 		others += m
+		target, usual := s.target.tails(), s.others.tails()
 		for k := range excess {
-			excess[k] += n * (s.target.tail(k+1) - s.others.tail(k))
+			excess[k] += n * (target[k+1] - usual[k])
 		}
 	}
 	if answers < minTargetTimes || others < minOtherTimes {
