--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -45,6 +45,7 @@
 	ledger    *allowance.Ledger
 	server    *http.Server
 	pauses    *pause.Detector
+	rollouts  *rollouts
 	ruleFile  *ruleFile // nil if the settings name no rule file
 }
 
@@ -83,6 +84,7 @@
 	d.directory = do.MustInvoke[*directory.Directory](i)
 	d.ledger = do.MustInvoke[*allowance.Ledger](i)
 	d.pauses = do.MustInvoke[*pause.Detector](i)
+	d.rollouts = do.MustInvoke[*rollouts](i)
 	if d.server, err = do.Invoke[*http.Server](i); err != nil || d.settings.RuleFile == "" {
 		return err
 	}
@@ -112,6 +114,7 @@
 	g.Go(func() error { d.pauses.Run(inner); return nil })
 	g.Go(func() error { d.exchangeTotals(inner); return nil })
 	g.Go(func() error { d.countMembers(inner); return nil })
+	g.Go(func() error { d.rollouts.Run(inner); return nil })
 	if d.ruleFile != nil {
 		g.Go(func() error { return d.ruleFile.watcher.Run(inner) })
 	}
--- a/control/daemon/injector.go
+++ b/control/daemon/injector.go
@@ -39,6 +39,7 @@
 	do.Provide(i, newHub)
 	do.Provide(i, newDirectory)
 	do.Provide(i, newLedger)
+	do.Provide(i, newRollouts)
 	do.Provide(i, newServer)
 	do.Provide(i, newRuleFile)
 	return i
@@ -137,17 +138,22 @@
 	if err != nil {
 		return nil, err
 	}
+	rollouts, err := do.Invoke[*rollouts](i)
+	if err != nil {
+		return nil, err
+	}
 	// Compression would save 145 of the 169 KB of a node's first state but nearly double the CPU time for it, which
 	// matters when a third of the nodes connects to this process at once.
 	noCompression := connect.WithCompression("gzip", nil, nil)
 	ledger, pauses := do.MustInvoke[*allowance.Ledger](i), do.MustInvoke[*pause.Detector](i)
 	mux := http.NewServeMux()
-	mux.Handle(controlconnect.NewControlHandler(&node.Handler{Group: g, Directory: d, Hub: hub, Ledger: ledger, Pauses: pauses}, noCompression))
+	mux.Handle(controlconnect.NewControlHandler(&node.Handler{Group: g, Directory: d, Hub: hub, Ledger: ledger, Pauses: pauses, Observers: rollouts}, noCompression))
 	admin := &adminapi.Handler{
 		Group: g, Origin: do.MustInvoke[Settings](i).Name, Pauses: pauses, Events: do.MustInvoke[*event.Log](i),
+		Versions: func(ctx context.Context, service string) []string { return servingVersions(ctx, d, service) },
 	}
 	admin.Register(mux)
-	mux.Handle(controlconnect.NewPeerHandler(&peer.Handler{Group: g, Directory: d, Ledger: ledger}, noCompression))
+	mux.Handle(controlconnect.NewPeerHandler(&peer.Handler{Group: g, Directory: d, Ledger: ledger, Observers: rollouts}, noCompression))
 	p := new(http.Protocols)
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
--- a/core/protocol/control/controlconnect/control.connect.go
+++ b/core/protocol/control/controlconnect/control.connect.go
@@ -49,6 +49,8 @@
 	ControlEndProcedure = "/pollenhill.control.Control/End"
 	// ControlEndedProcedure is the fully-qualified name of the Control's Ended RPC.
 	ControlEndedProcedure = "/pollenhill.control.Control/Ended"
+	// ControlObserveProcedure is the fully-qualified name of the Control's Observe RPC.
+	ControlObserveProcedure = "/pollenhill.control.Control/Observe"
 	// ControlStatusProcedure is the fully-qualified name of the Control's Status RPC.
 	ControlStatusProcedure = "/pollenhill.control.Control/Status"
 	// ControlRulesProcedure is the fully-qualified name of the Control's Rules RPC.
@@ -63,6 +65,8 @@
 	PeerForwardProcedure = "/pollenhill.control.Peer/Forward"
 	// PeerTotalsProcedure is the fully-qualified name of the Peer's Totals RPC.
 	PeerTotalsProcedure = "/pollenhill.control.Peer/Totals"
+	// PeerObserveProcedure is the fully-qualified name of the Peer's Observe RPC.
+	PeerObserveProcedure = "/pollenhill.control.Peer/Observe"
 )
 
 // ControlClient is a client for the pollenhill.control.Control service.
@@ -81,6 +85,8 @@
 	End(context.Context, *connect.Request[control.EndRequest]) (*connect.Response[control.EndResponse], error)
 	// Ended reads which instances with an ID have ended, as a quorum knows it.
 	Ended(context.Context, *connect.Request[control.EndedRequest]) (*connect.Response[control.EndedResponse], error)
+	// Observe passes on what a node saw of the back end beside it during a rollout of its service.
+	Observe(context.Context, *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error)
 	// Status reads the local state without the leader.
 	Status(context.Context, *connect.Request[control.StatusRequest]) (*connect.Response[control.StatusResponse], error)
 	// Rules reads accepted rules without the leader.
@@ -142,6 +148,12 @@
 			connect.WithSchema(controlMethods.ByName("Ended")),
 			connect.WithClientOptions(opts...),
 		),
+		observe: connect.NewClient[control.ObserveRequest, control.ObserveResponse](
+			httpClient,
+			baseURL+ControlObserveProcedure,
+			connect.WithSchema(controlMethods.ByName("Observe")),
+			connect.WithClientOptions(opts...),
+		),
 		status: connect.NewClient[control.StatusRequest, control.StatusResponse](
 			httpClient,
 			baseURL+ControlStatusProcedure,
@@ -172,6 +184,7 @@
 	release  *connect.Client[control.ReleaseRequest, control.ReleaseResponse]
 	end      *connect.Client[control.EndRequest, control.EndResponse]
 	ended    *connect.Client[control.EndedRequest, control.EndedResponse]
+	observe  *connect.Client[control.ObserveRequest, control.ObserveResponse]
 	status   *connect.Client[control.StatusRequest, control.StatusResponse]
 	rules    *connect.Client[control.RulesRequest, control.RulesResponse]
 	usage    *connect.Client[control.UsageRequest, control.UsageResponse]
@@ -212,6 +225,11 @@
 	return c.ended.CallUnary(ctx, req)
 }
 
+// Observe calls pollenhill.control.Control.Observe.
+func (c *controlClient) Observe(ctx context.Context, req *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error) {
+	return c.observe.CallUnary(ctx, req)
+}
+
 // Status calls pollenhill.control.Control.Status.
 func (c *controlClient) Status(ctx context.Context, req *connect.Request[control.StatusRequest]) (*connect.Response[control.StatusResponse], error) {
 	return c.status.CallUnary(ctx, req)
@@ -243,6 +261,8 @@
 	End(context.Context, *connect.Request[control.EndRequest]) (*connect.Response[control.EndResponse], error)
 	// Ended reads which instances with an ID have ended, as a quorum knows it.
 	Ended(context.Context, *connect.Request[control.EndedRequest]) (*connect.Response[control.EndedResponse], error)
+	// Observe passes on what a node saw of the back end beside it during a rollout of its service.
+	Observe(context.Context, *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error)
 	// Status reads the local state without the leader.
 	Status(context.Context, *connect.Request[control.StatusRequest]) (*connect.Response[control.StatusResponse], error)
 	// Rules reads accepted rules without the leader.
@@ -300,6 +320,12 @@
 		connect.WithSchema(controlMethods.ByName("Ended")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlObserveHandler := connect.NewUnaryHandler(
+		ControlObserveProcedure,
+		svc.Observe,
+		connect.WithSchema(controlMethods.ByName("Observe")),
+		connect.WithHandlerOptions(opts...),
+	)
 	controlStatusHandler := connect.NewUnaryHandler(
 		ControlStatusProcedure,
 		svc.Status,
@@ -334,6 +360,8 @@
 			controlEndHandler.ServeHTTP(w, r)
 		case ControlEndedProcedure:
 			controlEndedHandler.ServeHTTP(w, r)
+		case ControlObserveProcedure:
+			controlObserveHandler.ServeHTTP(w, r)
 		case ControlStatusProcedure:
 			controlStatusHandler.ServeHTTP(w, r)
 		case ControlRulesProcedure:
@@ -377,6 +405,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Control.Ended is not implemented"))
 }
 
+func (UnimplementedControlHandler) Observe(context.Context, *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Control.Observe is not implemented"))
+}
+
 func (UnimplementedControlHandler) Status(context.Context, *connect.Request[control.StatusRequest]) (*connect.Response[control.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Control.Status is not implemented"))
 }
@@ -399,6 +431,8 @@
 	Forward(context.Context, *connect.Request[control.ForwardRequest]) (*connect.Response[control.ForwardResponse], error)
 	// Totals delivers the account use that the nodes of a control process have reported.
 	Totals(context.Context, *connect.Request[control.TotalsRequest]) (*connect.Response[control.TotalsResponse], error)
+	// Observe passes observations of nodes to the leader.
+	Observe(context.Context, *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error)
 }
 
 // NewPeerClient constructs a client for the pollenhill.control.Peer service. By default, it uses
@@ -436,6 +470,12 @@
 			connect.WithSchema(peerMethods.ByName("Totals")),
 			connect.WithClientOptions(opts...),
 		),
+		observe: connect.NewClient[control.ObserveRequest, control.ObserveResponse](
+			httpClient,
+			baseURL+PeerObserveProcedure,
+			connect.WithSchema(peerMethods.ByName("Observe")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -445,6 +485,7 @@
 	exchange *connect.Client[control.ExchangeRequest, control.ExchangeResponse]
 	forward  *connect.Client[control.ForwardRequest, control.ForwardResponse]
 	totals   *connect.Client[control.TotalsRequest, control.TotalsResponse]
+	observe  *connect.Client[control.ObserveRequest, control.ObserveResponse]
 }
 
 // Raft calls pollenhill.control.Peer.Raft.
@@ -467,6 +508,11 @@
 	return c.totals.CallUnary(ctx, req)
 }
 
+// Observe calls pollenhill.control.Peer.Observe.
+func (c *peerClient) Observe(ctx context.Context, req *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error) {
+	return c.observe.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the pollenhill.control.Peer service.
 type PeerHandler interface {
 	// Raft delivers consensus messages.
@@ -477,6 +523,8 @@
 	Forward(context.Context, *connect.Request[control.ForwardRequest]) (*connect.Response[control.ForwardResponse], error)
 	// Totals delivers the account use that the nodes of a control process have reported.
 	Totals(context.Context, *connect.Request[control.TotalsRequest]) (*connect.Response[control.TotalsResponse], error)
+	// Observe passes observations of nodes to the leader.
+	Observe(context.Context, *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -510,6 +558,12 @@
 		connect.WithSchema(peerMethods.ByName("Totals")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerObserveHandler := connect.NewUnaryHandler(
+		PeerObserveProcedure,
+		svc.Observe,
+		connect.WithSchema(peerMethods.ByName("Observe")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/pollenhill.control.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerRaftProcedure:
@@ -520,6 +574,8 @@
 			peerForwardHandler.ServeHTTP(w, r)
 		case PeerTotalsProcedure:
 			peerTotalsHandler.ServeHTTP(w, r)
+		case PeerObserveProcedure:
+			peerObserveHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -544,3 +600,7 @@
 func (UnimplementedPeerHandler) Totals(context.Context, *connect.Request[control.TotalsRequest]) (*connect.Response[control.TotalsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Peer.Totals is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Observe(context.Context, *connect.Request[control.ObserveRequest]) (*connect.Response[control.ObserveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pollenhill.control.Peer.Observe is not implemented"))
+}
--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -33,9 +33,10 @@
 	KeyRefused Kind = 1030 // request without a known key refused
 )
 
-// Kinds of events of uploads at nodes.
+// Kinds of events of nodes about the allowances of accounts.
 const (
-	UploadRefused Kind = iota + 1070 // upload refused before its body
+	AllowanceExceeded      Kind = iota + 1050 // requests over an allowance refused
+	AllowanceTotalsChanged                    // totals of accounts
 )
 
 // Kinds of events of nodes about requests that give way under overload.
@@ -43,10 +44,9 @@
 	RequestsShed Kind = iota + 1060 // requests give way under overload
 )
 
-// Kinds of events of nodes about the allowances of accounts.
+// Kinds of events of uploads at nodes.
 const (
-	AllowanceExceeded      Kind = iota + 1050 // requests over an allowance refused
-	AllowanceTotalsChanged                    // totals of accounts
+	UploadRefused Kind = iota + 1070 // upload refused before its body
 )
 
 // Kinds of events of control processes.
@@ -60,6 +60,12 @@
 	ZoneOrderHandled                         // order about a zone
 )
 
+// Kinds of events of control processes about rollouts.
+const (
+	RolloutOrdered  Kind = iota + 2030 // order for a rollout
+	RolloutAdvanced                    // rollout advanced
+)
+
 // Kinds of events of all programs.
 const (
 	TLSHandshakeFailed Kind = iota + 5000 // TLS handshake failed
--- a/core/state/event/kind_string.go
+++ b/core/state/event/kind_string.go
@@ -28,10 +28,10 @@
 	_ = x[BackendEndRecorded-1017]
 	_ = x[BackendHistoryRead-1018]
 	_ = x[KeyRefused-1030]
-	_ = x[UploadRefused-1070]
-	_ = x[RequestsShed-1060]
 	_ = x[AllowanceExceeded-1050]
 	_ = x[AllowanceTotalsChanged-1051]
+	_ = x[RequestsShed-1060]
+	_ = x[UploadRefused-1070]
 	_ = x[ControlStarted-2000]
 	_ = x[ControlStopped-2001]
 	_ = x[LeaderChanged-2002]
@@ -39,6 +39,8 @@
 	_ = x[ChangeRejected-2004]
 	_ = x[ControlMembersChanged-2005]
 	_ = x[ZoneOrderHandled-2006]
+	_ = x[RolloutOrdered-2030]
+	_ = x[RolloutAdvanced-2031]
 	_ = x[TLSHandshakeFailed-5000]
 	_ = x[TLSFilesRefused-5001]
 	_ = x[LogLinesDropped-5002]
@@ -52,14 +54,16 @@
 	_Kind_name_3 = "requests give way under overload"
 	_Kind_name_4 = "upload refused before its body"
 	_Kind_name_5 = "control startedcontrol stoppedleader changedchange acceptedchange rejectedmembers of the control group changedorder about a zone"
-	_Kind_name_6 = "TLS handshake failedTLS files not in uselog lines droppedconnection not accepted"
+	_Kind_name_6 = "order for a rolloutrollout advanced"
+	_Kind_name_7 = "TLS handshake failedTLS files not in uselog lines droppedconnection not accepted"
 )
 
 var (
 	_Kind_index_0 = [...]uint16{0, 12, 25, 37, 59, 74, 88, 122, 132, 151, 175, 199, 210, 222, 258, 295, 340, 368, 396, 424}
 	_Kind_index_2 = [...]uint8{0, 34, 52}
 	_Kind_index_5 = [...]uint8{0, 15, 30, 44, 59, 74, 110, 128}
-	_Kind_index_6 = [...]uint8{0, 20, 40, 57, 80}
+	_Kind_index_6 = [...]uint8{0, 19, 35}
+	_Kind_index_7 = [...]uint8{0, 20, 40, 57, 80}
 )
 
 func (i Kind) String() string {
@@ -79,9 +83,12 @@
 	case 2000 <= i && i <= 2006:
 		i -= 2000
 		return _Kind_name_5[_Kind_index_5[i]:_Kind_index_5[i+1]]
+	case 2030 <= i && i <= 2031:
+		i -= 2030
+		return _Kind_name_6[_Kind_index_6[i]:_Kind_index_6[i+1]]
 	case 5000 <= i && i <= 5003:
 		i -= 5000
-		return _Kind_name_6[_Kind_index_6[i]:_Kind_index_6[i+1]]
+		return _Kind_name_7[_Kind_index_7[i]:_Kind_index_7[i+1]]
 	default:
 		return "Kind(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/node/program/control.go
+++ b/node/program/control.go
@@ -29,6 +29,9 @@
 	OfferRules(revision uint64, text string) // takes rules from another node if they are newer
 	// ReportUsage reports the use of limited accounts and returns the totals over all nodes.
 	ReportUsage(ctx context.Context, req *control.UsageRequest) (*control.UsageResponse, error)
+
+	// Observe sends what this node saw of the back end beside it during a rollout.
+	Observe(ctx context.Context, o *control.Observation) error
 }
 
 func newControlClient(cfg Settings, credentials *mtls.Credentials) ControlClient {
@@ -84,6 +87,7 @@
 		Connections: uint32(a.Connections),
 		State:       control.State(state),
 		Start:       a.StartMillis,
+		Version:     a.Version,
 	}}
 	return m
 }
@@ -113,6 +117,7 @@
 			Slots:       int(b.GetSlots()),
 			State:       admission.State(b.GetState()),
 			StartMillis: b.GetStart(),
+			Version:     b.GetVersion(),
 		}
 	})
 }
--- a/node/program/control_state.go
+++ b/node/program/control_state.go
@@ -42,6 +42,7 @@
 	n.engine.Apply(engine.Update{Targets: targets, Rules: set})
 	n.updateSubscriptions(state.Members)
 	n.allowances.limiter.SetNodes(len(targets))
+	n.updateObserver()
 	if len(state.Members) > 0 {
 		n.membersKnown.Store(true)
 	}
--- a/node/program/harness_test.go
+++ b/node/program/harness_test.go
@@ -102,6 +102,9 @@
 	return &control.UsageResponse{Current: true, Nodes: 1, Accounts: req.GetAccounts()}, nil
 }
 
+// Observe drops the observation; package rollout of the control module tests what follows from them.
+func (ctl *fakeControl) Observe(context.Context, *control.Observation) error { return nil }
+
 func (ctl *fakeControl) Claim(_ context.Context, r *control.ClaimRequest) (*control.ClaimResponse, error) {
 	ctl.mu.Lock()
 	defer ctl.mu.Unlock()
--- a/node/program/metrics.go
+++ b/node/program/metrics.go
@@ -104,6 +104,7 @@
 	{"calls.open", "calls in progress", func(n *Node) int64 { return int64(n.engine.View().Calls) }},
 	{"rules.accounts", "client accounts in the rules in force", func(n *Node) int64 { return int64(len(n.activeRules.Load().set.Accounts)) }},
 	{"rules.keys", "keys of all client accounts in the rules in force", func(n *Node) int64 { return int64(n.activeRules.Load().set.KeyCount()) }},
+	{"rollout.share", "percent of the requests for the target version while a rollout of the service of the back end advances, else -1", (*Node).rolloutPercent},
 	{"rules.revision", "revision of the rules in force", func(n *Node) int64 { return int64(n.rulesRevision()) }},
 	{"rules.age", "seconds since the rules came into force here", func(n *Node) int64 {
 		return int64(time.Since(n.activeRules.Load().appliedAt).Seconds())
