--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -172,7 +172,7 @@
 	if f.Reason == refusal.RequestLimit || f.Reason == refusal.OverAllowance {
 		wait = max(wait, f.RetryAfter)
 	}
-	if req != nil && req.ByCost {
+	if req != nil && req.ByCost && f.Reason != refusal.OverAllowance {
 		f.RetryAfter = callerretry.Spread(max(wait, f.RetryAfter), retryAfterJitter, time.Until(req.Deadline))
 	} else {
 		f.RetryAfter = wait + rand.N(retryAfterJitter)
