pollenhill: check finds entries that never match and limits that contradict, also in a table or patch

Operators asked for a check of a configuration before it is sent. Until now check read rule files only and reported errors and differences; a pool without a route, a route that another one hides because hosts are compared without case, or an objective after the timeout came into force without a word. Package lint reads the compiled rules; check also reads the JSON of the change interface and shows the lines that it leads to.

--- a/core/state/rule/attribution.go
+++ b/core/state/rule/attribution.go
@@ -6,6 +6,7 @@
 	Text      string `json:"rule"` // the line without its ending
 	Statement string `json:"-"`    // the line without its ending and comment
 	Verb      string `json:"verb"` // empty on lines without a rule
+	Name      string `json:"-"`    // word after the verb, as the name in a compiled rule; empty without one
 	Author    string `json:"who"`
 	Reason    string `json:"why"`
 }
@@ -19,12 +20,21 @@
 		list[i] = Attribution{Line: l.number, Text: l.text, Statement: l.text[:l.end()]}
 		if len(l.words) > 0 {
 			list[i].Verb = l.words[0].text
+			list[i].Name = l.name()
 			list[i].Author, list[i].Reason, _ = l.attribution()
 		}
 	}
 	return list
 }
 
+// name returns the word after the verb without its escapes, or "" if there is none.
+func (l line) name() string {
+	if len(l.words) < 2 {
+		return ""
+	}
+	return unescape(l.words[1].text)
+}
+
 // ChangeReason returns the comment "who: why" of the change line, which is the second line, or "" without one.
 func ChangeReason(text string) string {
 	list := Attributions(text)
--- a/pollenhill/command/check.go
+++ b/pollenhill/command/check.go
@@ -9,6 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"pollenhill.example/core/protocol/control"
+	"pollenhill.example/core/state/lint"
 	"pollenhill.example/core/state/rule"
 )
 
@@ -21,6 +23,7 @@
 	Zones         int            `json:"zones"`
 	Services      int            `json:"services"`
 	Problems      []rule.Problem `json:"problems"`
+	Findings      []lint.Finding `json:"findings"`          // valid entries that are probably not meant
 	RemovedLines  []string       `json:"removed,omitempty"` // from the rules in force
 	AddedLines    []string       `json:"added,omitempty"`   // to the rules in force
 }
@@ -28,10 +31,12 @@
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "check",
-		Usage:     "check a rule file before it is saved for a control process",
+		Usage:     "check a rule file or a routing table before it is sent",
 		ArgsUsage: "FILE",
-		Description: "Reports all problems with line, column, reason and a corrected example. FILE may be - for standard input.\n" +
-			"With --control the file is also compared with the rules in force.\n\n" + exitCodes,
+		Description: "Reports all problems with line, column, reason and a corrected example, entries that can never match a request\n" +
+			"and limits that contradict each other. FILE may be - for standard input. A file that begins with { is the JSON of a\n" +
+			"routing table, or with --control of a patch; its lines are those of the rule file that it leads to.\n" +
+			"With --control the file is also compared with the rules in force. Findings alone leave the exit code at 0.\n\n" + exitCodes,
 		Action: runCheck,
 	}
 }
@@ -45,12 +50,9 @@
 	if err != nil {
 		return withExitCode(ExitFileError, err)
 	}
-	output := newCheckOutput(args[0], text)
-	var compareErr error
-	if len(c.StringSlice("control")) > 0 {
-		compareErr = output.compareWithRulesInForce(ctx, c, text)
-	}
-	if err := errors.CombineErrors(output.print(c), compareErr); err != nil {
+	inForce, fetchErr := rulesInForce(ctx, c)
+	output := checkText(args[0], text, inForce)
+	if err := errors.CombineErrors(output.print(c), fetchErr); err != nil {
 		return err
 	}
 	if !output.Valid {
@@ -73,8 +75,37 @@
 	return string(raw), errors.Wrapf(err, "read %s", name)
 }
 
+// rulesInForce returns the newest rules of the control processes that the flags name, nil if they name none.
+func rulesInForce(ctx context.Context, c *cli.Command) (*control.Rules, error) {
+	if len(c.StringSlice("control")) == 0 {
+		return nil, nil
+	}
+	answer, err := fetchNewestRules(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return answer.GetRules(), nil
+}
+
+// checkText checks a rule file or the JSON of a table; inForce is nil if it is not to be compared.
+func checkText(file, text string, inForce *control.Rules) *checkOutput {
+	if strings.HasPrefix(strings.TrimSpace(text), "{") {
+		converted, err := ruleFileOfTable(text, inForce)
+		if err != nil {
+			problem := rule.Problem{Line: 1, Column: 1, Reason: err.Error()}
+			return &checkOutput{File: file, Problems: []rule.Problem{problem}, Findings: []lint.Finding{}}
+		}
+		text = converted
+	}
+	output := newCheckOutput(file, text)
+	if inForce != nil {
+		output.compareWithRulesInForce(inForce, text)
+	}
+	return output
+}
+
 func newCheckOutput(file, text string) *checkOutput {
-	output := &checkOutput{File: file, Problems: []rule.Problem{}}
+	output := &checkOutput{File: file, Problems: []rule.Problem{}, Findings: []lint.Finding{}}
 	set, err := rule.Parse(text)
 	if problems := rule.Problems(nil); errors.As(err, &problems) {
 		output.Problems = problems
@@ -84,18 +115,15 @@
 	output.ChangeNumber = set.ChangeNumber
 	output.Zones = len(set.Zones)
 	output.Services = len(set.Services)
+	output.Findings = append(output.Findings, lint.Check(set, text)...)
 	return output
 }
 
 // compareWithRulesInForce adds the lines that the file would remove and add, and a problem if its change number does not
 // follow the number in force.
-func (o *checkOutput) compareWithRulesInForce(ctx context.Context, c *cli.Command, text string) error {
-	inForce, err := fetchNewestRules(ctx, c)
-	if err != nil {
-		return err
-	}
-	number := inForce.GetRules().GetNumber()
-	old := inForce.GetRules().GetText()
+func (o *checkOutput) compareWithRulesInForce(inForce *control.Rules, text string) {
+	number := inForce.GetNumber()
+	old := inForce.GetText()
 	o.NumberInForce = &number
 	lines := strings.SplitAfter(old, "\n")
 	for _, edit := range rule.Diff(old, text) {
@@ -106,7 +134,6 @@
 		o.Valid = false
 		o.Problems = append(o.Problems, changeNumberProblem(o.ChangeNumber, number, text))
 	}
-	return nil
 }
 
 func trimLineEnds(lines []string) []string {
@@ -124,6 +151,9 @@
 	for _, p := range o.Problems {
 		printf(c, "%s: %s\n", o.File, p)
 	}
+	for _, f := range o.Findings {
+		printf(c, "%s: %s\n", o.File, f)
+	}
 	if o.Valid {
 		printf(c, "%s: good: change %d, zones: %d, services: %d\n", o.File, o.ChangeNumber, o.Zones, o.Services)
 	}
--- a/pollenhill/command/run_test.go
+++ b/pollenhill/command/run_test.go
@@ -185,6 +185,47 @@
 	requireOutput(t, code, command.ExitUnreachable, out, "good: change 7")
 }
 
+// Guards against a check that passes over an entry which can never match, or that ends as failed because of one.
+func TestCheckShowsFindings(t *testing.T) {
+	code, out, _ := runCommand(t, ruleFile+"pool records # ola: unused\n", "check", "-")
+	requireOutput(t, code, command.ExitOK, out, "line 8: pool records never matches: no route leads to it", "good: change 7")
+
+	code, out, _ = runCommand(t, ruleFile+"pool records # ola: unused\n", "check", "--json", "-")
+	requireOutput(t, code, command.ExitOK, out, `"class": "never matches"`, `"line": 8`)
+}
+
+const tableFile = `{"version":3,"routes":[{"name":"logs","host":"records.example","path":"/logs/","kind":"download","timeout":1000,"aim":2000,"rank":1,"service":"records","tries":2}],
+ "services":[{"name":"records","health":"/health","connections":240,"cold":3,"rate":35}]}`
+
+// Guards against a check of a table or a patch that finds less than one of a rule file: errors, contradictions and the lines
+// that would change.
+func TestCheckTable(t *testing.T) {
+	code, out, _ := runCommand(t, tableFile, "check", "-")
+	requireOutput(t, code, command.ExitOK, out, "route logs contradicts: aim=2s is longer than within=1s", "good: change 1")
+
+	code, out, _ = runCommand(t, strings.Replace(tableFile, "download", "odd", 1), "check", "-")
+	requireOutput(t, code, command.ExitCheckFailed, out, `kind "odd" is unknown`)
+
+	code, out, _ = runCommand(t, strings.Replace(tableFile, `"service":"records"`, `"service":"other"`, 1), "check", "-")
+	requireOutput(t, code, command.ExitCheckFailed, out, `service "other" is not defined`)
+
+	address := serveControl(t, newHealthyProcess())
+	code, out, _ = runCommand(t, tableFile, "check", "--control", address, "-")
+	requireOutput(t, code, command.ExitOK, out, "+ pool records", "+ route logs", "good: change 8, zones: 2")
+}
+
+// Guards against a patch that is checked without the table that it changes.
+func TestCheckPatch(t *testing.T) {
+	const patch = `{"version":9,"set":{"services":[{"name":"stock"}]},"drop":{"routes":["logs"]}}`
+	code, out, _ := runCommand(t, patch, "check", "-")
+	requireOutput(t, code, command.ExitCheckFailed, out, "name a control process with --control")
+
+	process := newHealthyProcess()
+	process.rules = newRulesResponse(7, ruleFile+"pool records # ola: logs\nroute logs host=records.example path=/logs/ to=records # ola: logs\n")
+	code, out, _ = runCommand(t, patch, "check", "--control", serveControl(t, process), "-")
+	requireOutput(t, code, command.ExitOK, out, "- route logs", "+ pool stock", "pool records never matches")
+}
+
 // Guards against showing rules that differ from the accepted text, or not showing the author and reason of a line.
 func TestShow(t *testing.T) {
 	address := serveControl(t, newHealthyProcess())
