--- a/lab/soak/cluster_test.go
+++ b/lab/soak/cluster_test.go
@@ -208,7 +208,7 @@
 func (c *cluster) report(i int) {
 	born := time.Now().UnixMilli()
 	for sequence := 1; c.t.Context().Err() == nil; sequence++ {
-		body := fmt.Sprintf(`{"service":"desk","address":%q,"zone":%q,"slots":50,"state":"ready","warming":0,"sequence":%d,"born":%d}`,
+		body := fmt.Sprintf(`{"service":"desk","address":%q,"zone":%q,"version":"v1","slots":50,"state":"ready","warming":0,"sequence":%d,"born":%d}`,
 			address(c.nodeIP(i), backendPort), zones[i], sequence, born)
 		_ = do(http.MethodPut, fmt.Sprintf("http://%s/backends/i-%d", address(c.nodeIP(i), localPort), i), body, time.Second)
 		select {
--- a/node/program/account_test.go
+++ b/node/program/account_test.go
@@ -217,7 +217,7 @@
 	for i, revision := range []uint64{1, 2, 3} {
 		ctl.setRules(revision, accountRules)
 		// A heartbeat with another number of slots makes the node apply the state of the control process before it answers.
-		body := fmt.Sprintf(`{"service":"desk","address":%q,"slots":%d,"state":"ready","sequence":%d,"born":7}`, b.ln.Addr(), 10+i, 10+i)
+		body := fmt.Sprintf(`{"service":"desk","address":%q,"zone":"a","version":"v1","warming":0,"slots":%d,"state":"ready","sequence":%d,"born":7}`, b.ln.Addr(), 10+i, 10+i)
 		if got := node.putLocal(t, "/backends/i-1", body); got != http.StatusOK {
 			t.Fatalf("heartbeat: status %d", got)
 		}
--- a/node/program/pool_test.go
+++ b/node/program/pool_test.go
@@ -130,7 +130,7 @@
 // sendHeartbeat sends a heartbeat of an instance to the local listener and returns the status code.
 func (node *testNode) sendHeartbeat(t *testing.T, id string, b *rawBackend, state string, sequence int) int {
 	t.Helper()
-	body := fmt.Sprintf(`{"service":"desk","address":%q,"zone":"a","slots":4,"state":%q,"warming":0,"sequence":%d,"born":7,"later":1}`,
+	body := fmt.Sprintf(`{"service":"desk","address":%q,"zone":"a","version":"v1","slots":4,"state":%q,"warming":0,"sequence":%d,"born":7,"later":1}`,
 		b.ln.Addr(), state, sequence)
 	return node.putLocal(t, "/backends/"+id, body)
 }
@@ -239,8 +239,8 @@
 	b.setReply(func(r *http.Request) (string, bool) { return validResponse(r, ""), false })
 	bad := []string{
 		`{`, `{}`, `{"service":1}`, `{"service":"desk","address":"x","slots":4,"state":"ready"}`,
-		`{"service":"desk","address":"127.0.0.1:1","slots":4,"state":"odd","sequence":99}`,
-		`{"service":"desk","address":"127.0.0.1:1","slots":4,"state":"draining","zone":"b","sequence":99}`,
+		`{"service":"desk","address":"127.0.0.1:1","zone":"a","version":"v1","warming":0,"slots":4,"state":"odd","sequence":99}`,
+		`{"service":"desk","address":"127.0.0.1:1","version":"v1","warming":0,"slots":4,"state":"draining","zone":"b","sequence":99}`,
 	}
 	for _, body := range bad {
 		if code := node.putLocal(t, "/backends/i-1", body); code != http.StatusBadRequest {
@@ -280,7 +280,7 @@
 	b.setReply(func(r *http.Request) (string, bool) {
 		return strings.Replace(validResponse(r, ""), "1,0,4,100", "1,0,4,500", 1), false
 	})
-	nodes[1].putLocal(t, "/backends/i-1", fmt.Sprintf(`{"service":"desk","address":%q,"slots":4,"state":"ready","sequence":1}`, b.ln.Addr()))
+	nodes[1].putLocal(t, "/backends/i-1", fmt.Sprintf(`{"service":"desk","address":%q,"zone":"a","version":"v1","warming":0,"slots":4,"state":"ready","sequence":1}`, b.ln.Addr()))
 	eventually(t, "the other node sends requests to the back end", func() bool {
 		return sendRequest(t, nodes[0], "GET", "/read/1", "", nil).StatusCode == http.StatusOK
 	})
--- a/node/transport/localapi/heartbeat.go
+++ b/node/transport/localapi/heartbeat.go
@@ -22,8 +22,8 @@
 	Version         string         `json:"version"`
 	Slots           int            `json:"slots"`
 	State           string         `json:"state"`
-	ColdStartMillis float64        `json:"warming"` // duration of the cold start, 0 for none
-	Sequence        uint64         `json:"sequence"`
+	ColdStartMillis *float64       `json:"warming"` // duration of the cold start, 0 for none
+	Sequence        *uint64        `json:"sequence"`
 	StartMillis     int64          `json:"born"` // Unix time of the start of the instance, 0 if unknown
 }
 
@@ -45,13 +45,13 @@
 	err := s.cfg.OnHeartbeat(c.Context(), instance.Heartbeat{
 		ID:          id,
 		StartMillis: h.StartMillis,
-		Sequence:    h.Sequence,
+		Sequence:    *h.Sequence,
 		Service:     h.Service,
 		Version:     h.Version,
 		Address:     h.Address,
 		Slots:       h.Slots,
 		Draining:    h.State == stateDraining,
-		ColdStart:   time.Duration(h.ColdStartMillis * float64(time.Millisecond)),
+		ColdStart:   time.Duration(*h.ColdStartMillis * float64(time.Millisecond)),
 	})
 	return acknowledge(c, err)
 }
@@ -76,14 +76,19 @@
 }
 
 // validate returns the first invalid field and what is wrong with it, or "" for a valid heartbeat; zone is that of the node.
+// Back ends send all fields; a heartbeat that lacks one comes from another writer and would hide what they say of themselves.
 func (h heartbeat) validate(zone string, now time.Time) string {
 	switch {
 	case h.Service == "":
 		return "field service: missing"
 	case !h.Address.IsValid():
 		return "field address: missing"
-	case h.Zone != "" && h.Zone != zone:
+	case h.Zone == "":
+		return "field zone: missing"
+	case h.Zone != zone:
 		return "field zone: this node is in zone " + zone
+	case h.Version == "":
+		return "field version: missing"
 	case len(h.Version) > instance.MaxVersionLength:
 		return fmt.Sprintf("field version: want at most %d bytes", instance.MaxVersionLength)
 	case h.Slots <= 0:
@@ -92,9 +97,13 @@
 		return fmt.Sprintf("field slots: want at most %d", instance.MaxSlots)
 	case h.State != stateReady && h.State != stateDraining:
 		return "field state: want ready or draining"
-	case h.ColdStartMillis < 0:
+	case h.Sequence == nil:
+		return "field sequence: missing"
+	case h.ColdStartMillis == nil:
+		return "field warming: missing"
+	case *h.ColdStartMillis < 0:
 		return "field warming: want a number from 0"
-	case h.ColdStartMillis > float64(instance.MaxColdStart.Milliseconds()):
+	case *h.ColdStartMillis > float64(instance.MaxColdStart.Milliseconds()):
 		return fmt.Sprintf("field warming: want at most %d", instance.MaxColdStart.Milliseconds())
 	case h.StartMillis < 0 || h.StartMillis > now.Add(instance.MaxClockLead).UnixMilli():
 		return "field born: want a Unix time in milliseconds that has passed"
--- a/node/transport/localapi/odd_test.go
+++ b/node/transport/localapi/odd_test.go
@@ -89,21 +89,23 @@
 	return c, bufio.NewReader(c)
 }
 
-// reportWith returns a valid report with one field replaced.
+// reportWith returns a valid report with one field replaced, or without it if the value is empty.
 func reportWith(field, value string) string {
 	fields := map[string]string{
-		"service": `"s"`, "address": `"127.0.0.1:80"`, "zone": `"a"`, "slots": "4", "state": `"ready"`, "warming": "0", "sequence": "3", "born": "7",
+		"service": `"s"`, "address": `"127.0.0.1:80"`, "zone": `"a"`, "version": `"v1"`, "slots": "4", "state": `"ready"`, "warming": "0", "sequence": "3", "born": "7",
 	}
 	fields[field] = value
 	var parts []string
 	for name, v := range fields {
-		parts = append(parts, fmt.Sprintf("%q:%s", name, v))
+		if v != "" {
+			parts = append(parts, fmt.Sprintf("%q:%s", name, v))
+		}
 	}
 	return "{" + strings.Join(parts, ",") + "}"
 }
 
 // Guards against a report of another writer that ends the node, is believed, or makes the announcements of the node unreadable
-// for other processes: nested deeply, with a number too large, a port out of range, or an ID that is not text.
+// for other processes: nested deeply, with a number too large, a port out of range, a field missing, or an ID that is not text.
 func TestOddReportsChangeNothing(t *testing.T) {
 	r, address := startRecording(t)
 	const valid = "i-1"
@@ -124,6 +126,14 @@
 		{"start in the far future", valid, reportWith("born", "9223372036854775807")},
 		{"negative start", valid, reportWith("born", "-1")},
 		{"state not known", valid, reportWith("state", `"odd"`)},
+		{"without a service", valid, reportWith("service", "")},
+		{"without an address", valid, reportWith("address", "")},
+		{"without a zone", valid, reportWith("zone", "")},
+		{"without a version", valid, reportWith("version", "")},
+		{"without slots", valid, reportWith("slots", "")},
+		{"without a state", valid, reportWith("state", "")},
+		{"without its cold start", valid, reportWith("warming", "")},
+		{"without a sequence", valid, reportWith("sequence", "")},
 		{"null", valid, "null"},
 		{"not JSON", valid, "\xff\xfe"},
 		{"ID not UTF-8", "\xff\xfe", whole},
