explain: requests refused for their key

Event 1030 stands in place of 1011 for such requests, and explain found nothing about them.

TestExplainRefusedKey fails before it.

--- a/node/transport/caller/authenticate.go
+++ b/node/transport/caller/authenticate.go
@@ -127,6 +127,7 @@
 	}
 	if fields, ok := s.log.keyLimiter.Allow(); ok {
 		s.cfg.Events.Emit(event.KeyRefused, append(fields, zap.String("request", s.log.requestID(h)), zap.Bool("sent", sent),
-			zap.Uint64("revision", s.cfg.Rules().Revision))...)
+			zap.Uint64("revision", s.cfg.Rules().Revision), zap.Int("status", reply.Header.StatusCode()),
+			zap.Stringer("outcome", reply.Outcome), zap.Stringer("reason", reply.Refusal.Reason))...)
 	}
 }
--- a/pollenhill/command/explain_test.go
+++ b/pollenhill/command/explain_test.go
@@ -52,6 +52,18 @@
 	}
 }
 
+// Guards against a request that was refused for its key, of which the log has another event than of other calls.
+func TestExplainRefusedKey(t *testing.T) {
+	const line = `{"level":"info","ts":1779722111.0,"msg":"request without a known key refused","process":"oslo-1","event":1030,` +
+		`"stamp":"1779722111000000.0","request":"r1","sent":true,"revision":7,"status":401,"outcome":"not-run","reason":"key"}` + "\n"
+	stdout := &bytes.Buffer{}
+	streams := command.Streams{In: strings.NewReader(line), Out: stdout, Err: &bytes.Buffer{}}
+	code := command.Run(t.Context(), []string{"pollenhill", "explain", "r1", "-"}, streams)
+	if out := stdout.String(); code != command.ExitOK || !strings.Contains(out, "at oslo-1: status 401") || !strings.Contains(out, "before any attempt: key") {
+		t.Errorf("exit code %d: %s", code, out)
+	}
+}
+
 // Guards against explaining a request by the log lines of another one, when its own lines are missing.
 func TestExplainUnknownRequest(t *testing.T) {
 	streams := command.Streams{In: strings.NewReader(""), Out: &bytes.Buffer{}, Err: &bytes.Buffer{}}
--- a/pollenhill/state/cause/explanation.go
+++ b/pollenhill/state/cause/explanation.go
@@ -63,7 +63,7 @@
 	destinationEvents := map[string][]string{}
 	for _, e := range events {
 		switch event.Kind(e.Kind) {
-		case event.CallEnded, event.CallFailed:
+		case event.CallEnded, event.CallFailed, event.KeyRefused:
 			if e.Fields["request"] == request {
 				explanation.Calls = append(explanation.Calls, newCall(e))
 			}
