--- a/core/state/rule/account_test.go
+++ b/core/state/rule/account_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -91,3 +92,22 @@
 		}
 	}
 }
+
+// BenchmarkAccountByKey measures the look-up of a key among those of 2,900 accounts, which each request with a key takes.
+func BenchmarkAccountByKey(b *testing.B) {
+	var text strings.Builder
+	text.WriteString("format 1\nchange 1 # kari: test\n")
+	for i := range 2900 {
+		fmt.Fprintf(&text, "account a%d keys=irth5mgjy5rcpihh%d,ddedev3nax7u27gx%d # kari: test\n", i, i, i)
+	}
+	set, err := rule.Parse(text.String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := set.AccountByKey("ddedev3nax7u27gx2000"); !ok {
+			b.Fatal("the key is unknown")
+		}
+	}
+}
