upload: a node that shuts down asks for no further body

Entry nodes waited for a node that had begun to shut down, sent their bodies when their turn came, and were refused after that. Whoever waits is now refused as leaving when the node stops taking attempts for its back end, so that another node gets the body. Bodies that were asked for go on.

TestLeavingNodeAsksForNoBody is new, as is the message that it sends.

--- a/node/coordination/upload/model.go
+++ b/node/coordination/upload/model.go
@@ -27,6 +27,7 @@
 type Model struct {
 	waiting   []Ask // oldest first
 	receiving map[ID]*transfer
+	leaving   bool
 }
 
 // transfer is a body that was admitted and is not complete.
@@ -54,6 +55,9 @@
 	case End:
 		delete(m.receiving, msg.ID)
 		m.waiting = slices.DeleteFunc(m.waiting, func(a Ask) bool { return a.ID == msg.ID })
+	case Leave:
+		m.leaving = true
+		cmds = append(cmds, m.refuseWaiting()...)
 	case Tick:
 	}
 	return append(cmds, m.admit(now)...)
@@ -67,6 +71,8 @@
 
 func (m *Model) ask(now time.Time, a Ask) []Cmd {
 	switch {
+	case m.leaving:
+		return []Cmd{Refuse{ID: a.ID, Reason: refusal.Leaving}}
 	case !now.Before(a.Deadline):
 		return []Cmd{Refuse{ID: a.ID, Reason: refusal.TooLate}}
 	case len(m.waiting) >= maxWaiting:
@@ -78,6 +84,15 @@
 	return nil
 }
 
+func (m *Model) refuseWaiting() []Cmd {
+	var cmds []Cmd
+	for _, a := range m.waiting {
+		cmds = append(cmds, Refuse{ID: a.ID, Reason: refusal.Leaving})
+	}
+	m.waiting = nil
+	return cmds
+}
+
 // expire refuses waiting requests whose deadline has passed.
 func (m *Model) expire(now time.Time) []Cmd {
 	var cmds []Cmd
--- a/node/coordination/upload/model_test.go
+++ b/node/coordination/upload/model_test.go
@@ -79,6 +79,18 @@
 	}
 }
 
+// Guards against a body that crosses the link to a node that shuts down, and against one that is cut off because of that.
+func TestLeavingNodeAsksForNoBody(t *testing.T) {
+	m := upload.New()
+	m.Update(at(0), ask(1, 60_000, false))
+	m.Update(at(1), ask(2, 60_000, false))
+	expect(t, "the one that waits", m.Update(at(2), upload.Leave{}), upload.Refuse{ID: 2, Reason: refusal.Leaving})
+	expect(t, "a later one", m.Update(at(3), ask(3, 60_000, false)), upload.Refuse{ID: 3, Reason: refusal.Leaving})
+	if m.Receiving() != 1 {
+		t.Errorf("%d bodies arrive, want the one that was asked for", m.Receiving())
+	}
+}
+
 // Guards against a request that gets no answer, two answers, or one after it has ended, in any order of messages.
 func TestEveryBodyIsAnsweredOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/node/coordination/upload/msg.go
+++ b/node/coordination/upload/msg.go
@@ -29,12 +29,16 @@
 // End reports that a body is complete, or that its request has ended.
 type End struct{ ID ID }
 
+// Leave reports that the node shuts down: whoever waits is refused, so that another node gets the body.
+type Leave struct{}
+
 // Tick advances the time.
 type Tick struct{}
 
 func (Ask) msg()      {}
 func (Received) msg() {}
 func (End) msg()      {}
+func (Leave) msg()    {}
 func (Tick) msg()     {}
 
 // Cmd is an effect that Model.Update asks for.
--- a/node/program/node.go
+++ b/node/program/node.go
@@ -152,6 +152,7 @@
 	<-time.After(time.Duration(n.cfg.Limits.BackendLeaveDelay))
 	n.backendLeaving.Store(true)
 	n.engine.UpdateDestination(destination.Leave{})
+	n.peerServer.RefuseUploads()
 	n.announceMember()
 	n.applyControlState()
 	ctx, cancel := n.shutdownContext()
--- a/node/transport/peer/server.go
+++ b/node/transport/peer/server.go
@@ -21,6 +21,7 @@
 	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/transport/mtls"
 	"pollenhill.example/node/coordination/destination"
+	"pollenhill.example/node/coordination/upload"
 	"pollenhill.example/node/protocol/message"
 	"pollenhill.example/node/transport/httpserver"
 	"pollenhill.example/node/transport/inbound"
@@ -180,6 +181,11 @@
 	return s.bodies.ask(a, h.ContentLength())
 }
 
+// RefuseUploads refuses attempts whose large bodies have not been asked for, now and later, as the node shuts down.
+func (s *Server) RefuseUploads() {
+	s.bodies.update(upload.Leave{})
+}
+
 // UploadCounts returns the attempts that wait to send large bodies, the bodies that arrive, and the attempts refused so far
 // before their bodies.
 func (s *Server) UploadCounts() (waiting, receiving int, refused int64) {
