balancer: count what a nearly full back end costs

Some back ends take up to 1.7 times as long above 0.8 of their limit, and the choice counted load in proportion only.

The cost of a back end of a pool now has half a service time more from 0.8 of its limit on.

TestNearlyFullTargetsAreAvoided fails before it (623 of 1000 picks for the zone with room) and passes after.

--- a/core/coordination/balancer/pool.go
+++ b/core/coordination/balancer/pool.go
@@ -32,7 +32,11 @@
 	// next attempt, and a part of the retry budget.
 	failureSharePenalty = 6.0
 
-	loadWeight  = 0.5 // cost added at the concurrency limit, as a share of the slowdown; less in proportion below it
+	loadWeight = 0.5 // cost added at the concurrency limit, as a share of the slowdown; less in proportion below it
+	// Some back ends take up to 1.7 times as long above 0.8 of their limit; nodes cannot tell which.
+	kneeShare  = 0.8 // share of the limit above which kneeWeight is added
+	kneeWeight = 0.5 // cost added, as a share of the slowdown
+
 	queueWeight = 1.5 // cost added per multiple of the limit that is queued, as a share of the slowdown
 
 	// maxZonePenalty is for another zone if the own zone has fullPenaltyBackends or more back ends; with fewer, it is
@@ -125,6 +129,9 @@
 	}
 	load := b.otherRequests + float64(b.inflight)
 	cost := b.slowdown(now) * (1 + loadWeight*min(load/limit, 1))
+	if load+1 > kneeShare*limit {
+		cost += b.slowdown(now) * kneeWeight
+	}
 	if excess := load + 1 - limit; excess > 0 {
 		cost += b.slowdown(now) * queueWeight * excess / limit
 	}
--- a/core/coordination/balancer/pool_test.go
+++ b/core/coordination/balancer/pool_test.go
@@ -193,3 +193,17 @@
 		t.Error("never picked again after the hints have stopped")
 	}
 }
+
+// Guards against back ends that are filled to their limit, where work takes up to 1.7 times as long on some, while another zone
+// has free slots.
+func TestNearlyFullTargetsAreAvoided(t *testing.T) {
+	m := newPoolModel(t, func(i int, _ *balancer.Target, h *hint.Hint) {
+		h.Inflight = 10
+		if i == 3 {
+			h.Inflight = 2
+		}
+	})
+	if got := pickCounts(m, epoch)["b3"]; got < 990 {
+		t.Errorf("%d of 1000 picks for the back end of another zone that has room", got)
+	}
+}
