node, control: no timers for accounts and rollouts that are not there

Every node woke four times a second to report no account, twice for no rollout and once to log nothing; control processes woke thirteen times a second. Deployments without accounts or rollouts paid for that in processor time. The loops now wait for rules that have a limited account, or for a rollout that advances.

--- a/control/daemon/accounting.go
+++ b/control/daemon/accounting.go
@@ -10,6 +10,7 @@
 	"pollenhill.example/control/coordination/allowance"
 	"pollenhill.example/core/coordination/pause"
 	"pollenhill.example/core/protocol/control"
+	"pollenhill.example/core/state/replica"
 )
 
 // totalsTimeout bounds one exchange of account use with another control process.
@@ -24,7 +25,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	busy := map[string]chan struct{}{}
-	for pause.For(ctx, allowance.PushInterval) {
+	for d.awaitLimitedAccounts(ctx) && pause.For(ctx, allowance.PushInterval) {
 		req := d.ledger.Outgoing(time.Now())
 		if req == nil {
 			continue
@@ -59,9 +60,27 @@
 	return lo.Without(lo.Uniq(append(append([]string{}, v.Voters...), v.Learners...)), d.settings.Name)
 }
 
+// awaitLimitedAccounts waits until the rules in force have an account with an allowance, and returns false if ctx ends before.
+// Without one there is nothing to add up.
+func (d *Daemon) awaitLimitedAccounts(ctx context.Context) bool {
+	for {
+		applied := d.group.EntryApplied()
+		limited := false
+		d.group.ReadReplica(func(s *replica.Replica) { limited = s.LimitsAccounts() })
+		if limited {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-applied:
+		}
+	}
+}
+
 // countMembers tells the ledger which nodes are in the directory until ctx ends.
 func (d *Daemon) countMembers(ctx context.Context) {
-	for pause.For(ctx, memberInterval) {
+	for d.awaitLimitedAccounts(ctx) && pause.For(ctx, memberInterval) {
 		members, err := d.directory.Members(ctx)
 		if err != nil {
 			continue
--- a/control/daemon/rollouts.go
+++ b/control/daemon/rollouts.go
@@ -44,6 +44,7 @@
 	mu       sync.Mutex
 	pending  map[string]*control.Observation // newest by node
 	revision uint64                          // of the rules that the model has; used only by Run
+	advances bool                            // one of the rollouts of the model advances; used only by Run
 }
 
 func newRollouts(i do.Injector) (*rollouts, error) {
@@ -96,10 +97,18 @@
 	return list
 }
 
-// Run follows the rollouts until ctx ends.
+// Run follows the rollouts until ctx ends. While none advances it waits for the next change.
 func (r *rollouts) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		applied := r.group.EntryApplied()
 		r.applyOrders(time.Now())
+		if !r.advances {
+			select {
+			case <-ctx.Done():
+			case <-applied:
+			}
+			continue
+		}
 		list := r.takePending()
 		switch leader := r.group.View().Leader; leader {
 		case r.name:
@@ -128,6 +137,7 @@
 		})
 	})
 	if changed {
+		r.advances = slices.ContainsFunc(orders, func(o rollout.Order) bool { return o.State == rule.RolloutAdvancing })
 		r.model.Update(now, rollout.Orders{List: orders})
 	}
 }
--- a/core/state/replica/tablechange.go
+++ b/core/state/replica/tablechange.go
@@ -138,6 +138,11 @@
 	return routingtable.FromRules(r.tableVersion, r.ruleSet())
 }
 
+// LimitsAccounts reports whether the rules in force have an account with an allowance.
+func (r *Replica) LimitsAccounts() bool {
+	return slices.ContainsFunc(r.ruleSet().Accounts, rule.Account.Limited)
+}
+
 // ruleSet returns the parsed rules in force, an empty set before the first change.
 func (r *Replica) ruleSet() *rule.Set {
 	if set := r.parsedRules.Load(); set != nil {
--- a/node/coordination/allowance/limiter.go
+++ b/node/coordination/allowance/limiter.go
@@ -101,6 +101,13 @@
 	}
 }
 
+// HasAccounts reports whether an account has an allowance.
+func (l *Limiter) HasAccounts() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.accounts) > 0
+}
+
 // Admit decides about a request of an account.
 func (l *Limiter) Admit(now time.Time, name string) Decision {
 	l.mu.Lock()
--- a/node/coordination/observer/model.go
+++ b/node/coordination/observer/model.go
@@ -55,6 +55,13 @@
 	}
 }
 
+// Active reports whether a rollout advances.
+func (m *Model) Active() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.active
+}
+
 // Record counts an answer.
 func (m *Model) Record(a Answer) {
 	m.mu.Lock()
--- a/node/program/control_state.go
+++ b/node/program/control_state.go
@@ -66,7 +66,7 @@
 		return nil
 	}
 	set.Revision = revision
-	n.allowances.limiter.SetAccounts(set.Accounts)
+	n.allowances.setAccounts(set.Accounts)
 	n.activeRules.Store(&activeRules{set: set, text: text, appliedAt: time.Now()})
 	n.events.Emit(event.RulesApplied, zap.Uint64("revision", revision), zap.Uint64("number", set.ChangeNumber))
 	return set
--- a/node/program/node.go
+++ b/node/program/node.go
@@ -47,6 +47,7 @@
 	hints          *hints.Endpoint // nil if the settings have no address for hints
 	recentServices recentServices
 	allowances     *allowances
+	rolloutChanged wakeup
 	activeRules    atomic.Pointer[activeRules]
 	shuttingDown   atomic.Bool // every response closes its connection, so that callers move to other nodes
 	backendLeaving atomic.Bool // while shutting down: the back end gets no new attempts through this node
@@ -85,7 +86,6 @@
 	backgroundDone.Go(func() { n.followControl(backgroundCtx) })
 	backgroundDone.Go(func() { n.watchSettingsFile(backgroundCtx) })
 	backgroundDone.Go(func() { n.reportUsage(backgroundCtx) })
-	backgroundDone.Go(func() { n.logAllowances(backgroundCtx) })
 	backgroundDone.Go(func() { n.backend.DiscoverInstance(backgroundCtx) })
 	backgroundDone.Go(func() { n.backend.PollLoad(backgroundCtx) })
 	backgroundDone.Go(func() { n.reportObservations(backgroundCtx) })
--- a/node/program/rollout.go
+++ b/node/program/rollout.go
@@ -20,6 +20,7 @@
 		return
 	}
 	n.observer.SetRollout(a.Name, a.Version, &r)
+	n.rolloutChanged.signal()
 }
 
 // rolloutPercent returns the share of the requests for the target version of the rollout of the service of the local back end,
@@ -38,10 +39,15 @@
 	ticker := time.NewTicker(observation.Interval)
 	defer ticker.Stop()
 	for {
+		var tick <-chan time.Time // nil while there is nothing to observe
+		if n.observer.Active() {
+			tick = ticker.C
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-n.rolloutChanged:
+		case <-tick:
 		}
 		if o, ok := n.observe(); ok {
 			sendCtx, cancel := context.WithTimeout(ctx, observation.Interval)
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -37,7 +37,7 @@
 // address is used, before Run.
 func New(cfg Config) (*Node, error) {
 	cfg.Settings.Limits = cfg.Settings.Limits.withDefaults()
-	n := &Node{settingsPath: cfg.SettingsPath, cfg: cfg.Settings, incarnation: uint64(time.Now().UnixNano()), events: cfg.Events, controlClient: cfg.ControlClient, observer: observer.New()}
+	n := &Node{settingsPath: cfg.SettingsPath, cfg: cfg.Settings, incarnation: uint64(time.Now().UnixNano()), events: cfg.Events, controlClient: cfg.ControlClient, observer: observer.New(), rolloutChanged: newWakeup()}
 	n.allowances = newAllowances(n)
 	var err error
 	if n.tlsCredentials, err = loadTLSCredentials(cfg); err != nil {
