balancer: picks for urgent requests count queues for little

A nested or rank 0 request goes before most of what waits at a back end, but picks added the whole queue to the cost of a fast one, so that a back end in a slow period, which runs empty while it holds its queue, looked better beside long queues: 30 of 1,000 picks, where the request waits for the end of the period; under 10 now (TestUrgentPicksIgnoreQueues).

--- a/core/coordination/balancer/contention.go
+++ b/core/coordination/balancer/contention.go
@@ -15,6 +15,9 @@
 	contendedLoad   = 0.5
 	// contendedLoadDecay is the time constant with which the number of requests in a hint approaches the mean of the pool.
 	contendedLoadDecay = 100 * time.Millisecond
+	// urgentQueueWeight replaces poolQueueWeight for requests that go before most of what waits. A long queue then does not
+	// make a back end in a slow period look better, where they would wait for the end of the period.
+	urgentQueueWeight = 0.3
 )
 
 // jitter returns the largest random increase of a cost, as a share of it.
@@ -26,6 +29,14 @@
 	return costJitter + (contendedJitter-costJitter)*min(max(inUse, 0), 1)
 }
 
+// queueWeight returns the cost per multiple of the limit that is queued at a back end, as a share of its slowdown.
+func (q Query) queueWeight() float64 {
+	if q.Contended && q.Urgent {
+		return urgentQueueWeight
+	}
+	return poolQueueWeight
+}
+
 // poolLoad returns the expected number of requests at a back end of a pool.
 func (m *Model) poolLoad(now time.Time, b *backendState, q Query) float64 {
 	load := b.otherRequests + float64(b.inflight)
--- a/core/coordination/balancer/contention_test.go
+++ b/core/coordination/balancer/contention_test.go
@@ -50,3 +50,40 @@
 		t.Errorf("with contention %.2f of the picks go to the idle back ends, want more than their part and no more than they have slots for", spread)
 	}
 }
+
+// Guards against urgent requests that wait for the end of a slow period because the queues elsewhere are long, although they
+// go before what waits there. The load: one back end in a slow period, which has run empty since, beside eleven fast ones
+// with queues of twice their limit.
+func TestUrgentPicksIgnoreQueues(t *testing.T) {
+	set, err := rule.Parse("format 1\nchange 1 # a: b\npool s # a: b\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	zones := make([]string, 12)
+	for i := range zones {
+		zones[i] = "a"
+	}
+	slowPicks := func(urgent bool) int {
+		m := newModel(newTargets(zones...))
+		m.Update(epoch, balancer.Rules{Set: set})
+		for range 100 {
+			for i := range zones {
+				h := hint.Hint{Inflight: 12, Queued: 24, Limit: 12, Slowdown: 1}
+				if i == 0 {
+					h = hint.Hint{Limit: 12, Slowdown: 5}
+				}
+				m.Update(epoch, balancer.LoadReport{Backend: fmt.Sprintf("b%d", i), Hint: h})
+			}
+		}
+		slow := 0
+		for range 1000 {
+			if target, _ := m.Pick(epoch, balancer.Query{Service: "s", Contended: true, Urgent: urgent}); target.Backend == "b0" {
+				slow++
+			}
+		}
+		return slow
+	}
+	if got := slowPicks(true); got > 10 {
+		t.Errorf("%d of 1000 urgent picks go to the slow back end; %d of the others", got, slowPicks(false))
+	}
+}
--- a/core/coordination/balancer/msg.go
+++ b/core/coordination/balancer/msg.go
@@ -75,4 +75,5 @@
 	ResponseBytes     int      // usual size of the response; large ones cost more between zones
 	SpareCapacityOnly bool     // only back ends with spare capacity, as for a hedge
 	Contended         bool     // callers compete for room: picks near the limit of a pool are spread
+	Urgent            bool     // with Contended: goes before most requests that wait at back ends
 }
--- a/core/coordination/balancer/pool.go
+++ b/core/coordination/balancer/pool.go
@@ -32,8 +32,8 @@
 	// next attempt, and a part of the retry budget.
 	failureSharePenalty = 6.0
 
-	loadWeight  = 0.5 // cost added at the concurrency limit, as a share of the slowdown; less in proportion below it
-	queueWeight = 1.5 // cost added per multiple of the limit that is queued, as a share of the slowdown
+	loadWeight      = 0.5 // cost added at the concurrency limit, as a share of the slowdown; less in proportion below it
+	poolQueueWeight = 1.5 // cost added per multiple of the limit that is queued, as a share of the slowdown
 
 	// maxZonePenalty is for another zone if the own zone has fullPenaltyBackends or more back ends; with fewer, it is
 	// reduced in proportion.
@@ -60,7 +60,7 @@
 		if b.isFastAndFree(now, c) && !m.isLimited(c.Backend) {
 			fast++
 		}
-		cost := b.expectedCost(now, c, m.poolLoad(now, b, q)) * (1 + jitter*m.cfg.Rand.Float64())
+		cost := b.expectedCost(now, c, m.poolLoad(now, b, q), q.queueWeight()) * (1 + jitter*m.cfg.Rand.Float64())
 		if c.Zone != m.cfg.Zone {
 			cost += zonePenalty + float64(q.ResponseBytes)/bytesPerServiceTime
 		}
@@ -118,7 +118,7 @@
 }
 
 // expectedCost returns the expected cost of one more request, in normal service times on an idle back end.
-func (b *backendState) expectedCost(now time.Time, c candidate, load float64) float64 {
+func (b *backendState) expectedCost(now time.Time, c candidate, load, queueWeight float64) float64 {
 	limit := float64(max(b.hint.Limit, 1))
 	if b.hintTime.IsZero() {
 		limit = max(c.limit, 1)
--- a/node/coordination/call/model.go
+++ b/node/coordination/call/model.go
@@ -225,7 +225,7 @@
 	if len(s.attempts) >= MaxAttempts || s.MaxTries > 0 && s.reachedBackends() >= s.MaxTries {
 		return balancer.Target{}, false
 	}
-	return m.cfg.Balancer.Pick(now, balancer.Query{Service: s.Service, Exclude: s.tried, SpareCapacityOnly: spareOnly, ResponseBytes: s.ResponseSize, Contended: s.ByCost})
+	return m.cfg.Balancer.Pick(now, balancer.Query{Service: s.Service, Exclude: s.tried, SpareCapacityOnly: spareOnly, ResponseBytes: s.ResponseSize, Contended: s.ByCost, Urgent: s.Urgent})
 }
 
 // pickHedgeTarget picks the back end for a hedge. For a call with a latency objective it must have spare capacity, so
