allowances: spread a burst over the window

A hot account used its allowance of 5 s up in the first second and was then held to what left the window, so that the seconds after it served less than the rate. The allowed rate is now the allowance divided by the window, with a constant room for the chance of small accounts.

--- a/node/coordination/allowance/limiter.go
+++ b/node/coordination/allowance/limiter.go
@@ -32,6 +32,8 @@
 const (
 	localShare     = 0.9  // of the equal share: the others learn with a delay that the node is out of touch
 	abandonedShare = 0.1  // of the equal share, when others may use it: the overshoot stays below a tenth of the allowance
+	roomAtOnce     = 12.0 // requests beyond an even spread, for accounts so small that their demand varies by chance
+	overshootGain  = 2.0  // how much faster than room is given out it is taken back once the window is full
 	grantShare     = 0.25 // of the room that is granted until the next totals: what nodes use of it is known late
 	slackShare     = 0.1  // of the slack that is given out when the totals are fresh; the rest is for their delay
 	firstRequests  = 2    // of an account for which an in touch node has no totals yet
@@ -171,7 +173,7 @@
 func (l *Limiter) admitByTotals(now time.Time, a *account) Decision {
 	t, rate, share := a.totals, a.rate*(1-l.reserve), l.share(a.totals)
 	room := a.allowance()*(1-l.reserve) + slackShare*l.cfg.Slack - t.admitted
-	allowed := max(0, rate+min(room, 2*room)/releaseTime.Seconds())
+	allowed := l.allowedRate(a, room)
 	grant := l.grant(now, a)
 	used := float64(a.total - t.base)
 	if used >= grant {
@@ -181,13 +183,21 @@
 		fraction := allowed / t.demand
 		a.accumulated += fraction
 		if a.accumulated < 1 {
-			return Decision{RetryAfter: clampRetry((1 - a.accumulated) / max(share*allowed, 1e-3))}
+						return Decision{RetryAfter: clampRetry((1 - a.accumulated) / max(share*allowed, 1e-3))}
+
 		}
 		a.accumulated--
 	}
 	return Decision{Admitted: true, ReportSoon: used >= grant/2}
 }
 
+// allowedRate returns how many requests a second all nodes together may admit with the given room in the window. The allowance is
+// spread over the window: what is admitted early would be missing later, since the room returns only when it leaves the window.
+func (l *Limiter) allowedRate(a *account, room float64) float64 {
+	even := a.allowance() * (1 - l.reserve) / Window.Seconds()
+	return max(0, even+min(room, roomAtOnce, overshootGain*room)/releaseTime.Seconds())
+}
+
 // share returns the part of the room that this node may use, by its demand and no less than an equal part.
 func (l *Limiter) share(t totals) float64 {
 	return max(t.ownDemand/max(t.demand, t.ownDemand, 1), 1/float64(max(1, l.nodes)))
--- a/node/transport/control/fake_test.go
+++ b/node/transport/control/fake_test.go
@@ -210,6 +210,13 @@
 	return connect.NewResponse(&control.ClaimResponse{Verdict: control.Verdict_VERDICT_GRANTED}), nil
 }
 
+// Usage returns the reported accounts as the totals.
+func (f *fakeControlProcess) Usage(_ context.Context, req *connect.Request[control.UsageRequest]) (*connect.Response[control.UsageResponse], error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return connect.NewResponse(&control.UsageResponse{Current: f.current, Nodes: 1, Accounts: req.Msg.GetAccounts()}), nil
+}
+
 // harness is a client with two control processes in its region and one in another, inside a synctest bubble.
 type harness struct {
 	client    *client.Client
