--- a/node/coordination/allowance/limiter.go
+++ b/node/coordination/allowance/limiter.go
@@ -183,8 +183,7 @@
 		fraction := allowed / t.demand
 		a.accumulated += fraction
 		if a.accumulated < 1 {
-						return Decision{RetryAfter: clampRetry((1 - a.accumulated) / max(share*allowed, 1e-3))}
-
+			return Decision{RetryAfter: clampRetry((1 - a.accumulated) / max(share*allowed, 1e-3))}
 		}
 		a.accumulated--
 	}
