allowances: a first request of each account before the first answer

After a restart of all nodes at once each refused the accounts whose share is below one request until a control process answered: 175 requests below their allowance in the two seconds after a loss of power. A node that never had an answer admits one request of each account now; the model test with restarts holds (1,000 histories).

--- a/node/coordination/allowance/limiter.go
+++ b/node/coordination/allowance/limiter.go
@@ -221,6 +221,11 @@
 		share *= abandonedShare
 	}
 	share = math.Floor(share + a.phase)
+	if l.answered.IsZero() {
+		// All nodes may have started at once, in which case refusals would hit accounts that have sent nothing.
+		share = max(1, share)
+	}
+
 	if elapsed(a.totals.reportedAt, now) < Window {
 		// The others still count what this node has reported last.
 		share = min(share, a.totals.ownAdmitted+l.grant(now, a))
