--- a/control/coordination/allowance/allowance_test.go
+++ b/control/coordination/allowance/allowance_test.go
@@ -26,7 +26,7 @@
 	return accounts
 }
 
-// maxChanceRefusals is how many of 20,000 requests may be refused because a small account reaches its allowance by chance.
+// maxChanceRefusals is how many of 18,000 requests may be refused because a small account reaches its allowance by chance.
 const maxChanceRefusals = 4
 
 // Guards against a burst of one account that exceeds its allowance, wastes it, or costs the others requests.
