--- a/node/transport/caller/request.go
+++ b/node/transport/caller/request.go
@@ -126,27 +126,20 @@
 
 // applyRoute sets the service, limits and headers of a request according to its route.
 func (s *Server) applyRoute(req *message.Request, set *rule.Set, r rule.Route, now time.Time) refusal.Reason {
-	account, reason := authenticate(set, &req.Header, r.Access == rule.AccessOpen)
-	if reason != refusal.None {
+	if reason := s.applyAccount(req, set, r); reason != refusal.None {
 		return reason
 	}
 	req.Route = r.Name
-	req.Account = account.Name
-	req.Rank = account.RequestPriority(r.Priority)
-	req.ByCost, req.RouteRank = set.RanksByCost(), r.Priority
-	if req.ByCost && req.Account == "" {
-		s.inheritFromParent(req)
-	}
 	req.Service = s.splitter.Pick(r)
 	req.Idempotent = r.Kind.Repeatable()
 	req.Upload = r.Kind == rule.KindUpload
-	req.Priority = priorityOf(req.Rank)
 	req.MaxTries = r.MaxTries
+	timeout := cmp.Or(r.Timeout, rule.DefaultDeadline)
 	req.Objective = r.LatencyObjective
-	if req.ByCost && req.Objective == 0 {
-		req.Objective = cmp.Or(r.Timeout, rule.DefaultDeadline) // without one the request would count as late from its start
+	if req.ByCost {
+		req.Objective = cmp.Or(r.LatencyObjective, timeout) // without one the request would count as late from its start
 	}
-	if reason := s.readCallerHeaders(req, cmp.Or(r.Timeout, rule.DefaultDeadline), now); reason != refusal.None {
+	if reason := s.readCallerHeaders(req, timeout, now); reason != refusal.None {
 		return reason
 	}
 	req.FirstTry = s.refusedCallers.firstTry(req)
@@ -159,6 +152,22 @@
 	return refusal.None
 }
 
+// applyAccount sets the account and the priority of a request on a route, or returns why its key is refused.
+func (s *Server) applyAccount(req *message.Request, set *rule.Set, r rule.Route) refusal.Reason {
+	account, reason := authenticate(set, &req.Header, r.Access == rule.AccessOpen)
+	if reason != refusal.None {
+		return reason
+	}
+	req.Account = account.Name
+	req.Rank, req.RouteRank = account.RequestPriority(r.Priority), r.Priority
+	req.ByCost = set.RanksByCost()
+	if req.ByCost && req.Account == "" {
+		s.inheritFromParent(req)
+	}
+	req.Priority = priorityOf(req.Rank)
+	return refusal.None
+}
+
 // toOriginForm converts a request target in absolute form to origin form (RFC 9112, section 3.2), which back ends expect;
 // false means that the target is in another form or has no path.
 func toOriginForm(h *fasthttp.RequestHeader) bool {
