soak: wait until every thread of a stopped process is stopped

The kernel gives the signal to one thread, which stops the others when it is scheduled; until then they run on. That is by reading of what the kernel does; no run shows it. The test checks the same as before, of a process that is stopped for certain.

--- a/lab/soak/cluster_test.go
+++ b/lab/soak/cluster_test.go
@@ -88,6 +88,38 @@
 
 func (p *process) signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
 
+// freeze stops the process by SIGSTOP and waits until all of its threads are stopped. The kernel gives the signal to one thread,
+// which stops the others when it is scheduled; on a busy machine they run on and answer calls until then.
+func (p *process) freeze(t *testing.T) {
+	t.Helper()
+	p.signal(syscall.SIGSTOP)
+	for deadline := time.Now().Add(10 * time.Second); !p.isFrozen(); {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s has threads that run 10 s after SIGSTOP", p.name)
+		}
+		<-time.After(time.Millisecond)
+	}
+}
+
+// isFrozen reports whether every thread of the process is in the state T, stopped.
+func (p *process) isFrozen() bool {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(files) == 0 {
+		return false
+	}
+	for _, file := range files {
+		stat, err := os.ReadFile(file)
+		if err != nil {
+			return false
+		}
+		// The name of the program stands in parentheses before the state.
+		if _, state, ok := strings.Cut(string(stat), ") "); !ok || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
+
 // end stops the process, by SIGKILL after a while.
 func (p *process) end() {
 	p.signal(syscall.SIGCONT)
--- a/lab/soak/evacuation_test.go
+++ b/lab/soak/evacuation_test.go
@@ -42,7 +42,7 @@
 			t.Logf("control-%d is stopped, connection kept open %v", stopped+1, keepOpen)
 			other := (stopped + 1) % len(c.controls)
 			c.order(other, http.MethodPut, zones[zone])
-			c.controls[stopped].signal(syscall.SIGSTOP)
+			c.controls[stopped].freeze(t)
 			heldUpCall(t, c.control(stopped), http.MethodDelete, zones[zone], keepOpen)
 			c.order(other, http.MethodDelete, zones[zone])
 			c.order(other, http.MethodPut, zones[zone])
@@ -61,7 +61,7 @@
 	const zone = 1
 	for _, stopped := range append(append([]*process{}, c.nodes[0]), c.controls...) {
 		t.Logf("%s is stopped", stopped.name)
-		stopped.signal(syscall.SIGSTOP)
+		stopped.freeze(t)
 		c.eventually("the evacuation is acknowledged", func() bool {
 			for i, p := range c.controls {
 				if p != stopped && c.call(i, http.MethodPut, "/zones/"+zones[zone]+"/out", "", time.Second) == http.StatusOK {
