rule, balancer: an unused look-up and a fixture that stood twice

Set.Account was called by nobody. The two tests of contended picks built the same pool; newContendedPool builds it for both, with their assertions unchanged.

--- a/core/coordination/balancer/contention_test.go
+++ b/core/coordination/balancer/contention_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,23 +11,29 @@
 	"pollenhill.example/core/state/rule"
 )
 
-// Guards against entry nodes that all send to the few back ends whose last hints show free slots, so that queues form there
-// while others run empty. The load: a pool with nearly all slots in use, where two of twelve back ends were idle when the
-// hints were sent, 50 ms ago.
-func TestContendedPicksAreSpread(t *testing.T) {
+// contendedBackends is the number of back ends of newContendedPool, b0 and up, all in the zone of the entry node.
+const contendedBackends = 12
+
+// newContendedPool returns a model of the pool s.
+func newContendedPool(t *testing.T) *balancer.Model {
+	t.Helper()
 	set, err := rule.Parse("format 1\nchange 1 # a: b\npool s # a: b\n")
 	if err != nil {
 		t.Fatal(err)
 	}
-	zones := make([]string, 12)
-	for i := range zones {
-		zones[i] = "a"
-	}
+	m := newModel(newTargets(slices.Repeat([]string{"a"}, contendedBackends)...))
+	m.Update(epoch, balancer.Rules{Set: set})
+	return m
+}
+
+// Guards against entry nodes that all send to the few back ends whose last hints show free slots, so that queues form there
+// while others run empty. The load: a pool with nearly all slots in use, where two of twelve back ends were idle when the
+// hints were sent, 50 ms ago.
+func TestContendedPicksAreSpread(t *testing.T) {
 	share := func(q balancer.Query) float64 {
-		m := newModel(newTargets(zones...))
-		m.Update(epoch, balancer.Rules{Set: set})
+		m := newContendedPool(t)
 		for range 100 {
-			for i := range zones {
+			for i := range contendedBackends {
 				h := hint.Hint{Inflight: 12, Queued: 1, Limit: 12, Slowdown: 1}
 				if i < 2 {
 					h = hint.Hint{Inflight: 2, Limit: 12, Slowdown: 1}
@@ -55,19 +62,10 @@
 // go before what waits there. The load: one back end in a slow period, which has run empty since, beside eleven fast ones
 // with queues of twice their limit.
 func TestUrgentPicksIgnoreQueues(t *testing.T) {
-	set, err := rule.Parse("format 1\nchange 1 # a: b\npool s # a: b\n")
-	if err != nil {
-		t.Fatal(err)
-	}
-	zones := make([]string, 12)
-	for i := range zones {
-		zones[i] = "a"
-	}
 	slowPicks := func(urgent bool) int {
-		m := newModel(newTargets(zones...))
-		m.Update(epoch, balancer.Rules{Set: set})
+		m := newContendedPool(t)
 		for range 100 {
-			for i := range zones {
+			for i := range contendedBackends {
 				h := hint.Hint{Inflight: 12, Queued: 24, Limit: 12, Slowdown: 1}
 				if i == 0 {
 					h = hint.Hint{Limit: 12, Slowdown: 5}
--- a/core/state/rule/account.go
+++ b/core/state/rule/account.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"slices"
 	"strconv"
 	"strings"
 )
@@ -50,15 +49,6 @@
 	return *a, true
 }
 
-// Account returns an account by name, or false if there is none.
-func (s *Set) Account(name string) (Account, bool) {
-	i := slices.IndexFunc(s.Accounts, func(a Account) bool { return a.Name == name })
-	if i < 0 {
-		return Account{}, false
-	}
-	return s.Accounts[i], true
-}
-
 // indexAccounts indexes the accounts by the digests of their keys.
 func (s *Set) indexAccounts() {
 	s.accountsByKey = make(map[KeyDigest]*Account, len(s.Accounts))
