--- /dev/null
+++ b/review/drill/cold.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"slices"
+	"time"
+)
+
+// Terms of the small deployments.
+const (
+	coldPerSecond = 42
+	coldOverage   = 1.5
+	coldSlack     = 5
+	coldPeriod    = 3 * time.Second
+	beatInterval  = 1500 * time.Millisecond
+)
+
+// coldApp is the back end of both cases about cold starts. In a second it can take more requests than while it is cold.
+var coldApp = app{slots: 14, work: 90 * time.Millisecond}
+
+// coldLoad is what the clients send per second: more than two of three back ends can take.
+const (
+	coldLoad         = 600.0
+	coldReservations = 100.0 // of them
+)
+
+// restartDelay is the time after which the platform starts a process that was killed.
+const restartDelay = 100 * time.Millisecond
+
+// coldRestart lets a back end start during traffic and kills the node beside it once, a moment later.
+func coldRestart(rec *record, t trouble) (bool, error) {
+	w, s, c, err := coldWorld(rec)
+	if err != nil {
+		return false, err
+	}
+	defer w.close()
+	if err := s.start("i-node-1-1"); err != nil {
+		return false, err
+	}
+	if t != none {
+		time.Sleep(250 * time.Millisecond)
+		rec.add("kill %s", s.m.name)
+		s.m.kill()
+		time.Sleep(restartDelay)
+		rec.add("start %s again", s.m.name)
+		if err := s.m.start(); err != nil {
+			return false, err
+		}
+	}
+	return checkCold(s, c), nil
+}
+
+// coldReport lets a back end crash and come back cold under its ID, while its reports arrive late.
+func coldReport(rec *record, t trouble) (bool, error) {
+	w, s, c, err := coldWorld(rec)
+	if err != nil {
+		return false, err
+	}
+	defer w.close()
+	if t != none {
+		s.coldFor = 0
+		if t == all {
+			s.delayReports(2500 * time.Millisecond)
+		}
+		if err := s.start("i-node-1-1"); err != nil {
+			return false, err
+		}
+		time.Sleep(5 * time.Second)
+		s.crash()
+		time.Sleep(1500 * time.Millisecond)
+		s.coldFor = coldPeriod
+	}
+	if err := s.start("i-node-1-1"); err != nil {
+		return false, err
+	}
+	return checkCold(s, c), nil
+}
+
+// coldReturn puts a zone back into service whose back end has just become cold. The back end says so in its health responses
+// at once and in its next report; without trouble it reports it at once.
+func coldReturn(rec *record, t trouble) (bool, error) {
+	w, s, c, err := coldWorld(rec)
+	if err != nil {
+		return false, err
+	}
+	defer w.close()
+	s.coldFor = 0
+	if err := s.start("i-node-1-1"); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	out := "/zones/" + s.m.zone + "/out"
+	if err := w.order("PUT", out, "", nil, 4*time.Second); err != nil {
+		return false, err
+	}
+	time.Sleep(4 * time.Second)
+	s.awaitReport()
+	s.becomeCold()
+	if t == none {
+		s.sendReport(s.reportBody("ready"))
+	}
+	time.Sleep(200 * time.Millisecond)
+	if err := w.order("DELETE", out, "", nil, 4*time.Second); err != nil {
+		return false, err
+	}
+	return checkCold(s, c), nil
+}
+
+// becomeCold makes the running boot cold.
+func (s *server) becomeCold() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldUntil = time.Now().Add(coldPeriod)
+	s.w.rec.add("%s at %s is cold from now on, for %v", s.id, s.m.name, coldPeriod)
+}
+
+// awaitReport waits until the boot sends its next regular report.
+func (s *server) awaitReport() {
+	s.mu.Lock()
+	before := s.sequence
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		sent := s.sequence > before
+		s.mu.Unlock()
+		if sent {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+}
+
+// coldWorld starts a deployment and its clients. The back end of the first node, which is returned, does not run yet.
+func coldWorld(rec *record) (*world, *server, *clients, error) {
+	w, _, err := startWorld(rec, []string{"desk", "desk", "desk"}, coldApp, 1)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	s := &server{w: w, m: w.nodes[0], app: coldApp, beat: beatInterval, coldFor: coldPeriod}
+	c := newClients(w)
+	c.begin(coldLoad-coldReservations, w.nodes, request{method: "GET", path: "/desk/free/boat", timeout: 1200 * time.Millisecond})
+	c.begin(coldReservations, w.nodes, request{method: "POST", path: "/desk/book/boat", body: "seat=4", timeout: 1500 * time.Millisecond})
+	time.Sleep(3 * time.Second)
+	return w, s, c, nil
+}
+
+// checkCold waits for the end of the cold start and reports whether the back end got more requests than a cold one may get.
+func checkCold(s *server, c *clients) bool {
+	time.Sleep(coldPeriod + 500*time.Millisecond)
+	c.end()
+	most, limit := mostInOneSecond(s, c), coldPerSecond*coldOverage+coldSlack
+	s.w.rec.add("most requests sent and begun within one second at the cold back end: %d; the rule allows %.0f", most, limit)
+	s.w.rec.add("answers by status: %v", c.total)
+	return float64(most) > limit
+}
+
+// mostInOneSecond returns the largest number of requests that were both sent and begun at a cold back end within one second.
+func mostInOneSecond(s *server, c *clients) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cold := slices.DeleteFunc(slices.Clone(s.arrivals), func(a arrival) bool { return !a.cold })
+	most := 0
+	for _, first := range cold {
+		from := c.sent[first.id]
+		n := 0
+		for _, a := range cold {
+			if !c.sent[a.id].Before(from) && a.at.Sub(from) <= time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
