--- a/review/drill/client.go
+++ b/review/drill/client.go
@@ -76,15 +76,23 @@
 
 // begin sends so many requests a second, evenly over the nodes, until end.
 func (c *clients) begin(perSecond float64, nodes []*machine, r request) {
+	c.beginFor(time.Hour, perSecond, nodes, r)
+}
+
+// beginFor is begin for a limited time.
+func (c *clients) beginFor(d time.Duration, perSecond float64, nodes []*machine, r request) {
 	c.wg.Add(1)
 	go func() {
 		defer c.wg.Done()
+		over := time.After(d)
 		ticker := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
 		defer ticker.Stop()
 		for i := 0; ; i++ {
 			select {
 			case <-c.ended:
 				return
+			case <-over:
+				return
 			case <-ticker.C:
 			}
 			c.wg.Add(1)
