--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -42,7 +42,7 @@
 	"late-report":  lateReport,
 	"cold-report":  coldReport,
 	"cold-restart": coldRestart,
-	"cold-return":  coldReturn,
+	"keyed-lookup": keyedLookup,
 }
 
 // maxTime bounds a case.
--- a/review/drill/server.go
+++ b/review/drill/server.go
@@ -148,6 +148,11 @@
 	}
 	request := r.Header.Get(names["request"])
 	w.Header().Set(names["request"], request)
+	if request == "" {
+		w.Header().Set(names["refused"], "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	if target := r.Header.Get(names["target"]); target != "" && target != id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
