--- a/review/drill/leave.go
+++ b/review/drill/leave.go
@@ -19,8 +19,8 @@
 	}
 	defer w.close()
 	s, c := servers[0], newClients(w)
-	c.begin(140, w.nodes, lookup)
-	c.begin(35, w.nodes, request{method: "POST", path: "/desk/book/boat", body: "seat=4", timeout: 1500 * time.Millisecond})
+	c.begin(241, w.nodes, lookup)
+	c.begin(67, w.nodes, request{method: "POST", path: "/desk/book/boat", body: "seat=4", timeout: 1500 * time.Millisecond})
 	if t == all {
 		s.delayReports(3 * time.Second)
 	}
