--- a/review/drill/recover.go
+++ b/review/drill/recover.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"syscall"
-
 	"time"
 )
 
