tcp: a reset while a request body is written ends no response

Callers saw: a back end answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the request body is written by a goroutine of its own while the response is read. The system reports a reset once. If the write takes it, the read finds the end of the stream, and a body that ends with the connection looked whole.

Fix: at the end of such a body the writing of the request is ended, and what it was told decides: any error but its own interruption makes the response broken. EPIPE is none, since the kernel reports it in place of a reset only if the peer had ended its stream before; such a response is whole, and the test holds that too (100 of 100).

Other readers: bodies with a length or chunks say themselves whether they are whole; between nodes and for health checks no body is written beside the response, and a write that ends before the response is read fails the exchange.

--- a/core/transport/tcp/body.go
+++ b/core/transport/tcp/body.go
@@ -26,7 +26,7 @@
 		return &responseBody{c: c, reuse: reuse, r: &fixedLengthReader{r: c.r, remaining: n}}, nil
 	case n < Chunked && c.pool.cfg.AllowCloseDelimited:
 		resp.Length = CloseDelimited
-		return &responseBody{c: c, r: c.r}, nil
+		return &responseBody{c: c, r: &closeDelimitedReader{r: c.r, c: c}}, nil
 	case n == Chunked:
 		resp.Length = Chunked
 		return &responseBody{c: c, reuse: reuse, r: &chunkedReader{r: httputil.NewChunkedReader(c.r), c: c}}, nil
@@ -56,6 +56,21 @@
 	return n, err
 }
 
+// closeDelimitedReader reads a body that ends with the connection. A reset is no end, also if the goroutine that writes the
+// request body is told of it first.
+type closeDelimitedReader struct {
+	r io.Reader
+	c *Conn
+}
+
+func (d *closeDelimitedReader) Read(b []byte) (int, error) {
+	n, err := d.r.Read(b)
+	if errors.Is(err, io.EOF) && d.c.resetWhileSending() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // chunkedReader reads a chunked body and drops its trailer.
 type chunkedReader struct {
 	r io.Reader
--- a/core/transport/tcp/bodywriter.go
+++ b/core/transport/tcp/bodywriter.go
@@ -1,6 +1,12 @@
 package tcp
 
-import "time"
+import (
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
 
 const (
 	// concurrentBodySize is the length from which a request body is sent while the response is awaited, in bytes. Shorter ones
@@ -35,6 +41,18 @@
 	}
 }
 
+// resetWhileSending ends the sending of the request body and reports whether the peer reset the connection meanwhile. The system
+// tells of a reset only once: after a write has failed with it, a read sees the end of the stream. A write that fails with EPIPE
+// was told of no reset before that end.
+func (c *Conn) resetWhileSending() bool {
+	if c.body == nil {
+		return false
+	}
+	c.stopBody()
+	err := c.body.err
+	return err != nil && !errors.IsAny(err, os.ErrDeadlineExceeded, syscall.EPIPE)
+}
+
 // bodySent reports whether the body of the exchange was sent whole, so that the next request may follow it.
 func (c *Conn) bodySent() bool {
 	if c.body == nil {
--- a/core/transport/tcp/earlyresponse_test.go
+++ b/core/transport/tcp/earlyresponse_test.go
@@ -120,3 +120,61 @@
 		t.Errorf("%d connections for 20 requests, want 1", n)
 	}
 }
+
+// Guards against a body without a length that looks whole although the peer reset the connection while a long request body was
+// being written: the write was told of the reset, and the read saw a plain end. A peer that ends its stream and closes later
+// has sent it whole.
+func TestResetEndsNoBody(t *testing.T) {
+	const tries = 100 // the read and the write race for the error
+	body := []byte(strings.Repeat("b", 1<<20))
+	for name, test := range map[string]struct {
+		end   func(c *net.TCPConn)
+		whole bool
+	}{
+		"reset":                {func(c *net.TCPConn) { _ = c.SetLinger(0) }, false},
+		"closed unread":        {func(*net.TCPConn) {}, false},
+		"ended, then closed":   {func(c *net.TCPConn) { _ = c.CloseWrite() }, true},
+		"ended, then read out": {func(c *net.TCPConn) { _ = c.CloseWrite(); _, _ = io.Copy(io.Discard, c) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			go func() {
+				for {
+					c, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = c.Read(make([]byte, 100))
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhello")
+					test.end(c.(*net.TCPConn))
+					c.Close()
+				}
+			}()
+			p := tcp.NewPool(tcp.PoolConfig{
+				Address: netip.MustParseAddrPort(ln.Addr().String()), Dialer: tcp.Dialer{Timeout: hangTimeout}, MaxConnections: 1,
+				IdleTimeout: time.Minute, AllowCloseDelimited: true,
+			})
+			defer p.Close()
+			whole := 0
+			for range tries {
+				h := newHeader("POST")
+				h.SetContentLength(len(body))
+				resp, err := p.Exchange(t.Context(), h, body)
+				if err != nil {
+					continue
+				}
+				if text, err := io.ReadAll(resp.Body); err == nil && string(text) == "hello" {
+					whole++
+				}
+			}
+			if want := map[bool]int{true: tries}[test.whole]; whole != want {
+				t.Errorf("%d of %d responses look whole, want %d", whole, tries, want)
+			}
+		})
+	}
+}
