program: tests of answers with status 000 or malformed field names

Both are handled here, so only the tests are new: the client of the nodes refuses such heads, interim ones too, before it parses them, and the attempt ends as unknown, also where the broken head claims that the request did not run.

--- a/node/program/fault_test.go
+++ b/node/program/fault_test.go
@@ -39,6 +39,9 @@
 	}{
 		"reset before the response":                {rawResponse(reset), "POST", 502, "unknown", 1, false},
 		"not HTTP":                                 {rawResponse("hello\r\n\r\n"), "POST", 502, "unknown", 1, false},
+		"status 000":                               {rawResponse("HTTP/1.1 000 x\r\nContent-Length: 5\r\n\r\nhello"), "POST", 502, "unknown", 1, false},
+		"blank in a field name":                    {rawResponse("HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 5\r\n\r\nhello"), "POST", 502, "unknown", 1, false},
+		"control byte in a field name":             {rawResponse("HTTP/1.1 200 OK\r\nX\x01: 1\r\nContent-Length: 5\r\n\r\nhello"), "POST", 502, "unknown", 1, false},
 		"no framing":                               {rawResponse("HTTP/1.1 200 OK\r\n\r\nhello"), "POST", 502, "unknown", 1, false},
 		"small body truncated":                     {rawResponse("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello"), "POST", 502, "unknown", 1, false},
 		"large body truncated":                     {rawResponse("HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n" + strings.Repeat("x", 50000)), "POST", 200, "answered", 1, true},
