control: answers of control processes are bounded

Between nodes and control processes, and among these, this could happen: their connect clients read a message of any announced length, and an unframed answer until the call timed out. A node has 256 MB.

The command line had a limit already.

--- a/control/transport/peer/client.go
+++ b/control/transport/peer/client.go
@@ -94,10 +94,11 @@
 func newClient(cfg Config, p Peer) *client {
 	url := "http://" + p.Address.String()
 	raft, other := newTransport(cfg), newTransport(cfg)
+	limit := connect.WithReadMaxBytes(control.MaxResponseBytes)
 	return &client{
 		name:       p.Name,
-		raft:       controlconnect.NewPeerClient(&http.Client{Transport: raft}, url),
-		other:      controlconnect.NewPeerClient(&http.Client{Transport: other}, url),
+		raft:       controlconnect.NewPeerClient(&http.Client{Transport: raft}, url, limit),
+		other:      controlconnect.NewPeerClient(&http.Client{Transport: other}, url, limit),
 		transports: []*http.Transport{raft, other},
 		raftQueue:  make(chan [][]byte, raftQueueSize),
 	}
@@ -111,6 +112,8 @@
 	return &http.Transport{
 		DialContext: d.DialContext,
 		Protocols:   p,
+
+		MaxResponseHeaderBytes: control.MaxResponseHeaderBytes,
 		// Without pings TCP keeps a connection to a process in a silent partition for minutes.
 		HTTP2: &http.HTTP2Config{SendPingTimeout: time.Second, PingTimeout: time.Second},
 	}
--- a/node/transport/control/remote.go
+++ b/node/transport/control/remote.go
@@ -4,6 +4,9 @@
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
+
+	"pollenhill.example/core/protocol/control"
 	"pollenhill.example/core/protocol/control/controlconnect"
 	"pollenhill.example/core/transport/tcp"
 )
@@ -20,7 +23,7 @@
 	remotes := map[string]*remote{}
 	for _, s := range servers {
 		t := newTransport(cfg)
-		rpc := controlconnect.NewControlClient(&http.Client{Transport: t}, "http://"+s.Address.String())
+		rpc := controlconnect.NewControlClient(&http.Client{Transport: t}, "http://"+s.Address.String(), connect.WithReadMaxBytes(control.MaxResponseBytes))
 		remotes[s.Name] = &remote{server: s, http: t, rpc: rpc}
 	}
 	return remotes
@@ -37,6 +40,8 @@
 		DialContext:     dial,
 		Protocols:       p,
 		IdleConnTimeout: time.Minute,
+
+		MaxResponseHeaderBytes: control.MaxResponseHeaderBytes,
 		// Pings detect that a control process is cut off from the network; TCP alone keeps the connection for minutes.
 		HTTP2: &http.HTTP2Config{SendPingTimeout: 2 * time.Second, PingTimeout: time.Second},
 	}
