node: responses that are received whole share a memory budget

Here a single response was bounded, all of them together were not: a node receives a body of up to limits.whole bytes (2 MiB on the users' platform) before it passes on its header, and a body that never ends takes that much until its deadline, at the node beside the back end and at the entry node. 90 such responses fill the 184 MB of the smallest machines. Heads were bounded already (TestEndlessResponseIsAbandoned).

Now what exceeds 4 KiB of each comes from one budget a node, limits.buffers (32 MiB); without room a response is passed on as it arrives, which costs callers at worst a cut answer in place of a 504.

--- a/node/program/node.go
+++ b/node/program/node.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/do/v2"
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"pollenhill.example/core/state/event"
 	"pollenhill.example/core/state/rule"
@@ -47,6 +48,7 @@
 	hints          *hints.Endpoint // nil if the settings have no address for hints
 	recentServices recentServices
 	allowances     *allowances
+	responseMemory *semaphore.Weighted // memory budget in bytes for response bodies that are received before they are passed on
 	rolloutChanged wakeup
 	activeRules    atomic.Pointer[activeRules]
 	shuttingDown   atomic.Bool // every response closes its connection, so that callers move to other nodes
--- a/node/program/settings.go
+++ b/node/program/settings.go
@@ -53,6 +53,7 @@
 	MaxHeaderBytes      int               `json:"header" validate:"gte=0"`           // size of a request header
 	MaxBodyBytes        int               `json:"body" validate:"gte=0"`             // size of a request body
 	BodyMemory          int               `json:"memory" validate:"gte=0"`           // bytes of all request bodies together
+	ResponseMemory      int               `json:"buffers" validate:"gte=0"`          // bytes of all responses that are received whole before they are passed on; without room one is passed on as it arrives
 	MaxCalls            int               `json:"inflight" validate:"gte=0"`         // calls in flight
 	MaxPipelined        int               `json:"depth" validate:"gte=0"`            // unanswered requests that are read from one connection
 	MaxReadAhead        int               `json:"ahead" validate:"gte=0"`            // requests of all connections that are read before an earlier one of their connection is answered
@@ -76,7 +77,8 @@
 const (
 	defaultMaxHeaderBytes     = 16 << 10
 	defaultMaxBodyBytes       = 1 << 20
-	defaultBodyMemory         = 64 << 20 // bytes; leaves three quarters of the 256 MB of a node
+	defaultBodyMemory         = 64 << 20 // bytes; leaves three quarters of the 256 MB of a node, with defaultResponseMemory over a half
+	defaultResponseMemory     = 32 << 20 // bytes
 	defaultMaxCalls           = 4096
 	defaultMaxPipelined       = 32
 	defaultMaxReadAhead       = 1024 // with the largest header and a body of 16 KiB each, these requests take half of defaultBodyMemory
@@ -98,6 +100,7 @@
 		MaxHeaderBytes:      cmp.Or(l.MaxHeaderBytes, defaultMaxHeaderBytes),
 		MaxBodyBytes:        cmp.Or(l.MaxBodyBytes, defaultMaxBodyBytes),
 		BodyMemory:          cmp.Or(l.BodyMemory, defaultBodyMemory),
+		ResponseMemory:      cmp.Or(l.ResponseMemory, defaultResponseMemory),
 		MaxCalls:            cmp.Or(l.MaxCalls, defaultMaxCalls),
 		MaxPipelined:        cmp.Or(l.MaxPipelined, defaultMaxPipelined),
 		MaxReadAhead:        cmp.Or(l.MaxReadAhead, defaultMaxReadAhead),
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -38,6 +38,7 @@
 func New(cfg Config) (*Node, error) {
 	cfg.Settings.Limits = cfg.Settings.Limits.withDefaults()
 	n := &Node{settingsPath: cfg.SettingsPath, cfg: cfg.Settings, incarnation: uint64(time.Now().UnixNano()), events: cfg.Events, controlClient: cfg.ControlClient, observer: observer.New(), rolloutChanged: newWakeup()}
+	n.responseMemory = semaphore.NewWeighted(int64(n.cfg.Limits.ResponseMemory))
 	n.allowances = newAllowances(n)
 	var err error
 	if n.tlsCredentials, err = loadTLSCredentials(cfg); err != nil {
@@ -160,6 +161,7 @@
 
 		Headers:          n.cfg.Headers,
 		MaxBufferedBytes: n.cfg.Limits.MaxBufferedBytes,
+		BufferMemory:     n.responseMemory,
 		Service:          n.cfg.Backend.Service,
 		Address:          n.cfg.Backend.Address,
 		CancelByClose:    n.cfg.Backend.CancelByClose,
@@ -199,6 +201,7 @@
 		MaxConnections:   n.cfg.Limits.MaxPeerConnections,
 		IdleTimeout:      time.Duration(n.cfg.Limits.OutboundIdleTimeout) / 2, // half, so that this node closes a connection before the peer does
 		MaxBufferedBytes: n.cfg.Limits.MaxBufferedBytes,
+		BufferMemory:     n.responseMemory,
 		BodyReadTimeout:  time.Duration(n.cfg.Limits.StallTimeout),
 		Destination:      newLocalDestination(i),
 		RulesRevision:    n.rulesRevision,
--- a/node/protocol/message/message.go
+++ b/node/protocol/message/message.go
@@ -1,7 +1,6 @@
 package message
 
 import (
-	"bytes"
 	"io"
 	"strings"
 	"time"
@@ -64,41 +63,6 @@
 // connection that breaks within such a body then yields an error instead of a truncated response.
 const BufferedBodySize = 4 << 10
 
-// Buffer reads the body into memory if it has at most limit bytes, but no less than BufferedBodySize, and returns an
-// error if it is truncated. With a limit above BufferedBodySize it also buffers bodies of unknown length, so that a
-// truncated one never reaches the caller. A longer body stays a stream.
-func (r *Reply) Buffer(limit int) error {
-	limit = max(limit, BufferedBodySize)
-	if r.Body == nil || r.Length == 0 || r.Length > limit || r.Length < 0 && limit <= BufferedBodySize {
-		return nil
-	}
-	size := r.Length
-	if size < 0 {
-		size = BufferedBodySize
-	}
-	buf := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
-	// Reading one byte above the limit detects a longer body; reading up to EOF returns the connection to its pool.
-	n, err := buf.ReadFrom(io.LimitReader(r.Body, int64(limit)+1))
-	if err == nil && n > int64(limit) {
-		r.Body = prefixedBody{Reader: io.MultiReader(buf, r.Body), Closer: r.Body}
-		return nil
-	}
-	if err == nil && r.Length > 0 && n != int64(r.Length) {
-		err = io.ErrUnexpectedEOF
-	}
-	r.Close()
-	r.Length = int(n)
-	r.Body = io.NopCloser(bytes.NewReader(buf.Bytes()))
-	r.Buffered = true
-	return err
-}
-
-// prefixedBody replays the part of a body that has been read and continues with the rest.
-type prefixedBody struct {
-	io.Reader
-	io.Closer
-}
-
 // SetDeadline limits the time for a body that is still to be received. One that is in memory is delivered, also late.
 func (r *Reply) SetDeadline(deadline time.Time) {
 	if r.Body != nil && !r.Buffered {
--- a/node/transport/backend/backend.go
+++ b/node/transport/backend/backend.go
@@ -10,6 +10,7 @@
 
 	"github.com/samber/lo"
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"pollenhill.example/core/coordination/admission"
 	"pollenhill.example/core/protocol/header"
@@ -72,12 +73,13 @@
 	OnAnnouncementChange func() // called after every change of the announcement
 
 	Headers          header.Names
-	MaxBufferedBytes int             // longest response body that is received before its header is passed on
-	Service          string          // service that heartbeats are expected to name
-	Address          netip.AddrPort  // address of the back end, invalid to accept that of any announcement or heartbeat
-	Observer         *observer.Model // counts answers during a rollout; nil: none are counted
-	History          InstanceHistory // keeps the ends of instances; nil: a restart forgets them
-	CancelByClose    bool            // cancel a request by closing its connection, not only the write side
+	MaxBufferedBytes int                 // longest response body that is received before its header is passed on
+	BufferMemory     *semaphore.Weighted // memory budget in bytes for such bodies of all responses; without room they are passed on as they arrive
+	Service          string              // service that heartbeats are expected to name
+	Address          netip.AddrPort      // address of the back end, invalid to accept that of any announcement or heartbeat
+	Observer         *observer.Model     // counts answers during a rollout; nil: none are counted
+	History          InstanceHistory     // keeps the ends of instances; nil: a restart forgets them
+	CancelByClose    bool                // cancel a request by closing its connection, not only the write side
 
 	// PoolSettings returns the path of health checks and the connections per back end, from the rules of a service.
 	PoolSettings func(service string) (healthPath string, maxConnections int)
--- a/node/transport/backend/serve.go
+++ b/node/transport/backend/serve.go
@@ -172,7 +172,7 @@
 	if resp.Length != 0 {
 		reply.Body = resp.Body
 	}
-	if err := reply.Buffer(b.cfg.MaxBufferedBytes); err != nil {
+	if err := reply.Buffer(b.cfg.MaxBufferedBytes, b.cfg.BufferMemory); err != nil {
 		return b.failedExchangeReply(ctx, a, err)
 	}
 	b.readLoadHeader(&reply.Header)
--- a/node/transport/peer/client.go
+++ b/node/transport/peer/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
 
 	"pollenhill.example/core/coordination/balancer"
 	"pollenhill.example/core/protocol/attempt"
@@ -44,6 +45,7 @@
 	IdleTimeout      time.Duration                      // after which an unused connection is not used again
 	BodyReadTimeout  time.Duration                      // longest wait for the next byte of a response body
 	MaxBufferedBytes int                                // longest response body that is received before its header is passed on
+	BufferMemory     *semaphore.Weighted                // memory budget in bytes for such bodies of all responses; without room they are passed on as they arrive
 	Destination      LocalDestination                   // for attempts at the back end of this node
 	RulesRevision    func() uint64                      // returns the revision of the rules in force
 	OfferRules       func(revision uint64, text string) // takes newer rules of a peer
@@ -146,7 +148,7 @@
 	if resp.Length != 0 {
 		reply.Body = resp.Body
 	}
-	if reply.Buffer(c.cfg.MaxBufferedBytes) != nil {
+	if reply.Buffer(c.cfg.MaxBufferedBytes, c.cfg.BufferMemory) != nil {
 		return c.lostReply(a)
 	}
 	message.ReadOutcome(reply, a.Depth)
