backend: the body of a health check is bounded

Nothing was kept, but a faulty back end took the link and the core of its VM.

TestBrokenHealthAnswerFindsNoInstance failed before: three forms of endless bodies were read to 64 MiB, where the stand-in gives up. A body is read up to 64 KiB now, which is no answer. The test also holds what was handled already: health answers with status 000 or malformed field names, and endless heads, do not bring a back end into use.

--- a/core/transport/tcp/exchange.go
+++ b/core/transport/tcp/exchange.go
@@ -170,7 +170,7 @@
 			return nil, errMismatched
 		}
 		if b.r != nil {
-			if err := discardBody(b.r); err != nil {
+			if err := Discard(b.r, maxMismatchedBodyBytes); err != nil {
 				return nil, err
 			}
 		}
@@ -179,11 +179,14 @@
 	return nil, errMismatched
 }
 
-// discardBody reads r to its end, or returns errMismatched if the body is too large.
-func discardBody(r io.Reader) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(r, maxMismatchedBodyBytes))
-	if err == nil && n == maxMismatchedBodyBytes {
-		return errMismatched
+// ErrBodyTooLarge is returned by Discard for a body that does not end within its limit.
+var ErrBodyTooLarge = errors.New("response body is too large")
+
+// Discard reads a body to its end, so that its connection can be used again, or returns ErrBodyTooLarge at limit bytes.
+func Discard(body io.Reader, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, limit))
+	if err == nil && n == limit {
+		return ErrBodyTooLarge
 	}
 	return err
 }
--- a/node/transport/backend/instance.go
+++ b/node/transport/backend/instance.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"strconv"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"pollenhill.example/core/coordination/admission"
 	"pollenhill.example/core/state/event"
+	"pollenhill.example/core/transport/tcp"
 	"pollenhill.example/node/coordination/instance"
 )
 
@@ -127,7 +127,7 @@
 		return // no back end listens yet
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Header.StatusCode() != fasthttp.StatusOK {
+	if tcp.Discard(resp.Body, maxCheckBodyBytes) != nil || resp.Header.StatusCode() != fasthttp.StatusOK {
 		return
 	}
 	id := string(resp.Header.Peek(b.cfg.Headers.InstanceID))
--- a/node/transport/backend/load.go
+++ b/node/transport/backend/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -167,7 +166,7 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if _, err := io.Copy(io.Discard, resp.Body); err == nil {
+	if tcp.Discard(resp.Body, maxCheckBodyBytes) == nil {
 		p.backend.readLoadHeader(&resp.Header)
 		p.backend.readCondition(&resp.Header, a.Name, CheckRequest)
 	}
--- a/node/transport/backend/probe.go
+++ b/node/transport/backend/probe.go
@@ -11,6 +11,10 @@
 	"pollenhill.example/node/coordination/destination"
 )
 
+// maxCheckBodyBytes is the longest body with which a health check or a load poll has an answer, in bytes. A faulty back end may
+// send one without end.
+const maxCheckBodyBytes = 64 << 10
+
 // maxLoadReportBytes is how much of a response to a probe is read, in bytes; the rest of a load report is dropped.
 const maxLoadReportBytes = 256
 
