httpserver: no request is taken once the listener has closed

Here a node closes its listeners 2.5 s after SIGTERM, but it went on reading requests on connections with an unanswered one, as long as the caller sent a further one before each answer, and it passed on requests whose header had come before and whose body ended at any time later.

Now a request that is read to its end after the listener has closed is refused as not run and its connection closes, so that callers send it to another node at once.

--- a/node/transport/httpserver/exchange.go
+++ b/node/transport/httpserver/exchange.go
@@ -69,6 +69,9 @@
 	if x.reason == refusal.None {
 		x.readBody()
 	}
+	if x.reason == refusal.None && c.server.shuttingDown.Load() {
+		x.refuse(refusal.Leaving)
+	}
 	return true
 }
 
