node: requests in flight get answers before the process is killed

Whatever was in flight was cut without an answer.

Now package shutdown plans the steps, all counted from SIGTERM (TestPlanEndsBeforeKill), the model of the calls moves their deadlines to 0.2 s before the end (call.EndBy), so that each is cancelled, told 504, or 503 if it is proven not to have run, and connections that are open at the end are closed.

--- a/node/coordination/call/model.go
+++ b/node/coordination/call/model.go
@@ -32,6 +32,7 @@
 	budgets              map[string]*serviceBudget
 	serviceTimes         servicetime.ByRoute        // usual service time of each route as measured here
 	outstandingByBackend map[string][]*attemptState // attempts without a response
+	latestDeadline       time.Time                  // of any call; zero for no limit
 	sequence             uint64
 	now                  time.Time // time of the last Update
 }
@@ -110,6 +111,8 @@
 	switch msg := msg.(type) {
 	case Begin:
 		return m.begin(now, msg)
+	case EndBy:
+		return m.endBy(msg.At)
 	case Claimed:
 		return m.withCall(msg.Call, func(s *callState) []Cmd { return m.claimed(now, s, msg.Verdict) })
 	case TimerFired:
@@ -143,7 +146,23 @@
 	return f(s, a)
 }
 
+// endBy moves later deadlines to at, now and for calls to come.
+func (m *Model) endBy(at time.Time) []Cmd {
+	m.latestDeadline = at
+	var cmds []Cmd
+	for _, s := range m.calls {
+		if (s.phase == claiming || s.phase == active) && at.Before(s.Deadline) {
+			s.Deadline = at
+			cmds = append(cmds, s.setTimer())
+		}
+	}
+	return cmds
+}
+
 func (m *Model) begin(now time.Time, msg Begin) []Cmd {
+	if !m.latestDeadline.IsZero() && m.latestDeadline.Before(msg.Deadline) {
+		msg.Deadline = m.latestDeadline
+	}
 	s := &callState{Begin: msg, startedAt: now}
 	m.calls[msg.Call] = s
 	m.budget(msg.Service).RecordCall(now)
--- a/node/coordination/call/msg.go
+++ b/node/coordination/call/msg.go
@@ -36,6 +36,9 @@
 	FreeRefusals bool          // retrying a refusal by a node costs no retry budget, since it causes no work at a back end
 }
 
+// EndBy moves the deadlines of all calls, later ones included, to At unless they are earlier.
+type EndBy struct{ At time.Time }
+
 // Claimed reports the result of the claim of a keyed call.
 type Claimed struct {
 	Call    ID
@@ -88,6 +91,7 @@
 type CallerGone struct{ Call ID }
 
 func (Begin) msg()        {}
+func (EndBy) msg()        {}
 func (Claimed) msg()      {}
 func (Response) msg()     {}
 func (Ended) msg()        {}
--- a/node/coordination/call/property_test.go
+++ b/node/coordination/call/property_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// schedule draws calls, disconnects of callers and restarts of destination nodes.
+// schedule draws calls, disconnects of callers, shutdowns of entry nodes and restarts of destination nodes.
 func (s *sim) schedule() {
 	for i := range rapid.IntRange(1, 4).Draw(s.t, "calls") {
 		r := &request{name: "r" + strconv.Itoa(i)}
@@ -75,6 +75,13 @@
 			}
 		})
 	}
+	for range rapid.IntRange(0, 1).Draw(s.t, "shutdowns") {
+		e := s.entries[rapid.IntRange(0, len(s.entries)-1).Draw(s.t, "stopped")]
+		s.later(func() {
+			left := time.Duration(rapid.SampledFrom([]int{0, 10, 100}).Draw(s.t, "grace")) * time.Millisecond
+			e.update(call.EndBy{At: s.now.Add(left)})
+		})
+	}
 	for range rapid.IntRange(0, 2).Draw(s.t, "restarts") {
 		d := s.dests[rapid.IntRange(0, len(s.dests)-1).Draw(s.t, "restarted")]
 		s.later(d.restart)
--- a/node/program/node.go
+++ b/node/program/node.go
@@ -18,9 +18,11 @@
 	"pollenhill.example/core/state/rule"
 	"pollenhill.example/core/transport/mtls"
 	"pollenhill.example/core/transport/tcp"
+	"pollenhill.example/node/coordination/call"
 	"pollenhill.example/node/coordination/destination"
 	"pollenhill.example/node/coordination/engine"
 	"pollenhill.example/node/coordination/observer"
+	"pollenhill.example/node/coordination/shutdown"
 	"pollenhill.example/node/transport/backend"
 	"pollenhill.example/node/transport/caller"
 	"pollenhill.example/node/transport/hints"
@@ -150,23 +152,35 @@
 	return serveErrs
 }
 
+// finalAnswerTime is the time between the end of the calls in flight and that of the process: calls whose outcome is unknown wait
+// for the results of their cancels, and then the answers are written.
+const finalAnswerTime = 2 * call.CancelGrace
+
 // shutdown refuses new work and waits for the requests in flight, without a limit unless the settings have a shutdown timeout
-// or a kill delay.
+// or a kill delay. With a limit, requests get their final answers before it.
 func (n *Node) shutdown() {
 	n.events.Emit(event.NodeStopping)
+	started := time.Now()
+	plan := shutdown.New(shutdown.Config{
+		BackendLeaveDelay:  time.Duration(n.cfg.Limits.BackendLeaveDelay),
+		ListenerCloseDelay: time.Duration(n.cfg.Limits.ListenerCloseDelay),
+		Timeout:            time.Duration(n.cfg.Limits.ShutdownTimeout),
+		KillDelay:          time.Duration(n.cfg.Limits.KillDelay),
+		AnswerTime:         finalAnswerTime,
+	})
 	n.shuttingDown.Store(true)
 	n.callerServer.DrainConnections()
-	// The back end still gets attempts. Without this delay it would idle while callers move to other nodes.
-	<-time.After(time.Duration(n.cfg.Limits.BackendLeaveDelay))
-	n.backendLeaving.Store(true)
-	n.engine.UpdateDestination(destination.Leave{})
-	n.peerServer.RefuseUploads()
-	n.announceMember()
-	n.applyControlState()
-	ctx, cancel := n.shutdownContext()
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if plan.End > 0 {
+		n.engine.UpdateCall(call.EndBy{At: started.Add(plan.EndCalls)})
+		defer time.AfterFunc(plan.End, cancel).Stop()
+	}
+	// The back end still gets attempts. Without this delay it would idle while callers move to other nodes.
+	<-time.After(plan.LeaveBackend)
+	n.leaveBackend()
 	// Listeners stay open for a while, so that attempts that other nodes have already sent are refused as not run.
-	<-time.After(time.Duration(n.cfg.Limits.ListenerCloseDelay - n.cfg.Limits.BackendLeaveDelay))
+	<-time.After(plan.CloseListeners - plan.LeaveBackend)
 	var wg sync.WaitGroup
 	wg.Go(func() { n.logShutdownError("callers", n.callerServer.Shutdown(ctx)) })
 	wg.Go(func() { n.logShutdownError("nodes", n.peerServer.Shutdown(ctx)) })
@@ -175,12 +189,13 @@
 	n.controlClient.Announce(n.localMember(true))
 }
 
-// shutdownContext returns a context that ends after the shutdown timeout, or never without one.
-func (n *Node) shutdownContext() (context.Context, context.CancelFunc) {
-	if n.cfg.Limits.ShutdownTimeout == 0 {
-		return context.WithCancel(context.Background())
-	}
-	return context.WithTimeout(context.Background(), time.Duration(n.cfg.Limits.ShutdownTimeout))
+// leaveBackend ends new attempts at the back end and tells the other nodes.
+func (n *Node) leaveBackend() {
+	n.backendLeaving.Store(true)
+	n.engine.UpdateDestination(destination.Leave{})
+	n.peerServer.RefuseUploads()
+	n.announceMember()
+	n.applyControlState()
 }
 
 // logShutdownError logs that a listener still had requests in flight at the shutdown timeout, or could not be closed.
--- a/node/program/settings.go
+++ b/node/program/settings.go
@@ -63,7 +63,7 @@
 	StallTimeout        settings.Duration `json:"stall" validate:"gte=0"`            // longest time without progress of a response
 	ListenerCloseDelay  settings.Duration `json:"linger" validate:"gte=0"`           // from SIGTERM until the listeners close
 	BackendLeaveDelay   settings.Duration `json:"serving" validate:"gte=0"`          // from SIGTERM until the back end gets no new attempts; at most ListenerCloseDelay
-	ShutdownTimeout     settings.Duration `json:"grace" validate:"gte=0"`            // from the end of BackendLeaveDelay until the process ends with requests in flight; 0: follows from KillDelay
+	ShutdownTimeout     settings.Duration `json:"grace" validate:"gte=0"`            // from the end of BackendLeaveDelay until the process ends with requests in flight; 0: KillDelay alone decides
 	KillDelay           settings.Duration `json:"kill" validate:"gte=0"`             // from SIGTERM until the process is killed; 0: not known, so that without ShutdownTimeout the node waits for all requests
 	OutboundIdleTimeout settings.Duration `json:"keep" validate:"gte=0"`             // for unused connections to the back end and other nodes; 0: IdleTimeout
 	MaxBufferedBytes    int               `json:"whole" validate:"gte=0"`            // size up to which a response is received whole before it is passed on
@@ -90,10 +90,6 @@
 	defaultListenerCloseDelay = time.Second // other nodes learn within a few hundred milliseconds that the back end is leaving
 )
 
-// killDelayParts is the number of parts into which KillDelay is divided. ShutdownTimeout defaults to all but the last one, which
-// is left for the end of the process.
-const killDelayParts = 10
-
 // withDefaults returns l with defaults in place of zero values.
 func (l Limits) withDefaults() Limits {
 	return Limits{
@@ -111,8 +107,9 @@
 		ListenerCloseDelay:  cmp.Or(l.ListenerCloseDelay, settings.Duration(defaultListenerCloseDelay)),
 		OutboundIdleTimeout: cmp.Or(l.OutboundIdleTimeout, l.IdleTimeout, settings.Duration(defaultIdleTimeout)),
 		MaxBufferedBytes:    cmp.Or(l.MaxBufferedBytes, message.BufferedBodySize),
-		ShutdownTimeout:     cmp.Or(l.ShutdownTimeout, l.KillDelay/killDelayParts*(killDelayParts-1)),
-		BackendLeaveDelay:   min(l.BackendLeaveDelay, cmp.Or(l.ListenerCloseDelay, settings.Duration(defaultListenerCloseDelay))),
+		ShutdownTimeout:     l.ShutdownTimeout,
+		KillDelay:           l.KillDelay,
+		BackendLeaveDelay:   l.BackendLeaveDelay,
 		GCPercent:           cmp.Or(l.GCPercent, defaultGCPercent),
 		ExtraAttemptRatio:   l.ExtraAttemptRatio,
 		AllowanceSlack:      l.AllowanceSlack,
--- a/node/transport/httpserver/server.go
+++ b/node/transport/httpserver/server.go
@@ -101,8 +101,8 @@
 	s.draining.Store(true)
 }
 
-// Shutdown stops accepting, closes unused connections and waits until every request that was read has its reply. If ctx
-// ends first, it returns the error of ctx.
+// Shutdown stops accepting, closes unused connections and waits until every request that was read has its reply; requests that
+// are read to their end after its call are refused. If ctx ends first, it closes all connections and returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.DrainConnections()
 	s.mu.Lock()
@@ -123,6 +123,17 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
+		s.closeConns()
 		return ctx.Err()
 	}
 }
+
+// closeConns closes all connections and cancels their requests.
+func (s *Server) closeConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.abandon()
+		_ = c.net.Close()
+	}
+}
