pollenhill: broken answers of control processes are not shown

The command line speaks HTTP/2 now, as nodes and control processes do among each other: its frames say where a message ends, and its client refuses malformed fields. Control processes have always served both.

--- a/core/protocol/control/limits.go
+++ b/core/protocol/control/limits.go
@@ -1,6 +1,6 @@
 package control
 
-// Limits of what a process takes from a control process. A faulty peer may send without end.
+// Limits of what nodes and control processes take from a control process. A faulty peer may send without end.
 const (
 	// MaxResponseBytes bounds a response or a message of a stream, in bytes. The largest ones hold the rules, which are limited by
 	// rule.MaxFileSize, and the list of all nodes, which takes less than a megabyte for 2,900 of them.
--- a/pollenhill/command/run_test.go
+++ b/pollenhill/command/run_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -52,12 +53,22 @@
 // serveControl serves p on a loopback address, which it returns.
 func serveControl(t *testing.T, p *fakeControlProcess) string {
 	t.Helper()
-	_, handler := controlconnect.NewControlHandler(p)
-	srv := httptest.NewServer(handler)
+	srv := newControlServer(p)
+	srv.Start()
 	t.Cleanup(srv.Close)
 	return strings.TrimPrefix(srv.URL, "http://")
 }
 
+// newControlServer returns a server for p that speaks HTTP/1.1 and HTTP/2, as control processes do.
+func newControlServer(p *fakeControlProcess) *httptest.Server {
+	_, handler := controlconnect.NewControlHandler(p)
+	srv := httptest.NewUnstartedServer(handler)
+	srv.Config.Protocols = new(http.Protocols)
+	srv.Config.Protocols.SetHTTP1(true)
+	srv.Config.Protocols.SetUnencryptedHTTP2(true)
+	return srv
+}
+
 // newRulesResponse returns the rules of text in force under the change number, and the last two changes.
 func newRulesResponse(number uint64, text string) *control.RulesResponse {
 	return &control.RulesResponse{
--- a/pollenhill/command/tls_test.go
+++ b/pollenhill/command/tls_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"net"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
-	"pollenhill.example/core/protocol/control/controlconnect"
 	"pollenhill.example/core/transport/mtls"
 	"pollenhill.example/core/transport/mtls/mtlstest"
 	"pollenhill.example/pollenhill/command"
@@ -20,8 +18,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, handler := controlconnect.NewControlHandler(newHealthyProcess())
-	srv := httptest.NewUnstartedServer(handler)
+	srv := newControlServer(newHealthyProcess())
 	srv.Listener = credentials.WrapListener(srv.Listener, mtls.ALPNHTTP2, mtls.ALPNHTTP1)
 	srv.Start()
 	t.Cleanup(srv.Close)
--- a/pollenhill/transport/control/clients.go
+++ b/pollenhill/transport/control/clients.go
@@ -28,7 +28,7 @@
 // and has old rules.
 const remainingAnswersWait = 300 * time.Millisecond
 
-// maxResponseBytes limits a response; the list of 2,900 nodes takes less than a megabyte.
+// maxResponseBytes limits a response; the list of 2,900 nodes takes less than a megabyte, the remembered changes a few.
 const maxResponseBytes = 64 << 20
 
 // Answer is the response of one control process, or the error of the query.
@@ -62,7 +62,15 @@
 
 func newClient(cfg Config, address netip.AddrPort, credentials *mtls.Credentials) controlconnect.ControlClient {
 	dialer := credentials.WrapDialer(tcp.Dialer{Bind: cfg.Bind})
-	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	// HTTP/1.1 would take an answer that is cut at the end of its connection as whole, and ignore malformed header lines.
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{
+		DialContext:            dialer.DialContext,
+		DisableKeepAlives:      true,
+		Protocols:              protocols,
+		MaxResponseHeaderBytes: control.MaxResponseHeaderBytes,
+	}
 	return controlconnect.NewControlClient(&http.Client{Transport: transport}, "http://"+address.String(), connect.WithReadMaxBytes(maxResponseBytes))
 }
 
