program: one accept loop for the stand-ins of tests

Four stand-ins had the same loop. A reset while a request body is written now has an error of its own in the log, in place of a bare unexpected EOF.

--- a/core/transport/tcp/body.go
+++ b/core/transport/tcp/body.go
@@ -66,11 +66,13 @@
 func (d *closeDelimitedReader) Read(b []byte) (int, error) {
 	n, err := d.r.Read(b)
 	if errors.Is(err, io.EOF) && d.c.resetWhileSending() {
-		err = io.ErrUnexpectedEOF
+		err = errResetWhileSending
 	}
 	return n, err
 }
 
+var errResetWhileSending = errors.Wrap(io.ErrUnexpectedEOF, "the peer reset the connection while the request body was sent")
+
 // chunkedReader reads a chunked body and drops its trailer.
 type chunkedReader struct {
 	r io.Reader
--- a/node/program/brokenanswer_test.go
+++ b/node/program/broken_answer_test.go
@@ -14,21 +14,7 @@
 // connection behind the request header. The connection closes when the script returns.
 func newScriptedBackend(t *testing.T, script func(c net.Conn, header *http.Request)) *rawBackend {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serveScript(c, script)
-		}
-	}()
-	return &rawBackend{ln: ln}
+	return &rawBackend{ln: serveConns(t, func(c net.Conn) { serveScript(c, script) })}
 }
 
 func serveScript(c net.Conn, script func(c net.Conn, header *http.Request)) {
--- a/node/program/deadline_test.go
+++ b/node/program/deadline_test.go
@@ -37,21 +37,8 @@
 // newStreamBackend returns a back end whose responses to all requests but health checks are trickles.
 func newStreamBackend(t *testing.T, body trickle) *streamBackend {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	b := &streamBackend{rawBackend: &rawBackend{ln: ln}, closed: make(chan struct{}, 100)}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go b.serve(c, body)
-		}
-	}()
+	b := &streamBackend{rawBackend: &rawBackend{}, closed: make(chan struct{}, 100)}
+	b.ln = serveConns(t, func(c net.Conn) { b.serve(c, body) })
 	return b
 }
 
--- a/node/program/harness_test.go
+++ b/node/program/harness_test.go
@@ -243,7 +243,6 @@
 	}
 }
 
-// fetchStatus returns the status that the local listener serves, or the zero value if the request fails.
 // fetchMetrics returns the text of GET /metrics.
 func (node *testNode) fetchMetrics(t testing.TB) string {
 	t.Helper()
@@ -259,6 +258,7 @@
 	return string(raw)
 }
 
+// fetchStatus returns the status that the local listener serves, or the zero value if the request fails.
 func (node *testNode) fetchStatus() program.Status {
 	var s program.Status
 	resp, err := http.Get("http://" + node.settings.LocalAddress.String() + "/status")
--- a/node/program/health_answer_test.go
+++ b/node/program/health_answer_test.go
@@ -21,25 +21,6 @@
 	mostSent     atomic.Int64 // bytes of the longest answer that a node took
 }
 
-func (h *healthBackend) start(t *testing.T) *rawBackend {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go h.serve(c)
-		}
-	}()
-	return &rawBackend{ln: ln}
-}
-
 func (h *healthBackend) serve(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
@@ -81,7 +62,7 @@
 			t.Parallel()
 			ctl := newFakeControl()
 			ctl.state.RulesText, ctl.state.Revision = poolRules, 2
-			node := startNode(t, ctl, poolSettings(t, "desk-node", h.start(t)))
+			node := startNode(t, ctl, poolSettings(t, "desk-node", &rawBackend{ln: serveConns(t, h.serve)}))
 			eventually(t, "the node has checked the back end", func() bool {
 				return h.checks.Load() >= seen || node.fetchStatus().Backend.Name != ""
 			})
--- a/node/program/pool_test.go
+++ b/node/program/pool_test.go
@@ -36,12 +36,19 @@
 }
 
 func newRawBackend(t *testing.T) *rawBackend {
+	t.Helper()
+	b := &rawBackend{}
+	b.ln = serveConns(t, b.serve)
+	return b
+}
+
+// serveConns serves each connection to a loopback address in a goroutine of its own, and accepts none after the test.
+func serveConns(t *testing.T, serve func(net.Conn)) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &rawBackend{ln: ln}
 	t.Cleanup(func() { ln.Close() })
 	go func() {
 		for {
@@ -49,10 +56,10 @@
 			if err != nil {
 				return
 			}
-			go b.serve(c)
+			go serve(c)
 		}
 	}()
-	return b
+	return ln
 }
 
 func (b *rawBackend) address() netip.AddrPort { return b.ln.Addr().(*net.TCPAddr).AddrPort() }
