program: test that the memory of responses comes back

It fails if a buffer returns nothing to the budget. Comments of the reset and the budget say more exactly what holds.

--- a/core/transport/tcp/bodywriter.go
+++ b/core/transport/tcp/bodywriter.go
@@ -42,8 +42,8 @@
 }
 
 // resetWhileSending ends the sending of the request body and reports whether the peer reset the connection meanwhile. The system
-// tells of a reset only once: after a write has failed with it, a read sees the end of the stream. A write that fails with EPIPE
-// was told of no reset before that end.
+// tells of a reset only once: after a write has failed with it, a read sees the end of the stream. A write fails with EPIPE only if
+// the peer had ended its stream before the reset, so that what was read is whole.
 func (c *Conn) resetWhileSending() bool {
 	if c.body == nil {
 		return false
--- a/node/program/response_memory_test.go
+++ b/node/program/response_memory_test.go
@@ -88,3 +88,64 @@
 		})
 	}
 }
+
+// Guards against memory of responses that is never given back, after which a response that breaks reaches callers cut instead of
+// being tried again or told as failed.
+func TestResponseMemoryIsGivenBack(t *testing.T) {
+	b := newRawBackend(t)
+	whole := strings.Repeat("w", endlessPart)
+	b.setReply(func(r *http.Request) (string, bool) {
+		switch response := validResponse(r, whole); {
+		case strings.HasSuffix(r.URL.Path, "/failed"):
+			return strings.Replace(response, "200 OK", "500 Failed", 1), false
+		case strings.HasSuffix(r.URL.Path, "/unsealed"):
+			return strings.Replace(response, "Test-Seal", "X-Seal", 1), false
+		case strings.HasSuffix(r.URL.Path, "/refused"):
+			return strings.Replace(response, "200 OK", "503 Full\r\nTest-Refused: 1", 1), false
+		case strings.HasSuffix(r.URL.Path, "/cut"):
+			return strings.TrimSuffix(response, "w"), true
+		case r.Method == http.MethodHead:
+			return strings.TrimSuffix(response, whole), false
+		default:
+			return response, false
+		}
+	})
+	ctl := newFakeControl()
+	ctl.state.RulesText, ctl.state.Revision = poolRules, 2
+	settings := poolSettings(t, "desk-node", b)
+	settings.Limits.ResponseMemory = responseBudget
+	destination := startNode(t, ctl, settings)
+	settings = poolSettings(t, "entry", nil)
+	settings.Limits.ResponseMemory = responseBudget
+	entry := startNode(t, ctl, settings)
+	sequence := 0
+	send := func(node *testNode, method, path string) response {
+		sequence++
+		destination.sendHeartbeat(t, "i-1", b, "ready", sequence) // a broken connection counts as a restart until the next report
+		return sendRequest(t, node, method, path, "", map[string]string{"Test-Request": "own", "Test-Deadline": "1900"})
+	}
+	eventually(t, "the entry node reaches the back end", func() bool { return send(entry, "GET", "/read/warm").StatusCode == http.StatusOK })
+	for _, node := range []*testNode{entry, destination} {
+		for range 4 {
+			for _, path := range []string{"/read/whole", "/read/failed", "/read/unsealed", "/read/refused", "/read/cut"} {
+				send(node, "GET", path)
+			}
+			send(node, "HEAD", "/read/whole")
+			leaving, err := net.Dial("tcp", node.settings.CallerAddress.String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			before := len(b.requests())
+			fmt.Fprint(leaving, "GET /read/unread HTTP/1.1\r\nHost: desk.example\r\nTest-Request: left\r\n\r\n")
+			eventually(t, "the request runs", func() bool { return len(b.requests()) > before })
+			leaving.Close()
+		}
+		eventually(t, "no call is in flight", func() bool { return node.fetchStatus().CallsInFlight == 0 })
+		if resp := send(node, "POST", "/book/cut"); resp.StatusCode != http.StatusBadGateway {
+			t.Errorf("%s: a cut response got status %d, error %v", node.settings.Name, resp.StatusCode, resp.err)
+		}
+		if resp := send(node, "POST", "/book/whole"); resp.StatusCode != http.StatusOK || resp.body != whole {
+			t.Errorf("%s: a whole response got status %d, error %v", node.settings.Name, resp.StatusCode, resp.err)
+		}
+	}
+}
--- a/node/protocol/message/buffer.go
+++ b/node/protocol/message/buffer.go
@@ -10,7 +10,7 @@
 // Buffer reads the body into memory if it has at most limit bytes, but no less than BufferedBodySize, and returns an
 // error if it is truncated. With a limit above BufferedBodySize it also buffers bodies of unknown length, so that a
 // truncated one never reaches the caller. A longer body stays a stream, and so does one for which memory, a budget in bytes that
-// many replies share, has no room; nil is no budget.
+// many replies share, has no room; a nil budget has always room.
 func (r *Reply) Buffer(limit int, memory *semaphore.Weighted) error {
 	limit = max(limit, BufferedBodySize)
 	if r.Body == nil || r.Length == 0 || r.Length > limit || r.Length < 0 && limit <= BufferedBodySize {
