program: a test of deadlines asks once the node knows its back end

Traced with prints of each request and response, 24 copies at a time: in the one failure of 240 the booking got 503 and never reached the back end, since the node had just started and its entry side did not know the back end yet; the test then waited for the end of a response that never began.

--- a/node/program/deadline_test.go
+++ b/node/program/deadline_test.go
@@ -172,6 +172,8 @@
 		t.Run(name, func(t *testing.T) {
 			b := newStreamBackend(t, body)
 			node := startNodeWithRules(t, b.rawBackend, deadlineRules)
+			readStarted(t, node, "GET /read/1")
+			b.awaitClose(t)
 			if status, whole := readWhole(t, node, "POST /book/1", "Idempotency-Key: k\r\n"); status == http.StatusOK && whole {
 				t.Error("the caller saw a whole response")
 			}
