admission: a restarted node spreads the cold rate over its first second

Cause: the starts of the last second are counted in the memory of the process. After a restart the count is 0, whatever the process before it has passed on.

Change: in the first second of a process a cold back end gets half of its rate, spread evenly. The process before it has used the whole rate at most, so that both stay below one and a half times the rate together, after one restart as after several within a second. After its first second a node uses the whole rate; it keeps no record elsewhere.

The other counts that a restart empties, by reading: the retry budget starts empty and grows with requests, a request limit starts with an empty token bucket, an account gets two requests a node until there are totals, and ended back ends are kept by the control group. None of them gives out more after a restart than before it.

--- a/core/coordination/admission/model.go
+++ b/core/coordination/admission/model.go
@@ -64,6 +64,9 @@
 
 // Update applies one message at the given time and returns the effects to carry out.
 func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	if m.now.IsZero() {
+		m.coldStarts.countedFrom = now
+	}
 	m.now = now
 	cmds := m.expire(now)
 	switch msg := msg.(type) {
