instance: a late heartbeat does not speak for the running instance

Cause: an instance that a health check finds has no start. A heartbeat under another ID replaced it, whatever its start, and recorded the ID of the running one as ended; an instance that came back under its ID after nothing had listened kept the start of the one before, so that the late heartbeats of that one changed it.

Change: an ID that answers a health check was in use at that time, so an instance with another ID and an earlier start has ended. If nothing listened at the address before, the instance that answers may be a new one and its start is not known; heartbeats of the earlier start then only limit the use of the back end (cold, draining), in case the refused connection was no restart. A heartbeat that first tells the start of an instance does not shorten the cold start that its health check told.

--- a/node/coordination/instance/history_test.go
+++ b/node/coordination/instance/history_test.go
@@ -85,6 +85,7 @@
 		{"draining", []instance.Msg{draining(heartbeat("a", before, 1))}, before, true},
 		{"deregistered", []instance.Msg{heartbeat("a", before, 1), instance.Deregister{ID: "a"}}, start.UnixMilli(), true},
 		{"deregistered, clock of the back end ahead", []instance.Msg{heartbeat("a", after, 1), instance.Deregister{ID: "a"}}, after, true},
+		{"late draining heartbeat from before a restart", []instance.Msg{heartbeat("a", before, 1), instance.Gone{}, instance.HealthCheckPassed{ID: "a"}, draining(heartbeat("a", before, 2))}, before, true},
 		{"deregistered, start unknown", []instance.Msg{instance.Deregister{ID: "a"}}, start.UnixMilli(), true},
 		{"deregistered beside another instance", []instance.Msg{heartbeat("b", before, 1), instance.Deregister{ID: "a"}}, start.UnixMilli(), true},
 		{"replaced", []instance.Msg{heartbeat("a", before, 1), heartbeat("b", after, 1)}, before, true},
--- a/node/coordination/instance/model.go
+++ b/node/coordination/instance/model.go
@@ -28,19 +28,20 @@
 
 // instance is the back end from one start to the next.
 type instance struct {
-	id           string
-	startMillis  int64 // 0 while it is not known
-	seenMillis   int64 // when it was first seen, if that was without its start
-	endMillis    int64 // newest start that ended by its own word, 0 for none
-	sequence     uint64
-	service      string
-	version      string
-	address      netip.AddrPort
-	slots        int
-	draining     bool
-	deregistered bool
-	gone         bool // nothing listens at its address, or another instance does
-	coldUntil    time.Time
+	id             string
+	startMillis    int64 // 0 while it is not known
+	previousMillis int64 // its start is later than this one, which an earlier instance with its ID had; 0 for none
+	seenMillis     int64 // when it was first seen, if that was without its start
+	endMillis      int64 // newest start that ended by its own word, 0 for none
+	sequence       uint64
+	service        string
+	version        string
+	address        netip.AddrPort
+	slots          int
+	draining       bool
+	deregistered   bool
+	gone           bool // nothing listens at its address, or another instance does
+	coldUntil      time.Time
 }
 
 // maxReplaced bounds the number of earlier instances that are remembered; a back end restarts a few times a day.
@@ -89,7 +90,11 @@
 	if msg.ID == "" || m.cfg.Address.IsValid() && msg.Address != m.cfg.Address {
 		return
 	}
+	startKnown := m.current.startMillis > 0
 	switch {
+	case m.mayBePrevious(now, msg):
+		m.heartbeatOfPrevious(now, msg)
+		return
 	case m.isCurrent(msg):
 		if msg.Sequence <= m.current.sequence && m.current.sequence > 0 || m.current.deregistered {
 			return
@@ -98,6 +103,7 @@
 		return
 	default:
 		m.replaceCurrent(msg)
+		startKnown = true
 	}
 	m.current.startMillis = msg.StartMillis
 	m.current.sequence = msg.Sequence
@@ -111,9 +117,14 @@
 	if msg.Draining {
 		m.drain(now, msg.StartMillis)
 	}
+	coldUntil := m.current.coldUntil
 	m.current.coldUntil = time.Time{}
+	if !startKnown {
+		// The health check that found the instance may have told of a later start than this heartbeat.
+		m.current.coldUntil = coldUntil
+	}
 	if msg.ColdStart > 0 {
-		m.current.coldUntil = now.Add(msg.ColdStart)
+		m.current.coldUntil = laterOf(m.current.coldUntil, now.Add(msg.ColdStart))
 	}
 }
 
@@ -127,7 +138,32 @@
 	return msg.StartMillis == m.current.startMillis || startUnknown && msg.StartMillis <= m.current.seenMillis
 }
 
-// isEarlier reports whether the instance of a heartbeat started before the current one or has ended.
+// mayBePrevious reports whether a heartbeat comes from the instance that had the ID of the current one before nothing listened
+// at its address. As long as the start of the current one is not known, they may be the same; one that still sends heartbeats
+// after SelfEvidentPeriod is.
+func (m *Model) mayBePrevious(now time.Time, msg Heartbeat) bool {
+	if msg.ID != m.current.id || m.current.startMillis > 0 || msg.StartMillis == 0 {
+		return false
+	}
+	foundFor := now.Sub(time.UnixMilli(m.current.seenMillis))
+	return msg.StartMillis <= m.current.previousMillis && foundFor < SelfEvidentPeriod
+}
+
+// heartbeatOfPrevious applies what limits the use of the back end, in case the previous instance is still the running one: that it
+// is cold, or that it drains, which is acknowledged. A heartbeat with a later start shows that it is not.
+func (m *Model) heartbeatOfPrevious(now time.Time, msg Heartbeat) {
+	if msg.ColdStart > 0 {
+		m.current.coldUntil = laterOf(m.current.coldUntil, now.Add(msg.ColdStart))
+	}
+	if msg.Draining {
+		m.current.startMillis = msg.StartMillis
+		m.current.sequence = msg.Sequence
+		m.drain(now, msg.StartMillis)
+	}
+}
+
+// isEarlier reports whether the instance of a heartbeat started before the current one or has ended. An ID that answered a health
+// check was in use at that time, so that every other instance with an earlier start had ended.
 func (m *Model) isEarlier(msg Heartbeat) bool {
 	if start, replaced := m.replaced[msg.ID]; replaced && msg.StartMillis <= start {
 		return true
@@ -135,17 +171,23 @@
 	if msg.ID == m.current.id {
 		return msg.StartMillis < m.current.startMillis || msg.StartMillis <= m.current.endMillis
 	}
-	return m.current.id != "" && msg.StartMillis != 0 && msg.StartMillis < m.current.startMillis
+	return m.current.id != "" && msg.StartMillis != 0 && msg.StartMillis < max(m.current.startMillis, m.current.seenMillis)
 }
 
 // replaceCurrent makes the instance of a heartbeat the current one and remembers the instance that it replaces, so that the late
 // heartbeats of that one are ignored.
 func (m *Model) replaceCurrent(msg Heartbeat) {
-	m.rememberReplaced()
-	m.current = instance{id: msg.ID, startMillis: msg.StartMillis}
+	next := instance{id: msg.ID, startMillis: msg.StartMillis}
+	if msg.ID == m.current.id {
+		next.seenMillis = m.current.seenMillis
+		m.addReplaced(msg.ID, max(m.current.startMillis, m.current.endMillis))
+	} else {
+		m.rememberReplaced()
+	}
+	m.current = next
 }
 
-// rememberReplaced records the current instance as replaced.
+// rememberReplaced records the current instance as replaced by one with another ID.
 func (m *Model) rememberReplaced() {
 	if m.current.id != "" {
 		m.addReplaced(m.current.id, max(m.current.startMillis, m.current.seenMillis, m.current.endMillis))
@@ -194,10 +236,12 @@
 	if msg.ID == "" {
 		return
 	}
-	if msg.ID != m.current.id {
-		if _, replaced := m.replaced[msg.ID]; replaced {
-			return
-		}
+	switch _, replaced := m.replaced[msg.ID]; {
+	case msg.ID == m.current.id:
+		m.returned(now)
+	case replaced:
+		return
+	default:
 		m.rememberReplaced()
 		m.current = instance{id: msg.ID, seenMillis: now.UnixMilli(), service: m.cfg.Service, address: m.cfg.Address}
 	}
@@ -210,6 +254,17 @@
 	}
 }
 
+// returned forgets the start of the current instance if nothing listened at its address meanwhile, as it has probably started
+// again under its ID. One that drains or has deregistered stays so until a heartbeat shows a later start.
+func (m *Model) returned(now time.Time) {
+	i := &m.current
+	if !i.gone || i.draining || i.deregistered {
+		return
+	}
+	i.previousMillis = max(i.previousMillis, i.startMillis, i.seenMillis)
+	i.startMillis, i.sequence, i.seenMillis = 0, 0, now.UnixMilli()
+}
+
 func laterOf(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/node/coordination/instance/model_test.go
+++ b/node/coordination/instance/model_test.go
@@ -62,6 +62,12 @@
 		{"first heartbeat after deregistering, found by a health check after a crash", []instance.Msg{heartbeat("a", before, 9), instance.Gone{}, instance.HealthCheckPassed{ID: "a"}, instance.Deregister{ID: "a"}, heartbeat("a", before+5, 1)}, "", false, false},
 		{"first heartbeat after deregistering under the ID of a replaced instance", []instance.Msg{heartbeat("a", before, 9), heartbeat("b", before+1, 1), instance.Deregister{ID: "a"}, heartbeat("a", before+5, 1)}, "b", false, false},
 		{"first heartbeat after leaving, restarted under the same ID before", []instance.Msg{heartbeat("a", before, 9), instance.SaysLeaving{ID: "a"}, heartbeat("a", before+5, 1)}, "a", true, false},
+		{"late heartbeat of an earlier instance beside one found by a health check", []instance.Msg{instance.HealthCheckPassed{ID: "b"}, heartbeat("a", before, 9), heartbeat("b", before+5, 1)}, "b", false, false},
+		{"late heartbeat from before a cold restart under the same ID", []instance.Msg{heartbeat("a", before, 9), instance.Gone{}, instance.HealthCheckPassed{ID: "a", ColdStart: time.Second}, heartbeat("a", before, 10)}, "a", false, true},
+		{"late heartbeat from before a cold restart, restarted node", []instance.Msg{instance.HealthCheckPassed{ID: "a", ColdStart: time.Second}, heartbeat("a", before, 10)}, "a", false, true},
+		{"heartbeat of the running instance after one from before the restart", []instance.Msg{instance.HealthCheckPassed{ID: "a"}, heartbeat("a", before, 10), heartbeat("a", before+5, 1), instance.Gone{}, instance.HealthCheckPassed{ID: "a"}}, "a", false, false},
+		{"drains, and a refused connection was no restart", []instance.Msg{heartbeat("a", before, 9), instance.Gone{}, instance.HealthCheckPassed{ID: "a"}, draining(heartbeat("a", before, 10))}, "a", true, false},
+		{"late draining heartbeat from before a restart under the same ID", []instance.Msg{heartbeat("a", before, 9), instance.Gone{}, instance.HealthCheckPassed{ID: "a"}, draining(heartbeat("a", before, 10)), heartbeat("a", before+5, 1)}, "a", false, false},
 		{"nothing listens at the address", []instance.Msg{heartbeat("a", 1, 1), instance.Gone{}}, "", false, false},
 		{"heartbeat after nothing listened", []instance.Msg{heartbeat("a", 1, 1), instance.Gone{}, heartbeat("a", 1, 2)}, "a", false, false},
 		{"found by a health check", []instance.Msg{instance.HealthCheckPassed{ID: "a", ColdStart: time.Second}}, "a", false, true},
@@ -83,3 +89,20 @@
 		})
 	}
 }
+
+// Guards against an instance whose heartbeats are ignored for good because a connection to it was refused once. Those from before a
+// restart are seconds late; after SelfEvidentPeriod they show that there was none.
+func TestHeartbeatsCountAfterRefusedConnection(t *testing.T) {
+	m := instance.New(instance.Config{Service: "booking", Address: backendAddress})
+	for _, msg := range []instance.Msg{heartbeat("a", before, 9), instance.Gone{}, instance.HealthCheckPassed{ID: "a"}} {
+		m.Update(start, msg)
+	}
+	for sequence, at := range []time.Duration{time.Second, instance.SelfEvidentPeriod} {
+		h := heartbeat("a", before, uint64(10+sequence))
+		h.Slots = 5 + sequence
+		m.Update(start.Add(at), h)
+	}
+	if v := m.View(); v.StartMillis != before || v.Slots != 6 {
+		t.Errorf("view %+v", v)
+	}
+}
