node: rules without a route are answered with 503, not 404

What callers saw: a zone that is evacuated before the first table leaves a rule file without routes.

Cause: a node took the revision of its rules as the sign that it knows routes, in the answer to callers and in the readiness check.

Until then a request is refused with 503 and Retry-After, as before the first rules, and the node takes no callers.

Evidence: TestNodeWithoutRoutes; without the change it got 404 and "ready: status 200". With a table in force an unknown path still gets 404.

--- a/core/state/rule/lookup.go
+++ b/core/state/rule/lookup.go
@@ -28,6 +28,11 @@
 	return list
 }
 
+// HasRoutes reports whether the rules send any request anywhere. Before the first table they may hold nothing but orders about zones.
+func (s *Set) HasRoutes() bool {
+	return len(s.Routes) > 0 || len(s.Services) > 0
+}
+
 // ServiceFor returns the service for the Host header and the request target of a request, or false if no service matches.
 func (s *Set) ServiceFor(host, path string) (Service, bool) {
 	host, path = normalizeHost(host), withoutQuery(path)
--- a/node/program/fault_test.go
+++ b/node/program/fault_test.go
@@ -167,3 +167,31 @@
 		t.Errorf("status %d, header %v", resp.StatusCode, resp.Header)
 	}
 }
+
+// Guards against status 404 from a node whose rules name no route yet (DENIED): a zone was evacuated before the first table. It must
+// not take callers either.
+func TestNodeWithoutRoutes(t *testing.T) {
+	ctl := newFakeControl()
+	ctl.state.Revision, ctl.state.RulesText = 1, "format 1\nchange 1 # operator: out\nevacuate b # operator: out\n"
+	cfg := testSettings(t, "node")
+	cfg.ReadyAddress = freeAddress(t, cfg.Bind)
+	node := startNode(t, ctl, cfg)
+	eventually(t, "rules are in force", func() bool { return node.fetchStatus().Rules.Revision == 1 })
+	resp := sendRequest(t, node, "GET", "/seat", "", nil)
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Pollenhill-Outcome") != "not-run" || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, header %v", resp.StatusCode, resp.Header)
+	}
+	ready, err := http.Get("http://" + cfg.ReadyAddress.String() + "/ready")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ready.Body.Close()
+	if ready.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("ready: status %d", ready.StatusCode)
+	}
+	ctl.setRules(2, poolRules)
+	eventually(t, "the table is in force", func() bool { return node.fetchStatus().Rules.Revision == 2 })
+	if resp := sendRequest(t, node, "GET", "/none", "", nil); resp.StatusCode != http.StatusNotFound {
+		t.Errorf("no such route: status %d", resp.StatusCode)
+	}
+}
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -272,9 +272,9 @@
 	return pool.HealthPath, pool.MaxConnections
 }
 
-// isReady reports whether the node takes callers: it knows the rules and a member, and is not shutting down.
+// isReady reports whether the node takes callers: it knows rules with a route and a member, and is not shutting down.
 func (n *Node) isReady() bool {
-	return !n.shuttingDown.Load() && n.rulesRevision() > 0 && n.membersKnown.Load()
+	return !n.shuttingDown.Load() && n.activeRules.Load().set.HasRoutes() && n.membersKnown.Load()
 }
 
 func newLocalServer(i do.Injector) (*localapi.Server, error) {
--- a/node/transport/caller/request.go
+++ b/node/transport/caller/request.go
@@ -36,8 +36,8 @@
 		return nil, refusal.Malformed
 	}
 	set := s.cfg.Rules()
-	if set.Revision == 0 {
-		// A node that has just started has no rules yet; 404 would tell callers not to retry.
+	if set.Revision == 0 || !set.HasRoutes() {
+		// A node that has just started has no rules yet, or none but orders about zones; 404 would tell callers not to retry.
 		return nil, refusal.NoQuorum
 	}
 	path := string(req.Header.RequestURI())
