follow: control processes that leave during a search are not followed

Cause: a search keeps the answers of the control processes that it asked. If all that have answered leave the control group before the search ends, none of the answers belongs to a known control process, and the draw among the best of none panics.

Change: answers of control processes that are gone are dropped, also those that arrive later, and count as failed.

Evidence: TestServersLeaveDuringSearch panics without the change (invalid argument to IntN) in both orders.

--- a/core/coordination/follow/model.go
+++ b/core/coordination/follow/model.go
@@ -99,11 +99,22 @@
 	case ProbeResult:
 		m.handleProbeResult(now, msg)
 	case Servers:
-		m.cfg.Servers = msg.List
+		m.setServers(msg.List)
 	}
 	return m.advance(now)
 }
 
+// setServers replaces the control processes. Those that are gone can't be followed any more, whatever they answered to a search.
+func (m *Model) setServers(list []Server) {
+	m.cfg.Servers = list
+	for name := range m.search.answers {
+		if !m.isServer(name) {
+			delete(m.search.answers, name)
+			m.search.failedProbes++
+		}
+	}
+}
+
 // View returns the followed control process and whether it is current.
 func (m *Model) View(now time.Time) View {
 	confirmed := m.server != "" && m.current && now.Sub(m.lastCurrent) < FailoverTimeout
@@ -147,6 +158,10 @@
 		m.search.failedProbes++
 		return
 	}
+	if !m.isServer(msg.Server) {
+		m.search.failedProbes++ // it is gone since it was asked
+		return
+	}
 	m.search.answers[msg.Server] = msg.Current
 	if !msg.Current {
 		return
@@ -342,6 +357,10 @@
 	return equal[m.cfg.Rand.IntN(len(equal))].Name
 }
 
+func (m *Model) isServer(name string) bool {
+	return lo.SomeBy(m.cfg.Servers, func(s Server) bool { return s.Name == name })
+}
+
 func (m *Model) isLocal(server string) bool {
 	return lo.SomeBy(m.cfg.Servers, func(s Server) bool { return s.Name == server && s.Region == m.cfg.Region })
 }
--- a/core/coordination/follow/model_test.go
+++ b/core/coordination/follow/model_test.go
@@ -355,3 +355,44 @@
 		t.Errorf("asked only %v", asked)
 	}
 }
+
+// Guards against a panic, which ends the node, when the control processes that have answered a search leave the control group before
+// the search ends, and against one that is followed although it has left.
+func TestServersLeaveDuringSearch(t *testing.T) {
+	for name, answerFirst := range map[string]bool{"answer before they leave": true, "answer after they have left": false} {
+		t.Run(name, func(t *testing.T) {
+			old := []follow.Server{{Name: "a", Region: "home"}, {Name: "b", Region: "home"}}
+			m := follow.New(follow.Config{Region: "home", Servers: old, Rand: rand.New(rand.NewPCG(1, 0))})
+			now := epoch
+			var asked []follow.Probe
+			for len(asked) == 0 {
+				now = now.Add(tickInterval)
+				for _, cmd := range m.Update(now, follow.Tick{}) {
+					if p, ok := cmd.(follow.Probe); ok {
+						asked = append(asked, p)
+					}
+				}
+			}
+			answer := follow.ProbeResult{Server: asked[0].Server, Round: asked[0].Round, OK: true}
+			next := follow.Servers{List: []follow.Server{{Name: "c", Region: "home"}}}
+			msgs := []follow.Msg{next, answer}
+			if answerFirst {
+				msgs = []follow.Msg{answer, next}
+			}
+			for _, msg := range msgs {
+				m.Update(now, msg)
+			}
+			probed := false
+			for range 200 {
+				now = now.Add(tickInterval)
+				for _, cmd := range m.Update(now, follow.Tick{}) {
+					probe, ok := cmd.(follow.Probe)
+					probed = probed || ok && probe.Server == "c"
+				}
+			}
+			if v := m.View(now); v.Server != "" || !probed {
+				t.Errorf("follows %q, new control process asked: %v", v.Server, probed)
+			}
+		})
+	}
+}
