control client: a long message over a slow link is not given up

Cause, one of two: the new routes take a message of about 250 kB. Shared with requests it crosses the link of a node in more than 0.7 s, and the heartbeats wait behind it. The node takes its control process for silent, leaves it and asks another one for the same rules, again and again, so that it never gets them and its link is full.

Change: bytes of a stream count as a sign of life, and a control process that was current before a message still counts as current while the message arrives, for 5 s at most after the last complete message.

Evidence: TestLongMessageOverSlowLink (270 kB at 100 kB/s); without the change the node follows another process and has revision 5. TestEndlessMessageIsNoSignOfLife bounds it.

--- a/core/coordination/follow/model.go
+++ b/core/coordination/follow/model.go
@@ -11,6 +11,10 @@
 // another one while a change of the rules must be in force within a second.
 const FailoverTimeout = 700 * time.Millisecond
 
+// maxMessageTime is how long bytes of one message count as a sign of life: the largest rules cross a link of 6 Mbit/s that other
+// traffic shares within it.
+const maxMessageTime = 5 * time.Second
+
 // Times of a search, which asks control processes whether they are current.
 const (
 	// suspectTimeout is how long the followed control process may be silent or not current, about one missing heartbeat,
@@ -49,7 +53,8 @@
 	cfg            Config
 	server         string    // followed control process, empty for none
 	connected      time.Time // when the stream was opened
-	lastMessage    time.Time // last message on the stream
+	lastMessage    time.Time // last message on the stream or part of one
+	lastWhole      time.Time // last complete message
 	lastCurrent    time.Time // last heartbeat of a current control process
 	current        bool      // content of the last heartbeat
 	search         search
@@ -94,6 +99,8 @@
 	switch msg := msg.(type) {
 	case MessageReceived:
 		m.handleMessage(now, msg)
+	case DataReceived:
+		m.handleData(now, msg)
 	case StreamEnded:
 		m.handleStreamEnd(now, msg)
 	case ProbeResult:
@@ -125,7 +132,7 @@
 	if msg.Server != m.server {
 		return
 	}
-	m.lastMessage = now
+	m.lastMessage, m.lastWhole = now, now
 	if !msg.Heartbeat {
 		return
 	}
@@ -139,6 +146,19 @@
 	}
 }
 
+// handleData keeps a control process that sends a message which takes long to arrive, such as rules over a slow link. Its heartbeats
+// wait behind that message, so that it counts as current if it was before. To ask for the rules again, here or elsewhere, would
+// only take more of the link.
+func (m *Model) handleData(now time.Time, msg DataReceived) {
+	if msg.Server != m.server || now.Sub(m.lastWhole) >= maxMessageTime {
+		return
+	}
+	m.lastMessage = now
+	if m.current {
+		m.lastCurrent = now
+	}
+}
+
 func (m *Model) handleStreamEnd(now time.Time, msg StreamEnded) {
 	if msg.Server != m.server {
 		return
@@ -329,7 +349,7 @@
 func (m *Model) connect(now time.Time, server string) []Cmd {
 	m.server = server
 	m.connected = now
-	m.lastMessage = now
+	m.lastMessage, m.lastWhole = now, now
 	m.lastCurrent = now
 	m.current = false
 	return []Cmd{Connect{Server: server}}
--- a/core/coordination/follow/model_test.go
+++ b/core/coordination/follow/model_test.go
@@ -396,3 +396,20 @@
 		})
 	}
 }
+
+// Guards against a node that stays with a control process whose message never ends, or that was not current before it.
+func TestEndlessMessageIsNoSignOfLife(t *testing.T) {
+	for current, bound := range map[bool]time.Duration{true: 6 * time.Second, false: 1500 * time.Millisecond} {
+		n := newSimNode(1)
+		n.advance(time.Second)
+		at := n.view().Server
+		n.update(follow.MessageReceived{Server: at, Heartbeat: true, Current: current})
+		start := n.now
+		for len(n.model.Update(n.now, follow.DataReceived{Server: at})) == 0 && n.now.Sub(start) <= bound {
+			n.now = n.now.Add(tickInterval)
+		}
+		if waited := n.now.Sub(start); waited > bound || current && waited < 4*time.Second {
+			t.Errorf("current %v: searches another control process after %v, want at most %v", current, waited, bound)
+		}
+	}
+}
--- a/core/coordination/follow/msg.go
+++ b/core/coordination/follow/msg.go
@@ -10,6 +10,9 @@
 	Current   bool // from the heartbeat
 }
 
+// DataReceived reports bytes on the stream of a control process, of messages that need not be complete.
+type DataReceived struct{ Server string }
+
 // StreamEnded reports the end of the stream of a control process.
 type StreamEnded struct{ Server string }
 
@@ -28,6 +31,7 @@
 type Tick struct{}
 
 func (MessageReceived) msg() {}
+func (DataReceived) msg()    {}
 func (StreamEnded) msg()     {}
 func (ProbeResult) msg()     {}
 func (Servers) msg()         {}
--- a/node/transport/control/client_test.go
+++ b/node/transport/control/client_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +15,7 @@
 
 	"pollenhill.example/core/coordination/follow"
 	"pollenhill.example/core/protocol/control"
+	"pollenhill.example/core/state/rule"
 	client "pollenhill.example/node/transport/control"
 )
 
@@ -319,3 +323,36 @@
 		}
 	})
 }
+
+// incompressibleText returns lines of about n bytes altogether, which take that many on a link, since answers may be compressed.
+func incompressibleText(n int) string {
+	random := rand.NewChaCha8([32]byte{})
+	var b strings.Builder
+	for b.Len() < n {
+		line := make([]byte, 48)
+		_, _ = random.Read(line) // never fails
+		b.WriteString(base64.StdEncoding.EncodeToString(line) + "\n")
+	}
+	return b.String()
+}
+
+// Guards against a node that leaves its control process while a long message crosses a slow link and asks for the rules again, so that
+// it never gets them (DENIED and CONFIG on tafraout-thumbs-grown: 404 for the routes of a table that grew).
+func TestLongMessageOverSlowLink(t *testing.T) {
+	runWithRules(t, func(t *testing.T, h *harness) {
+		at := h.followed(t)
+		asked := 0
+		at.update(func() { at.bytesPerTick, asked = 1000, len(at.requests) })
+		text := incompressibleText(270_000) // 2.7 s on the link
+		rules := &control.Rules{Revision: 6, Text: text, Hash: rule.Hash(text)}
+		at.push(&control.WatchResponse{Event: &control.WatchResponse_Rules{Rules: rules}})
+		sleep(4 * time.Second)
+		if s := h.client.State(); s.Server != at.name || s.Revision != 6 || !s.Confirmed {
+			t.Errorf("revision %d from %q, confirmed %v", s.Revision, s.Server, s.Confirmed)
+		}
+		at.update(func() { asked = len(at.requests) - asked })
+		if asked != 0 {
+			t.Errorf("asked %d more times", asked)
+		}
+	})
+}
--- a/node/transport/control/fake_test.go
+++ b/node/transport/control/fake_test.go
@@ -31,6 +31,7 @@
 
 	mu            sync.Mutex
 	silent        bool // drops all bytes in both directions, as a network partition does
+	bytesPerTick  int  // of the link to the node, by linkTick; 0 for no limit
 	down          bool // refuses connections
 	current       bool // value in heartbeats and answers
 	rules         *control.Rules
@@ -116,6 +117,35 @@
 	return c.Conn.Write(b)
 }
 
+// linkTick is the time in which a slow link carries bytesPerTick.
+const linkTick = 10 * time.Millisecond
+
+// slowConn is the end of a control process of a link with limited bandwidth.
+type slowConn struct{ silenceableConn }
+
+func (c slowConn) Write(b []byte) (int, error) {
+	written := 0
+	for written < len(b) {
+		piece := b[written:]
+		if limit := c.process.limit(); limit > 0 {
+			piece = piece[:min(limit, len(piece))]
+			sleep(linkTick)
+		}
+		n, err := c.silenceableConn.Write(piece)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+func (f *fakeControlProcess) limit() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.bytesPerTick
+}
+
 func (f *fakeControlProcess) dial(ctx context.Context) (net.Conn, error) {
 	if f.isSilent() {
 		<-ctx.Done()
@@ -129,7 +159,7 @@
 	}
 	clientConn, serverConn := net.Pipe()
 	select {
-	case f.conns <- silenceableConn{serverConn, f}:
+	case f.conns <- slowConn{silenceableConn{serverConn, f}}:
 		return silenceableConn{clientConn, f}, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
--- a/node/transport/control/remote.go
+++ b/node/transport/control/remote.go
@@ -23,7 +23,7 @@
 	remotes := map[string]*remote{}
 	for _, s := range servers {
 		t := newTransport(cfg)
-		rpc := controlconnect.NewControlClient(&http.Client{Transport: t}, "http://"+s.Address.String(), connect.WithReadMaxBytes(control.MaxResponseBytes))
+		rpc := controlconnect.NewControlClient(&http.Client{Transport: progressTransport{t}}, "http://"+s.Address.String(), connect.WithReadMaxBytes(control.MaxResponseBytes))
 		remotes[s.Name] = &remote{server: s, http: t, rpc: rpc}
 	}
 	return remotes
--- a/node/transport/control/session.go
+++ b/node/transport/control/session.go
@@ -24,6 +24,8 @@
 	server        string // followed control process, empty for none
 	needFullRules bool   // the next stream asks for the full text of the rules
 	cancelStream  context.CancelFunc
+	progress      *progress      // of the current stream
+	progressSeen  int64          // bytes that were reported to the failover model
 	wg            sync.WaitGroup // goroutines of the session
 }
 
@@ -45,7 +47,7 @@
 		Region:  c.cfg.Region,
 		Rand:    rand.New(rand.NewPCG(seed, 0)),
 	}
-	return &session{client: c, model: follow.New(cfg), inbox: make(chan any), cancelStream: func() {}}
+	return &session{client: c, model: follow.New(cfg), inbox: make(chan any), cancelStream: func() {}, progress: &progress{}}
 }
 
 func (s *session) run(ctx context.Context) error {
@@ -67,6 +69,7 @@
 			if list := s.client.pendingServers.Swap(nil); list != nil {
 				s.updateModel(ctx, follow.Servers{List: followServers(*list)})
 			}
+			s.reportProgress(ctx)
 			s.updateModel(ctx, follow.Tick{})
 		case <-announceTicker.C:
 			s.announce(ctx)
@@ -76,6 +79,16 @@
 	}
 }
 
+// reportProgress tells the failover model that bytes of the current stream have arrived.
+func (s *session) reportProgress(ctx context.Context) {
+	received := s.progress.received.Load()
+	if received == s.progressSeen {
+		return
+	}
+	s.progressSeen = received
+	s.updateModel(ctx, follow.DataReceived{Server: s.server})
+}
+
 // announceGone repeats the last announcement of a node that shuts down, since the end of ctx may have aborted the first
 // one.
 func (s *session) announceGone(ctx context.Context) {
@@ -201,9 +214,11 @@
 	stream, r := s.streamNumber, s.client.remote(cmd.Server)
 	streamCtx, cancel := context.WithCancel(ctx)
 	s.cancelStream = cancel
+	s.progress, s.progressSeen = &progress{}, 0
+	watchCtx := withProgress(streamCtx, s.progress)
 	req := s.watchRequest()
 	s.wg.Go(func() {
-		err := s.watch(streamCtx, r, stream, req)
+		err := s.watch(watchCtx, r, stream, req)
 		s.enqueue(streamCtx, streamMessage{server: cmd.Server, stream: stream, err: err})
 	})
 	s.server = cmd.Server
