peer: nodes ask each other for rules only without a control process

Cause: a node that heard of a newer revision from a peer fetched the whole text there at once, although its control process was sending it the lines that differ.

Evidence: TestNewerRevisionIsFetched, "control process until later", in which a fetch before is an error.

--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -205,6 +205,7 @@
 		BodyReadTimeout:  time.Duration(n.cfg.Limits.StallTimeout),
 		Destination:      newLocalDestination(i),
 		RulesRevision:    n.rulesRevision,
+		RulesConfirmed:   func() bool { return n.controlClient.State().Confirmed },
 		OfferRules:       n.controlClient.OfferRules,
 		Clock:            n.events.Clock(),
 	}), nil
--- a/node/transport/peer/client.go
+++ b/node/transport/peer/client.go
@@ -48,6 +48,7 @@
 	BufferMemory     *semaphore.Weighted                // memory budget in bytes for such bodies of all responses; without room they are passed on as they arrive
 	Destination      LocalDestination                   // for attempts at the back end of this node
 	RulesRevision    func() uint64                      // returns the revision of the rules in force
+	RulesConfirmed   func() bool                        // reports whether a control process keeps the rules up to date, so that peers are not asked for them
 	OfferRules       func(revision uint64, text string) // takes newer rules of a peer
 	Clock            *event.Clock                       // nil: messages carry no timestamp
 }
--- a/node/transport/peer/client_test.go
+++ b/node/transport/peer/client_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,7 +66,7 @@
 	return netip.MustParseAddrPort(ln.Addr().String())
 }
 
-func newTestClient(t *testing.T, offerRules func(uint64, string)) *peer.Client {
+func newTestClient(t *testing.T, confirmed func() bool, offerRules func(uint64, string)) *peer.Client {
 	c := peer.NewClient(peer.ClientConfig{
 		Node:            "entry",
 		Dialer:          tcp.Dialer{Timeout: 5 * time.Second},
@@ -73,6 +74,7 @@
 		IdleTimeout:     time.Minute,
 		BodyReadTimeout: 5 * time.Second,
 		RulesRevision:   func() uint64 { return 5 },
+		RulesConfirmed:  confirmed,
 		OfferRules:      offerRules,
 	})
 	t.Cleanup(c.Close)
@@ -122,7 +124,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			address := startFakeNode(t, func(int, *fasthttp.RequestHeader) string { return test.reply })
-			c := newTestClient(t, nil)
+			c := newTestClient(t, func() bool { return false }, nil)
 			target := balancer.Target{Node: "destination", PeerAddress: address, Incarnation: 1}
 			for sequence := range uint64(3) {
 				reply := c.Send(context.Background(), target, newAttempt(sequence+1), newRequest())
@@ -162,7 +164,7 @@
 	}
 	closed := netip.MustParseAddrPort(ln.Addr().String())
 	ln.Close()
-	c := newTestClient(t, nil)
+	c := newTestClient(t, func() bool { return false }, nil)
 	if reply := c.Send(context.Background(), balancer.Target{PeerAddress: closed}, newAttempt(1), newRequest()); reply.Outcome != attempt.NotRun {
 		t.Errorf("connection refused: outcome %s, want %s", reply.Outcome, attempt.NotRun)
 	}
@@ -186,29 +188,38 @@
 	}
 	for name, test := range tests {
 		address := startFakeNode(t, func(int, *fasthttp.RequestHeader) string { return test.reply })
-		if got := newTestClient(t, nil).Cancel(context.Background(), balancer.Target{PeerAddress: address}, newAttempt(1).ID); got != test.want {
+		if got := newTestClient(t, func() bool { return false }, nil).Cancel(context.Background(), balancer.Target{PeerAddress: address}, newAttempt(1).ID); got != test.want {
 			t.Errorf("%s: outcome %s, want %s", name, got, test.want)
 		}
 	}
 }
 
-// Guards against newer rules that are not fetched although a response of a peer names their revision.
+// Guards against newer rules that are not fetched although a response of a peer names their revision, and against nodes that send
+// each other whole rules, which takes their links from requests, while a control process keeps them up to date.
 func TestNewerRevisionIsFetched(t *testing.T) {
 	const rules = "HTTP/1.1 200 OK\r\nPollenhill-Revision: 9\r\nContent-Length: 5\r\n\r\nrules"
-	address := startFakeNode(t, func(_ int, h *fasthttp.RequestHeader) string {
-		if strings.HasPrefix(string(h.RequestURI()), "/rules?after=5") {
-			return rules
-		}
-		return strings.Replace(answeredResponse, "Content-Length", "Pollenhill-Revision: 9\r\nContent-Length", 1)
-	})
-	got := make(chan string, 1)
-	c := newTestClient(t, func(revision uint64, text string) {
-		if revision == 9 {
-			got <- text
-		}
-	})
-	c.Send(context.Background(), balancer.Target{PeerAddress: address}, newAttempt(1), newRequest())
-	if text := <-got; text != "rules" {
-		t.Errorf("rules %q, want rules", text)
+	for name, confirmedChecks := range map[string]int32{"no control process": 0, "control process until later": 3} {
+		t.Run(name, func(t *testing.T) {
+			var checks atomic.Int32
+			address := startFakeNode(t, func(_ int, h *fasthttp.RequestHeader) string {
+				if strings.HasPrefix(string(h.RequestURI()), "/rules?after=5") {
+					if n := checks.Load(); n <= confirmedChecks {
+						t.Errorf("fetched after %d checks", n)
+					}
+					return rules
+				}
+				return strings.Replace(answeredResponse, "Content-Length", "Pollenhill-Revision: 9\r\nContent-Length", 1)
+			})
+			got := make(chan string, 1)
+			c := newTestClient(t, func() bool { return checks.Add(1) <= confirmedChecks }, func(revision uint64, text string) {
+				if revision == 9 {
+					got <- text
+				}
+			})
+			c.Send(context.Background(), balancer.Target{PeerAddress: address}, newAttempt(1), newRequest())
+			if text := <-got; text != "rules" {
+				t.Errorf("rules %q, want rules", text)
+			}
+		})
 	}
 }
--- a/node/transport/peer/rules.go
+++ b/node/transport/peer/rules.go
@@ -16,6 +16,7 @@
 // Bounds of a request for rules.
 const (
 	rulesTimeout  = 2 * time.Second
+	rulesInterval = 50 * time.Millisecond // between two checks whether a control process still sends the rules
 	maxRulesBytes = 8 << 20
 )
 
@@ -29,13 +30,17 @@
 }
 
 // ObserveRevision fetches the rules of a peer in the background if its revision is newer than that of the rules in
-// force and no fetch is running.
+// force and no fetch is running. While a control process keeps the rules up to date, it waits for that: peers send the whole
+// text, which would take the links of both nodes from requests.
 func (c *Client) ObserveRevision(peer netip.AddrPort, revision uint64) {
 	if revision <= c.cfg.RulesRevision() || !c.fetchingRules.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer c.fetchingRules.Store(false)
+		if !c.awaitUnconfirmed(revision) {
+			return
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), rulesTimeout)
 		defer cancel()
 		// After a failure, the next message with a newer revision starts another fetch.
@@ -45,6 +50,19 @@
 	}()
 }
 
+// awaitUnconfirmed waits until no control process keeps the rules up to date, or returns false once the rules in force have the
+// revision or rulesTimeout has passed.
+func (c *Client) awaitUnconfirmed(revision uint64) bool {
+	ticker := time.NewTicker(rulesInterval)
+	defer ticker.Stop()
+	for start := time.Now(); c.cfg.RulesConfirmed(); <-ticker.C {
+		if revision <= c.cfg.RulesRevision() || time.Since(start) >= rulesTimeout {
+			return false
+		}
+	}
+	return revision > c.cfg.RulesRevision()
+}
+
 // requestRules requests rules newer than those in force from a peer; the revision is 0 if it has none.
 func (c *Client) requestRules(ctx context.Context, peer netip.AddrPort) (revision uint64, text string, err error) {
 	var h fasthttp.RequestHeader
--- a/node/transport/peer/upload_test.go
+++ b/node/transport/peer/upload_test.go
@@ -75,7 +75,7 @@
 // slow after its body has crossed the link.
 func TestUploadReachesDestination(t *testing.T) {
 	s, d, address := startPeerServer(t, nil)
-	c := newTestClient(t, nil)
+	c := newTestClient(t, func() bool { return false }, nil)
 	for i, length := range []int{1, 16<<10 - 1, 16 << 10, 60_000, 360_000, 1 << 20} {
 		a := newAttempt(uint64(i + 1))
 		a.Movable = true
@@ -100,7 +100,7 @@
 // run after that, and against a load report that the entry node does not get with such a refusal.
 func TestUploadIsRefusedBeforeItsBody(t *testing.T) {
 	s, d, address := startPeerServer(t, func(message.Attempt) refusal.Reason { return refusal.BackendSlow })
-	c := newTestClient(t, nil)
+	c := newTestClient(t, func() bool { return false }, nil)
 	for i := range uint64(3) {
 		reply := c.Send(t.Context(), balancer.Target{PeerAddress: address}, newAttempt(i+1), newUpload(60_000))
 		if reply.Outcome != attempt.NotRun || reply.Refusal.Reason != refusal.BackendSlow {
