caller: 503 in place of 404 and 401 while newer rules are known

Cause: a node answered 404 and 401 by its own rules, although it knew that they were not the newest.

Change: while a peer has named a newer revision than the one in force, a request without a route or without a known key is refused with 503, not run, and Retry-After: the route or the key may have just been added, and callers do not retry after 404 and 401.

Evidence: TestNodeWithOlderRulesRefusesNothingForGood; without the change it gets 404 and 401.

--- a/core/protocol/refusal/reason.go
+++ b/core/protocol/refusal/reason.go
@@ -37,7 +37,7 @@
 	Shed // shed
 	// MemoryBudget means that the memory for request bodies is used up.
 	MemoryBudget // budget
-	// NoQuorum means that the control processes did not grant the claim in time, or that the node has no rules yet.
+	// NoQuorum means that the control processes did not grant the claim in time, or that the node has no rules yet or knows of newer ones.
 	NoQuorum // no-quorum
 	// NoRoute means that no rule matches the request.
 	NoRoute // route
--- a/node/program/control_state.go
+++ b/node/program/control_state.go
@@ -91,6 +91,7 @@
 	if revision <= n.rulesRevision() {
 		return
 	}
+	n.peerClient.HearRevision(revision)
 	if address, ok := peer.FindAddress(n.balancerTargets(n.controlClient.State().Members), node); ok {
 		n.peerClient.ObserveRevision(address, revision)
 	}
--- a/node/program/wire.go
+++ b/node/program/wire.go
@@ -246,6 +246,7 @@
 		Claims:           n.controlClient,
 		Allowances:       n.allowances,
 		Rules:            func() *rule.Set { return n.activeRules.Load().set },
+		RulesOutdated:    func() bool { return n.peerClient.RulesOutdated() },
 		OnCallDone:       do.MustInvoke[*metrics](i).recordCall,
 		Events:           n.events,
 		OnCallStart:      n.onCallStart,
--- a/node/transport/caller/authenticate.go
+++ b/node/transport/caller/authenticate.go
@@ -75,7 +75,7 @@
 		return refusal.None // refused as NoRoute later
 	}
 	_, reason := authenticate(set, h, open)
-	return reason
+	return s.unlessOutdated(reason)
 }
 
 // setAccountHeader removes the key from a request to back ends and names the account in its place. A call that inherits its
--- a/node/transport/caller/authenticate_test.go
+++ b/node/transport/caller/authenticate_test.go
@@ -110,6 +110,29 @@
 	}
 }
 
+// Guards against a node that knows of newer rules and tells callers to give up: the route or the key that it does not know may have
+// just been added (DENIED and CONFIG on tafraout-thumbs-grown: 404 for the routes of a table that grew).
+func TestNodeWithOlderRulesRefusesNothingForGood(t *testing.T) {
+	s := startServer(t)
+	s.apply(t, 2, accountRules)
+	for _, test := range []struct {
+		text             string
+		status, outdated int
+	}{
+		{get("/read/1", clubKey), 200, 200},
+		{get("/read/1", unknownKey), 401, 503},
+		{post("/book/1", "seat", unknownKey), 401, 503},
+		{get("/new/1", clubKey), 404, 503},
+	} {
+		s.outdated.Store(false)
+		current := s.exchange(t, test.text).StatusCode
+		s.outdated.Store(true)
+		if got := s.exchange(t, test.text).StatusCode; current != test.status || got != test.outdated {
+			t.Errorf("%s: status %d with newest rules, %d with older ones, want %d and %d", test.text, current, got, test.status, test.outdated)
+		}
+	}
+}
+
 // Guards against deployments without accounts that lose the credentials which their back ends check themselves.
 func TestWithoutAccountsCredentialsArePassedOn(t *testing.T) {
 	s := startServer(t)
--- a/node/transport/caller/harness_test.go
+++ b/node/transport/caller/harness_test.go
@@ -113,6 +113,7 @@
 	parents    *parent.Table
 	allowances *fakeAllowances
 	rules      atomic.Pointer[rule.Set]
+	outdated   atomic.Bool // newer rules are known to exist
 
 	mu          sync.Mutex
 	keysRefused map[bool]int    // by whether a key was sent
@@ -148,7 +149,7 @@
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(s), zapcore.InfoLevel)
 	server := caller.New(caller.Config{
 		Events: event.New(event.Config{Process: "n", Logger: zap.New(core), Clock: event.NewClock(time.Now)}),
-		Node:   "n", Engine: s.engine, Sender: s.sender, Rules: s.rules.Load, Parents: s.parents, Allowances: s.allowances,
+		Node:   "n", Engine: s.engine, Sender: s.sender, Rules: s.rules.Load, RulesOutdated: s.outdated.Load, Parents: s.parents, Allowances: s.allowances,
 		OnKeyRefused: func(sent bool) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/node/transport/caller/request.go
+++ b/node/transport/caller/request.go
@@ -69,6 +69,15 @@
 	return req, refusal.None
 }
 
+// unlessOutdated returns a reason, or NoQuorum in place of one that newer rules may take away: a route or a key that was just added.
+// After 404 and 401 callers do not retry.
+func (s *Server) unlessOutdated(reason refusal.Reason) refusal.Reason {
+	if (reason == refusal.NoRoute || reason == refusal.UnknownKey) && s.cfg.RulesOutdated() {
+		return refusal.NoQuorum
+	}
+	return reason
+}
+
 // exclusive reports whether a request must not run concurrently with others of its connection. That holds for requests that
 // must not run twice: if an earlier reply closes the connection, callers take that as proof that this one did not run.
 func (s *Server) exclusive(h *fasthttp.RequestHeader) bool {
--- a/node/transport/caller/server.go
+++ b/node/transport/caller/server.go
@@ -62,6 +62,7 @@
 	Claims           Claims
 	Allowances       Allowances           // nil: no account is limited
 	Rules            func() *rule.Set     // returns the current rules
+	RulesOutdated    func() bool          // reports whether newer rules are known to exist
 	OnCallDone       func(CallMetrics)    // receives every call whose reply header is known; may be nil
 	Events           *event.Log           // receives the log lines of calls; nil disables them
 	OnCallStart      func(service string) // receives the service of every new call; may be nil
@@ -191,6 +192,7 @@
 	}
 	arrived := in.Arrived
 	req, reason := s.routeRequest(in)
+	reason = s.unlessOutdated(reason)
 	if reason != refusal.None {
 		reply := s.refusalReply(in.Header, reason)
 		if reason != refusal.UnknownKey { // reportRefusedKey has logged it
--- a/node/transport/caller/uploadzone_test.go
+++ b/node/transport/caller/uploadzone_test.go
@@ -69,7 +69,7 @@
 	s := caller.New(caller.Config{
 		Node: "entry", Engine: e, Sender: reporting{targetRecorder{zones}, e}, Rules: func() *rule.Set { return set },
 		MaxCalls: 100, MaxPipelined: 8, MaxReadAhead: 8, MaxHeaderBytes: 8 << 10, MaxBodyBytes: 1 << 20,
-		BodyMemory: semaphore.NewWeighted(16 << 20), ReadTimeout: 10 * time.Second, IdleTimeout: time.Minute, WriteTimeout: 10 * time.Second,
+		RulesOutdated: func() bool { return false }, BodyMemory: semaphore.NewWeighted(16 << 20), ReadTimeout: 10 * time.Second, IdleTimeout: time.Minute, WriteTimeout: 10 * time.Second,
 	})
 	reportLoads(e)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/node/transport/peer/client.go
+++ b/node/transport/peer/client.go
@@ -32,6 +32,7 @@
 	cfg           ClientConfig
 	mismatched    atomic.Uint64 // responses that name another attempt or none
 	fetchingRules atomic.Bool   // limits the fetches of rules to one at a time
+	newestHeard   atomic.Uint64 // newest revision that a peer has named
 
 	mu    sync.Mutex // guards pools
 	pools map[netip.AddrPort]*tcp.Pool
--- a/node/transport/peer/rules.go
+++ b/node/transport/peer/rules.go
@@ -29,10 +29,26 @@
 	c.ObserveRevision(peer, revision)
 }
 
+// HearRevision stores a revision that a peer has named.
+func (c *Client) HearRevision(revision uint64) {
+	for {
+		newest := c.newestHeard.Load()
+		if revision <= newest || c.newestHeard.CompareAndSwap(newest, revision) {
+			return
+		}
+	}
+}
+
+// RulesOutdated reports whether a peer has named a newer revision than that of the rules in force.
+func (c *Client) RulesOutdated() bool {
+	return c.newestHeard.Load() > c.cfg.RulesRevision()
+}
+
 // ObserveRevision fetches the rules of a peer in the background if its revision is newer than that of the rules in
 // force and no fetch is running. While a control process keeps the rules up to date, it waits for that: peers send the whole
 // text, which would take the links of both nodes from requests.
 func (c *Client) ObserveRevision(peer netip.AddrPort, revision uint64) {
+	c.HearRevision(revision)
 	if revision <= c.cfg.RulesRevision() || !c.fetchingRules.CompareAndSwap(false, true) {
 		return
 	}
