instance: what a heartbeat changes stands in a function of its own

No change of behaviour: heartbeat decides of which instance a heartbeat speaks, heartbeatOfCurrent applies it. The cold start is read before the start is set, so that no flag has to remember whether it was known.

--- a/node/coordination/instance/model.go
+++ b/node/coordination/instance/model.go
@@ -90,20 +90,28 @@
 	if msg.ID == "" || m.cfg.Address.IsValid() && msg.Address != m.cfg.Address {
 		return
 	}
-	startKnown := m.current.startMillis > 0
 	switch {
 	case m.mayBePrevious(now, msg):
 		m.heartbeatOfPrevious(now, msg)
-		return
 	case m.isCurrent(msg):
-		if msg.Sequence <= m.current.sequence && m.current.sequence > 0 || m.current.deregistered {
-			return
+		if (msg.Sequence > m.current.sequence || m.current.sequence == 0) && !m.current.deregistered {
+			m.heartbeatOfCurrent(now, msg)
 		}
 	case m.isEarlier(msg):
-		return
 	default:
 		m.replaceCurrent(msg)
-		startKnown = true
+		m.heartbeatOfCurrent(now, msg)
+	}
+}
+
+// heartbeatOfCurrent applies a heartbeat of the current instance, which may be the first one that tells its start.
+func (m *Model) heartbeatOfCurrent(now time.Time, msg Heartbeat) {
+	// Before the start is known, the heartbeat may be from before the cold start that a health check told.
+	if m.current.startMillis > 0 {
+		m.current.coldUntil = time.Time{}
+	}
+	if msg.ColdStart > 0 {
+		m.current.coldUntil = laterOf(m.current.coldUntil, now.Add(msg.ColdStart))
 	}
 	m.current.startMillis = msg.StartMillis
 	m.current.sequence = msg.Sequence
@@ -117,15 +125,6 @@
 	if msg.Draining {
 		m.drain(now, msg.StartMillis)
 	}
-	coldUntil := m.current.coldUntil
-	m.current.coldUntil = time.Time{}
-	if !startKnown {
-		// The health check that found the instance may have told of a later start than this heartbeat.
-		m.current.coldUntil = coldUntil
-	}
-	if msg.ColdStart > 0 {
-		m.current.coldUntil = laterOf(m.current.coldUntil, now.Add(msg.ColdStart))
-	}
 }
 
 // isCurrent reports whether a heartbeat comes from the current instance. One that was first seen without its start, by a
