--- a/review/trial/process.go
+++ b/review/trial/process.go
@@ -56,6 +56,7 @@
 	defer out.Close()
 	cmd := exec.Command(p.program, "--settings", path)
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = append(os.Environ(), "GOMAXPROCS=1") // the platform shows one core to each process
 	if err := cmd.Start(); err != nil {
 		return err
 	}
