--- a/review/trial/stale.go
+++ b/review/trial/stale.go
@@ -12,11 +12,11 @@
 // Sizes of the case.
 const (
 	staleNodes      = 4
-	staleRoutes     = 1405 // five and the 1,400 that one growth of the table adds
-	staleChanges    = 560  // whole tables
-	exchangeAt      = 400  // version in which the last route makes way for another one
-	checkAt         = 550  // version after which the nodes are asked, before the disruption
-	staleChangeTime = 70 * time.Second
+	staleRoutes     = 1005 // five and 1,000 that a growth of the table adds
+	staleChanges    = 810  // whole tables; a snapshot is taken after some 450, and the log holds the others
+	exchangeAt      = 600  // version in which the last route makes way for another one
+	checkAt         = 800  // version after which the nodes are asked, before the disruption
+	staleChangeTime = 80 * time.Second
 	inTouchAfter    = 6 * time.Second  // twice the contact time, after a fault that took most of the core
 	watchTime       = 20 * time.Second // after the processes are back
 	requestInterval = 25 * time.Millisecond
@@ -87,6 +87,7 @@
 			o.record.line("version %d is acknowledged; its last route is number %d", acked, last)
 		}
 	}
+	peak := peakOf(controls)
 	if o.trouble {
 		for _, p := range processes {
 			p.kill()
@@ -121,6 +122,11 @@
 		}
 		time.Sleep(requestInterval)
 	}
+	peak = max(peak, peakOf(controls))
+	o.record.line("most memory of a control process: %d MB", peak)
+	if peak > memoryLimitMB {
+		return exitNotRun, fmt.Errorf("a control process used %d MB, the platform would have killed it", peak)
+	}
 	o.record.line("%s was added and %s dropped by version %d; answers: %v", added, dropped, exchangeAt, answers)
 	o.record.line("the table reads as version %d, acknowledged is %d", op.read(), acked)
 	if late > 0 {
@@ -130,6 +136,15 @@
 	return exitHeld, nil
 }
 
+// peakOf returns the most memory in MiB that one of the processes has used since its start.
+func peakOf(processes []*process) int {
+	peak := 0
+	for _, p := range processes {
+		peak = max(peak, p.peakMB())
+	}
+	return peak
+}
+
 // checkRoutes returns an error unless all nodes refuse the dropped route and serve the added one.
 func checkRoutes(nodes []*nodeProcess, dropped, added string) error {
 	time.Sleep(3 * time.Second)
