wal: a start holds the log once

Cause: Open held the log as the file that it had read, as a copy of each entry, and as the rewritten file, which was encoded into one frame and copied into another buffer before it was written.

Change: files are read and written frame by frame. A rewritten log has frames of about 1 MiB instead of one; the format is the same, and older programs read it.

Evidence: TestOpenHoldsTheLogOnce on the code before: opening a log of 32 MiB allocates 280,300,784 bytes, want at most 50,331,648; it passes now. TestRewrittenLogReadsBack covers files of many frames. All tests of damaged and torn files pass unchanged but for the type of their input.

--- a/core/state/disk/disk_test.go
+++ b/core/state/disk/disk_test.go
@@ -1,8 +1,10 @@
 package disk_test
 
 import (
+	"io"
 	"math/rand/v2"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"pollenhill.example/core/state/disk"
@@ -15,6 +17,16 @@
 	t.Run("fake", func(t *testing.T) { test(t, disk.NewFake(rand.New(rand.NewPCG(1, 1))), "/data") })
 }
 
+// readFile returns the whole content of a file.
+func readFile(fs disk.FS, path string) ([]byte, error) {
+	r, err := fs.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	return io.ReadAll(r)
+}
+
 // Guards against a fake that differs from the real file system even without faults, which would make tests on it worthless.
 func TestRealAndFakeBehaveAlike(t *testing.T) {
 	testBothFileSystems(t, func(t *testing.T, fs disk.FS, dir string) {
@@ -22,13 +34,13 @@
 		if err := fs.MkdirAll(dir); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := fs.ReadFile(path); err == nil {
+		if _, err := readFile(fs, path); err == nil {
 			t.Error("reading a missing file returned no error")
 		}
 		if err := fs.Remove(path); err == nil {
 			t.Error("removing a missing file returned no error")
 		}
-		f, err := disk.WriteAtomic(fs, path, []byte("one"))
+		f, err := disk.WriteAtomic(fs, path, strings.NewReader("one"))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -38,7 +50,7 @@
 		if err := f.Sync(); err != nil {
 			t.Fatal(err)
 		}
-		if got, _ := fs.ReadFile(path); string(got) != "onetwo" {
+		if got, _ := readFile(fs, path); string(got) != "onetwo" {
 			t.Errorf("content %q, want %q", got, "onetwo")
 		}
 		if names, _ := fs.ListDir(dir); len(names) != 1 || names[0] != "a" {
@@ -78,7 +90,7 @@
 	tailLost, tailKept, renameKept := 0, 0, 0
 	for seed := range uint64(200) {
 		d := disk.NewFake(rand.New(rand.NewPCG(seed, 1)))
-		f, err := disk.WriteAtomic(d, "/data/a", []byte("synced"))
+		f, err := disk.WriteAtomic(d, "/data/a", strings.NewReader("synced"))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -109,7 +121,7 @@
 // Guards against a fake that differs from Linux, where a sync after a failed one succeeds without writing the lost pages.
 func TestSyncAfterFailedSyncLosesData(t *testing.T) {
 	d := disk.NewFake(rand.New(rand.NewPCG(1, 1)))
-	f, _ := disk.WriteAtomic(d, "/data/a", []byte("a"))
+	f, _ := disk.WriteAtomic(d, "/data/a", strings.NewReader("a"))
 	_, _ = f.Write([]byte("b"))
 	d.FailSyncAfter(0)
 	if f.Sync() == nil {
--- a/core/state/disk/fake.go
+++ b/core/state/disk/fake.go
@@ -1,6 +1,7 @@
 package disk
 
 import (
+	"bytes"
 	"io"
 	"maps"
 	"math/rand/v2"
@@ -154,6 +155,19 @@
 	d.unsyncedChanges = append(d.unsyncedChanges, change)
 }
 
+// Open opens a file for reading; what is written to the file afterwards is not read.
+func (d *Fake) Open(path string) (io.ReadSeekCloser, error) {
+	n, ok := d.files[path]
+	if !ok {
+		return nil, errors.Wrapf(os.ErrNotExist, "open %s", path)
+	}
+	return fakeReader{bytes.NewReader(n.content)}, nil
+}
+
+type fakeReader struct{ *bytes.Reader }
+
+func (fakeReader) Close() error { return nil }
+
 // ReadFile returns the whole content of a file.
 func (d *Fake) ReadFile(path string) ([]byte, error) {
 	n, ok := d.files[path]
--- a/core/state/disk/fs.go
+++ b/core/state/disk/fs.go
@@ -1,6 +1,7 @@
 package disk
 
 import (
+	"bufio"
 	"io"
 	"path/filepath"
 
@@ -14,8 +15,8 @@
 	MkdirAll(dir string) error
 	// Create creates or truncates a file and opens it for writing.
 	Create(path string) (File, error)
-	// ReadFile returns the whole content of a file.
-	ReadFile(path string) ([]byte, error)
+	// Open opens a file for reading.
+	Open(path string) (io.ReadSeekCloser, error)
 	// ListDir returns the names in a directory, sorted.
 	ListDir(dir string) ([]string, error)
 	// Rename renames a file and atomically replaces a file with the new name.
@@ -40,9 +41,12 @@
 // TempSuffix marks files that WriteAtomic has not renamed yet; a crash can leave them behind, and they can be removed.
 const TempSuffix = ".tmp"
 
+// writeBufferSize is how many bytes WriteAtomic collects before it writes them.
+const writeBufferSize = 256 << 10
+
 // WriteAtomic creates or replaces the file at path so that a crash leaves either the old or the new content: it writes a
 // temporary file, syncs it, renames it and syncs the directory. It returns the file, open for appending.
-func WriteAtomic(fs FS, path string, content []byte) (File, error) {
+func WriteAtomic(fs FS, path string, content io.WriterTo) (File, error) {
 	f, err := fs.Create(path + TempSuffix)
 	if err != nil {
 		return nil, errors.Wrapf(err, "create %s", path+TempSuffix)
@@ -53,8 +57,12 @@
 	return f, nil
 }
 
-func writeAndRename(fs FS, f File, path string, content []byte) error {
-	if _, err := f.Write(content); err != nil {
+func writeAndRename(fs FS, f File, path string, content io.WriterTo) error {
+	w := bufio.NewWriterSize(f, writeBufferSize)
+	if _, err := content.WriteTo(w); err != nil {
+		return errors.Wrapf(err, "write %s", path+TempSuffix)
+	}
+	if err := w.Flush(); err != nil {
 		return errors.Wrapf(err, "write %s", path+TempSuffix)
 	}
 	if err := f.Sync(); err != nil {
--- a/core/state/disk/real.go
+++ b/core/state/disk/real.go
@@ -26,8 +26,8 @@
 	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 }
 
-// ReadFile returns the whole content of a file.
-func (Real) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
+// Open opens a file for reading.
+func (Real) Open(path string) (io.ReadSeekCloser, error) { return os.Open(path) }
 
 // ListDir returns the names in a directory, sorted.
 func (Real) ListDir(dir string) ([]string, error) {
--- a/core/state/protofield/field.go
+++ b/core/state/protofield/field.go
@@ -34,6 +34,15 @@
 	w.buf = protowire.AppendBytes(w.buf, v)
 }
 
+// BytesHead appends what precedes a byte string of the given size; the caller writes its bytes after Encoded.
+func (w *Writer) BytesHead(number, size int) {
+	if size == 0 {
+		return
+	}
+	w.buf = protowire.AppendTag(w.buf, protowire.Number(number), protowire.BytesType)
+	w.buf = protowire.AppendVarint(w.buf, uint64(size))
+}
+
 // String appends a length-delimited string.
 func (w *Writer) String(number int, v string) {
 	if v == "" {
@@ -58,6 +67,9 @@
 // Grow reserves capacity for n more bytes.
 func (w *Writer) Grow(n int) { w.buf = slices.Grow(w.buf, n) }
 
+// Reset drops all fields written so far and keeps the buffer, so that what Encoded returned before becomes invalid.
+func (w *Writer) Reset() { w.buf = w.buf[:0] }
+
 // Encoded returns the encoding of all fields written so far.
 func (w *Writer) Encoded() []byte { return w.buf }
 
--- a/core/state/wal/codec.go
+++ b/core/state/wal/codec.go
@@ -1,6 +1,8 @@
 package wal
 
 import (
+	"io"
+
 	"github.com/cockroachdb/errors"
 
 	"pollenhill.example/core/state/protofield"
@@ -33,44 +35,84 @@
 	})
 }
 
-// encodeBatch returns the frame body of one append.
-func encodeBatch(state HardState, entries []Entry) []byte {
-	var w protofield.Writer
+// writeBatch appends the fields of one append to w.
+func writeBatch(w *protofield.Writer, state HardState, entries []Entry) {
 	w.Nested(1, state.Write)
 	for _, e := range entries {
 		w.Nested(2, e.Write)
 	}
-	return w.Encoded()
 }
 
-// encodeLogFile returns a whole log file and its checksum, which the next frame continues.
-func encodeLogFile(c Content) ([]byte, uint32) {
-	var w protofield.Writer
-	logHeader{identity: c.Identity, snapshotIndex: c.Snapshot.Index, snapshotTerm: c.Snapshot.Term}.write(&w)
-	b, checksum := appendFrame(titleLine(logTitle), 0, w.Encoded())
-	return appendFrame(b, checksum, encodeBatch(c.HardState, c.Entries))
+// rewriteBatchBytes bounds the entries in one frame of a rewritten log file, unless a single entry is larger, in bytes of
+// their data. Neither writing nor reading such a file holds more than one frame beside the entries.
+const rewriteBatchBytes = 1 << 20
+
+// logFile is a whole log file to be written.
+type logFile struct {
+	content  Content
+	checksum uint32 // of all frames, once written; the next frame continues it
+	size     int64  // once written, in bytes
+}
+
+// WriteTo writes the file.
+func (f *logFile) WriteTo(w io.Writer) (int64, error) {
+	c := f.content
+	out := newFrameWriter(w, logTitle)
+	var body protofield.Writer
+	logHeader{identity: c.Identity, snapshotIndex: c.Snapshot.Index, snapshotTerm: c.Snapshot.Term}.write(&body)
+	out.writeFrame(body.Encoded())
+	rest := c.Entries
+	for first := true; first || len(rest) > 0; first = false {
+		n := batchLen(rest)
+		body.Reset()
+		writeBatch(&body, c.HardState, rest[:n])
+		out.writeFrame(body.Encoded())
+		rest = rest[n:]
+	}
+	f.checksum, f.size = out.checksum, out.size
+	return out.size, out.err
+}
+
+// batchLen returns how many of the entries fit into one frame of a rewritten log file, at least one if there are any.
+func batchLen(entries []Entry) int {
+	size := 0
+	for i, e := range entries {
+		size += len(e.Data)
+		if i > 0 && size > rewriteBatchBytes {
+			return i
+		}
+	}
+	return len(entries)
 }
 
 // Decode decodes a log file. The snapshot of the result has only Index and Term, because its data is in a file of its own.
 // Torn is the number of bytes at the end that belong to an incomplete last write. The error is ErrUnsupportedFormat for a
 // file of another format version and ErrCorrupt for a damaged one.
-func Decode(raw []byte) (c Content, torn int, err error) {
-	rest, err := readTitle(raw, logTitle)
+func Decode(file io.ReadSeeker) (c Content, torn int, err error) {
+	r, err := newFrameReader(file, logTitle)
 	if err != nil {
 		return Content{}, 0, err
 	}
 	frames := 0
-	torn, err = readFrames(rest, func(body []byte) error {
-		frames++
-		if frames == 1 {
-			return c.parseHeader(body)
+	for {
+		body, ok, err := r.next()
+		switch {
+		case err != nil:
+			return c, 0, err
+		case !ok && frames < 2:
+			return c, 0, errors.Wrap(ErrCorrupt, "log file has no header or no hard state")
+		case !ok:
+			return c, r.torn(), nil
+		case frames == 0:
+			err = c.parseHeader(body)
+		default:
+			err = c.parseBatch(body)
 		}
-		return c.parseBatch(body)
-	})
-	if err == nil && frames < 2 {
-		err = errors.Wrap(ErrCorrupt, "log file has no header or no hard state")
+		if err != nil {
+			return c, 0, errors.Wrapf(err, "frame before byte %d", r.offset)
+		}
+		frames++
 	}
-	return c, torn, err
 }
 
 func (c *Content) parseHeader(body []byte) error {
@@ -115,26 +157,32 @@
 	return nil
 }
 
-func encodeSnapshotFile(s Snapshot) []byte {
-	var w protofield.Writer
-	s.Write(&w)
-	b, _ := appendFrame(titleLine(snapshotTitle), 0, w.Encoded())
-	return b
+// snapshotFile is a whole snapshot file to be written.
+type snapshotFile Snapshot
+
+// WriteTo writes the file.
+func (f snapshotFile) WriteTo(w io.Writer) (int64, error) {
+	var head protofield.Writer
+	s := Snapshot(f)
+	s.writeHead(&head)
+	out := newFrameWriter(w, snapshotTitle)
+	out.writeFrame(head.Encoded(), s.Data)
+	return out.size, out.err
 }
 
-func decodeSnapshotFile(raw []byte) (Snapshot, error) {
-	var s Snapshot
-	rest, err := readTitle(raw, snapshotTitle)
+func decodeSnapshotFile(file io.ReadSeeker) (Snapshot, error) {
+	r, err := newFrameReader(file, snapshotTitle)
 	if err != nil {
-		return s, err
+		return Snapshot{}, err
 	}
-	frames := 0
-	torn, err := readFrames(rest, func(body []byte) error {
-		frames++
-		return s.Parse(body)
-	})
-	if err == nil && (torn > 0 || frames != 1) {
-		err = errors.Wrapf(ErrCorrupt, "snapshot file has %d complete frames and %d torn bytes, want one frame", frames, torn)
+	body, ok, err := r.next()
+	if err != nil {
+		return Snapshot{}, err
 	}
+	if !ok || r.torn() > 0 {
+		return Snapshot{}, errors.Wrapf(ErrCorrupt, "snapshot file has a complete frame: %v, and %d more bytes, want one frame", ok, r.torn())
+	}
+	var s Snapshot
+	err = s.Parse(body) // the reader is not used again, so that the snapshot may keep the body
 	return s, err
 }
--- a/core/state/wal/content.go
+++ b/core/state/wal/content.go
@@ -76,15 +76,15 @@
 	})
 }
 
-// Write appends the fields of the snapshot to w.
-func (s Snapshot) Write(w *protofield.Writer) {
+// writeHead appends the fields of the snapshot to w up to Data, whose bytes must follow.
+func (s Snapshot) writeHead(w *protofield.Writer) {
 	w.Uint(1, s.Index)
 	w.Uint(2, s.Term)
 	w.Bytes(3, s.Membership)
-	w.Bytes(4, s.Data)
+	w.BytesHead(4, len(s.Data))
 }
 
-// Parse decodes the fields that Write wrote.
+// Parse decodes the fields that writeHead wrote and the data after them. Data aliases b.
 func (s *Snapshot) Parse(b []byte) error {
 	return protofield.ForEach(b, func(f protofield.Field) error {
 		switch f.Number {
@@ -95,7 +95,7 @@
 		case 3:
 			s.Membership = f.Clone()
 		case 4:
-			s.Data = f.Clone()
+			s.Data = f.Bytes
 		}
 		return nil
 	})
--- a/core/state/wal/frame.go
+++ b/core/state/wal/frame.go
@@ -1,10 +1,14 @@
 package wal
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/binary"
 	"hash/crc32"
+	"io"
+	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -42,70 +46,175 @@
 	return append(strconv.AppendInt([]byte(prefix), FormatVersion, 10), '\n')
 }
 
+// frameHeader returns the header of a frame with a body of the given size and the checksum of all bodies up to that one.
+func frameHeader(size int, checksum uint32) [frameHeaderSize]byte {
+	var b [frameHeaderSize]byte
+	binary.LittleEndian.PutUint32(b[:], uint32(size))
+	binary.LittleEndian.PutUint32(b[4:], crc32.Checksum(b[:4], castagnoli))
+	binary.LittleEndian.PutUint32(b[8:], checksum)
+	return b
+}
+
 // appendFrame appends one frame to b. The checksum of the frames before it, 0 for the first, is passed in, and the one that
 // includes it returned.
 func appendFrame(b []byte, checksum uint32, body []byte) ([]byte, uint32) {
-	start := len(b)
-	b = binary.LittleEndian.AppendUint32(b, uint32(len(body)))
-	b = binary.LittleEndian.AppendUint32(b, crc32.Checksum(b[start:start+4], castagnoli))
 	checksum = crc32.Update(checksum, castagnoli, body)
-	b = binary.LittleEndian.AppendUint32(b, checksum)
+	header := frameHeader(len(body), checksum)
+	b = slices.Grow(b, frameHeaderSize+len(body)+1)
+	b = append(b, header[:]...)
 	b = append(b, body...)
 	return append(b, endMark), checksum
 }
 
-// readTitle checks the title line and returns what follows it.
-func readTitle(raw []byte, prefix string) ([]byte, error) {
-	rest, ok := bytes.CutPrefix(raw, []byte(prefix))
-	version, rest, complete := bytes.Cut(rest, []byte("\n"))
-	if !ok || !complete {
-		return nil, errors.Wrapf(ErrCorrupt, "title line is not %q with a version", prefix)
+// frameWriter writes a file frame by frame.
+type frameWriter struct {
+	w        io.Writer
+	checksum uint32 // of the bodies of all frames
+	size     int64  // of the file, in bytes
+	err      error  // first error of w; nothing is written after it
+}
+
+// newFrameWriter returns a frameWriter that has written the title line.
+func newFrameWriter(w io.Writer, titlePrefix string) *frameWriter {
+	f := &frameWriter{w: w}
+	f.write(titleLine(titlePrefix))
+	return f
+}
+
+// writeFrame writes one frame, whose body is the concatenation of parts.
+func (f *frameWriter) writeFrame(parts ...[]byte) {
+	size := 0
+	for _, part := range parts {
+		size += len(part)
+		f.checksum = crc32.Update(f.checksum, castagnoli, part)
 	}
-	if v, err := strconv.Atoi(string(version)); err != nil || v != FormatVersion {
-		return nil, errors.Wrapf(ErrUnsupportedFormat, "file has format version %q, this program reads version %d", version, FormatVersion)
+	header := frameHeader(size, f.checksum)
+	f.write(header[:])
+	for _, part := range parts {
+		f.write(part)
 	}
-	return rest, nil
+	f.write([]byte{endMark})
+}
+
+func (f *frameWriter) write(b []byte) {
+	if f.err != nil {
+		return
+	}
+	n, err := f.w.Write(b)
+	f.size += int64(n)
+	f.err = err
+}
+
+// checkTitle checks the title line of a file, without its newline.
+func checkTitle(line, prefix string) error {
+	version, ok := strings.CutPrefix(line, prefix)
+	if !ok {
+		return errors.Wrapf(ErrCorrupt, "title line is not %q with a version", prefix)
+	}
+	if v, err := strconv.Atoi(version); err != nil || v != FormatVersion {
+		return errors.Wrapf(ErrUnsupportedFormat, "file has format version %q, this program reads version %d", version, FormatVersion)
+	}
+	return nil
+}
+
+// frameReader reads a file frame by frame and holds one frame at a time.
+type frameReader struct {
+	r        *bufio.Reader
+	offset   int64 // of the next frame, from the end of the title line
+	size     int64 // of all that follows the title line
+	written  int64 // as size, without the zeros at the end of the file: a frame that reaches beyond it has no end mark
+	checksum uint32
+	body     []byte // of the last frame, reused for the next one
 }
 
-// readFrames calls visit with the body of each frame and returns the number of bytes at the end that are a torn write.
-func readFrames(raw []byte, visit func(body []byte) error) (torn int, err error) {
-	checksum := uint32(0)
-	written := len(bytes.TrimRight(raw, "\x00"))
-	for offset := 0; offset < len(raw); {
-		body, size, err := readFrame(raw[offset:], written-offset, &checksum)
-		if err != nil {
-			return 0, errors.Wrapf(err, "frame at byte %d", offset)
+// newFrameReader checks the title line and returns a reader of the frames after it.
+func newFrameReader(file io.ReadSeeker, titlePrefix string) (*frameReader, error) {
+	size, written, err := contentSize(file)
+	if err != nil {
+		return nil, err
+	}
+	r := bufio.NewReader(file)
+	title, err := r.ReadSlice('\n')
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, bufio.ErrBufferFull) {
+		return nil, errors.Wrap(err, "read title line")
+	}
+	line, complete := strings.CutSuffix(string(title), "\n")
+	if !complete {
+		return nil, errors.Wrapf(ErrCorrupt, "title line is not %q with a version", titlePrefix)
+	}
+	titleSize := int64(len(title))
+	return &frameReader{r: r, size: size - titleSize, written: written - titleSize}, checkTitle(line, titlePrefix)
+}
+
+// readBlockSize is the size of the blocks in which contentSize reads, in bytes.
+const readBlockSize = 64 << 10
+
+// contentSize returns the size of a file and its size without the zeros at its end, and goes back to the start of the file.
+func contentSize(file io.ReadSeeker) (size, written int64, err error) {
+	if size, err = file.Seek(0, io.SeekEnd); err != nil {
+		return 0, 0, err
+	}
+	block := make([]byte, min(size, readBlockSize))
+	for written = size; written > 0; {
+		start := max(0, written-readBlockSize)
+		part := block[:written-start]
+		if _, err := file.Seek(start, io.SeekStart); err != nil {
+			return 0, 0, err
 		}
-		if size == 0 {
-			return len(raw) - offset, nil
+		if _, err := io.ReadFull(file, part); err != nil {
+			return 0, 0, err
 		}
-		if err := visit(body); err != nil {
-			return 0, errors.Wrapf(err, "frame at byte %d", offset)
+		nonZero := len(bytes.TrimRight(part, "\x00"))
+		written = start + int64(nonZero)
+		if nonZero > 0 {
+			break
 		}
-		offset += size
 	}
-	return 0, nil
+	_, err = file.Seek(0, io.SeekStart)
+	return size, written, err
 }
 
-// readFrame returns the body and the size of the first frame of raw; size 0 means that it is a torn write. Written is the
-// number of bytes before the zeros at the end of the file: a frame that reaches beyond them has no end mark. The checksum of
-// the frames before is updated to include this one.
-func readFrame(raw []byte, written int, checksum *uint32) (body []byte, size int, err error) {
-	if written < frameHeaderSize {
-		return nil, 0, nil
+// next returns the body of the next frame, which is valid until the next call, or nil and false after the last complete frame.
+func (r *frameReader) next() ([]byte, bool, error) {
+	body, err := r.readFrame()
+	if err != nil {
+		return nil, false, errors.Wrapf(err, "frame at byte %d", r.offset)
+	}
+	if body == nil {
+		return nil, false, nil
+	}
+	r.offset += frameHeaderSize + int64(len(body)) + 1
+	return body, true, nil
+}
+
+// torn returns the number of bytes after the last complete frame; they are a torn write.
+func (r *frameReader) torn() int { return int(r.size - r.offset) }
+
+// readFrame returns the body of the next frame, or nil if the rest of the file is a torn write or empty.
+func (r *frameReader) readFrame() ([]byte, error) {
+	left := r.written - r.offset
+	if left < frameHeaderSize {
+		return nil, nil
+	}
+	var header [frameHeaderSize]byte
+	if _, err := io.ReadFull(r.r, header[:]); err != nil {
+		return nil, err
+	}
+	if crc32.Checksum(header[:4], castagnoli) != binary.LittleEndian.Uint32(header[4:]) {
+		return nil, errors.Wrap(ErrCorrupt, "size of the frame does not match its checksum")
 	}
-	if crc32.Checksum(raw[:4], castagnoli) != binary.LittleEndian.Uint32(raw[4:]) {
-		return nil, 0, errors.Wrap(ErrCorrupt, "size of the frame does not match its checksum")
+	length := int64(binary.LittleEndian.Uint32(header[:]))
+	if left < frameHeaderSize+length+1 {
+		return nil, nil
 	}
-	length := uint64(binary.LittleEndian.Uint32(raw))
-	if uint64(written) < frameHeaderSize+length+1 {
-		return nil, 0, nil
+	r.body = slices.Grow(r.body[:0], int(length)+1)[:length+1]
+	if _, err := io.ReadFull(r.r, r.body); err != nil {
+		return nil, err
 	}
-	body = raw[frameHeaderSize : frameHeaderSize+length]
-	sum := crc32.Update(*checksum, castagnoli, body)
-	if sum != binary.LittleEndian.Uint32(raw[8:]) || raw[frameHeaderSize+length] != endMark {
-		return nil, 0, errors.Wrap(ErrCorrupt, "body of the frame does not match its checksum or lacks the end mark")
+	body := r.body[:length]
+	r.checksum = crc32.Update(r.checksum, castagnoli, body)
+	if r.checksum != binary.LittleEndian.Uint32(header[8:]) || r.body[length] != endMark {
+		return nil, errors.Wrap(ErrCorrupt, "body of the frame does not match its checksum or lacks the end mark")
 	}
-	*checksum = sum
-	return body, int(frameHeaderSize + length + 1), nil
+	return body, nil
 }
--- a/core/state/wal/log.go
+++ b/core/state/wal/log.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"pollenhill.example/core/state/disk"
+	"pollenhill.example/core/state/protofield"
 )
 
 // Log is the open write-ahead log of a data folder. It is not safe for concurrent use.
@@ -99,12 +100,12 @@
 		return Content{}, errors.Wrapf(ErrCorrupt, "name of log file %s has no hexadecimal generation", path)
 	}
 	l.generation = generation
-	raw, err := l.cfg.FS.ReadFile(path)
+	file, err := l.cfg.FS.Open(path)
 	if err != nil {
-		return Content{}, errors.Wrapf(err, "read log file %s", path)
+		return Content{}, errors.Wrapf(err, "open log file %s", path)
 	}
-	c, _, err := Decode(raw)
-	if err != nil {
+	c, _, err := Decode(file)
+	if err = errors.CombineErrors(err, file.Close()); err != nil {
 		return Content{}, errors.Wrapf(err, "read log file %s", path)
 	}
 	if c.Snapshot.Index == 0 {
@@ -116,12 +117,12 @@
 
 func (l *Log) readSnapshot(want Snapshot) (Snapshot, error) {
 	path := l.filePath(snapshotPrefix, want.Index)
-	raw, err := l.cfg.FS.ReadFile(path)
+	file, err := l.cfg.FS.Open(path)
 	if err != nil {
-		return Snapshot{}, errors.Wrapf(err, "read snapshot file %s", path)
+		return Snapshot{}, errors.Wrapf(err, "open snapshot file %s", path)
 	}
-	s, err := decodeSnapshotFile(raw)
-	if err != nil {
+	s, err := decodeSnapshotFile(file)
+	if err = errors.CombineErrors(err, file.Close()); err != nil {
 		return Snapshot{}, errors.Wrapf(err, "read snapshot file %s", path)
 	}
 	if s.Index != want.Index || s.Term != want.Term {
@@ -142,7 +143,9 @@
 	if l.failure != nil {
 		return l.failure
 	}
-	frame, checksum := appendFrame(nil, l.checksum, encodeBatch(state, entries))
+	var body protofield.Writer
+	writeBatch(&body, state, entries)
+	frame, checksum := appendFrame(nil, l.checksum, body.Encoded())
 	if _, err := l.file.Write(frame); err != nil {
 		return l.markFailed(errors.Wrap(err, "write log file"))
 	}
@@ -177,8 +180,8 @@
 			return err
 		}
 	}
-	raw, checksum := encodeLogFile(c)
-	file, err := disk.WriteAtomic(l.cfg.FS, l.filePath(logPrefix, l.generation+1), raw)
+	content := &logFile{content: c}
+	file, err := disk.WriteAtomic(l.cfg.FS, l.filePath(logPrefix, l.generation+1), content)
 	if err != nil {
 		return err
 	}
@@ -187,14 +190,14 @@
 			return errors.Wrap(err, "close old log file")
 		}
 	}
-	l.file, l.checksum, l.size = file, checksum, len(raw)
+	l.file, l.checksum, l.size = file, content.checksum, int(content.size)
 	l.generation++
 	l.snapshotIndex = c.Snapshot.Index
 	return l.removeUnusedFiles()
 }
 
 func (l *Log) writeSnapshot(s Snapshot) error {
-	file, err := disk.WriteAtomic(l.cfg.FS, l.filePath(snapshotPrefix, s.Index), encodeSnapshotFile(s))
+	file, err := disk.WriteAtomic(l.cfg.FS, l.filePath(snapshotPrefix, s.Index), snapshotFile(s))
 	if err != nil {
 		return err
 	}
--- a/core/state/wal/log_test.go
+++ b/core/state/wal/log_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"math/rand/v2"
 	"reflect"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 	"pgregory.net/rapid"
 
 	"pollenhill.example/core/state/disk"
@@ -105,7 +107,7 @@
 				if other == name {
 					content[bit/8] ^= 1 << (bit % 8)
 				}
-				if _, err := disk.WriteAtomic(fs, dataDir+"/"+other, content); err != nil {
+				if _, err := disk.WriteAtomic(fs, dataDir+"/"+other, bytes.NewReader(content)); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -132,7 +134,7 @@
 	raw, _ := fs.ReadFile(dataDir + "/" + names[0])
 	for bit := range len(raw) * 8 {
 		raw[bit/8] ^= 1 << (bit % 8)
-		if _, torn, err := wal.Decode(raw); err == nil {
+		if _, torn, err := wal.Decode(bytes.NewReader(raw)); err == nil {
 			t.Fatalf("bit %d of %d flipped: no error, %d torn bytes", bit, len(raw)*8, torn)
 		}
 		raw[bit/8] ^= 1 << (bit % 8)
@@ -151,7 +153,7 @@
 	for cut := len(before); cut < len(after); cut++ {
 		for _, zeros := range []int{0, len(after) - cut} {
 			raw := append(bytes.Clone(after[:cut]), make([]byte, zeros)...)
-			c, torn, err := wal.Decode(raw)
+			c, torn, err := wal.Decode(bytes.NewReader(raw))
 			if err != nil || c.HardState.Term != 1 || len(c.Entries) != 1 || torn != len(raw)-len(before) {
 				t.Fatalf("cut at %d with %d zeros: term %d, %d entries, %d torn bytes, error %v", cut, zeros, c.HardState.Term, len(c.Entries), torn, err)
 			}
@@ -161,7 +163,7 @@
 
 // Guards against a file of a later format version that is read as if it had this one.
 func TestUnsupportedFormatIsRefused(t *testing.T) {
-	_, _, err := wal.Decode([]byte("pollenhill log 2\nanything"))
+	_, _, err := wal.Decode(strings.NewReader("pollenhill log 2\nanything"))
 	if !errors.Is(err, wal.ErrUnsupportedFormat) || !strings.Contains(err.Error(), `"2"`) {
 		t.Fatalf("error %v, want ErrUnsupportedFormat with the version", err)
 	}
@@ -246,6 +248,63 @@
 	return next, l.Append(next.HardState, list) == nil
 }
 
+// Guards against a start that holds the log several times over (review/12): as file, as entries and as rewritten file. Beside the
+// entries it may hold a few frames.
+func TestOpenHoldsTheLogOnce(t *testing.T) {
+	const logSize, spare = 32 << 20, 16 << 20
+	fs := disk.Real{}
+	dir := t.TempDir()
+	l, _, _ := wal.Open(wal.Config{FS: fs, Dir: dir})
+	text := strings.Repeat("x", logSize/64)
+	if err := l.Replace(wal.Content{Identity: []byte("me"), Entries: makeEntries(1, 1, slices.Repeat([]string{text}, 64)...)}); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	l, c, err := wal.Open(wal.Config{FS: fs, Dir: dir})
+	runtime.ReadMemStats(&after)
+	if err != nil || len(c.Entries) != 64 {
+		t.Fatalf("%d entries, error %v", len(c.Entries), err)
+	}
+	defer l.Close()
+	if got := after.TotalAlloc - before.TotalAlloc; got > logSize+spare {
+		t.Errorf("opening a log of %d bytes allocates %d, want at most %d", logSize, got, logSize+spare)
+	}
+}
+
+// Guards against a rewritten file of many frames that does not read back as it was, entries of all sizes included.
+func TestRewrittenLogReadsBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sizes := rapid.SliceOfN(rapid.IntRange(0, 3<<20), 0, 6).Draw(t, "sizes")
+		var texts []string
+		for _, n := range sizes {
+			texts = append(texts, strings.Repeat("y", n))
+		}
+		want := wal.Content{HardState: wal.HardState{Term: 4, Vote: "b"}, Entries: makeEntries(1, 3, texts...)}
+		fs := newFakeDisk(1)
+		l, _, _ := reopen(fs)
+		if err := l.Replace(want); err != nil {
+			t.Fatal(err)
+		}
+		size := l.Size()
+		if err := l.Append(want.HardState, makeEntries(uint64(len(texts)+1), 4, "z")); err != nil {
+			t.Fatal(err)
+		}
+		want.Entries = append(want.Entries, makeEntries(uint64(len(texts)+1), 4, "z")...)
+		_ = l.Close()
+		_, got, err := reopen(fs)
+		if err != nil || !equalContent(got, want) {
+			t.Fatalf("%d entries, error %v, want %d", len(got.Entries), err, len(want.Entries))
+		}
+		if names, _ := fs.ListDir(dataDir); len(names) != 1 || size <= lo.Sum(sizes) {
+			t.Fatalf("files %q, size %d with entries of %d", names, size, lo.Sum(sizes))
+		}
+	})
+}
+
 // Guards against a decoder that panics or returns entries out of order on any input. The seed corpus of truncated and damaged
 // logs runs with the ordinary tests.
 func FuzzDecode(f *testing.F) {
@@ -265,7 +324,7 @@
 		f.Add(damaged)
 	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		c, torn, err := wal.Decode(raw)
+		c, torn, err := wal.Decode(bytes.NewReader(raw))
 		if err != nil {
 			return
 		}
