--- a/core/coordination/consensus/apply.go
+++ b/core/coordination/consensus/apply.go
@@ -99,9 +99,9 @@
 func (e *Engine) takeSnapshotIfDue(now time.Time) []raft.Cmd {
 	applied := e.replica.AppliedIndex()
 	newEntries := applied - e.model.View(now).SnapshotIndex
-	due := newEntries >= e.cfg.SnapshotMinEntries && e.log.Size() >= e.snapshotSize ||
-		newEntries >= SnapshotMaxEntriesFactor*e.cfg.SnapshotMinEntries
-	if !due && (e.log.Size() < SnapshotMaxLogBytes || newEntries == 0) {
+	enough := newEntries >= e.cfg.SnapshotMinEntries || newEntries > 0 && e.log.Size() >= SnapshotMaxLogBytes
+	due := enough && e.log.Size() >= e.snapshotSize || newEntries >= SnapshotMaxEntriesFactor*e.cfg.SnapshotMinEntries
+	if !due {
 		return nil
 	}
 	e.cfg.ReplicaLock.Lock()
--- a/core/coordination/consensus/engine.go
+++ b/core/coordination/consensus/engine.go
@@ -18,11 +18,12 @@
 //   - after SnapshotMinEntries applied entries if the log is at least as long as the last snapshot, so that a high rate of
 //     claims doesn't make the group write snapshots all the time;
 //   - after SnapshotMaxEntriesFactor times as many entries in any case;
-//   - when the log reaches SnapshotMaxLogBytes.
+//   - when the log reaches SnapshotMaxLogBytes and is at least as long as the last snapshot. The entries since the snapshot
+//     stay in memory, so that this bounds them too.
 const (
 	SnapshotMinEntries       = 4096
 	SnapshotMaxEntriesFactor = 16
-	SnapshotMaxLogBytes      = 64 << 20
+	SnapshotMaxLogBytes      = 8 << 20
 )
 
 // Config configures one member.
--- a/core/coordination/raft/follower.go
+++ b/core/coordination/raft/follower.go
@@ -78,7 +78,7 @@
 		return true
 	}
 	for _, e := range entries {
-		m.log.entries = append(m.log.entries, e)
+		m.log.append(e)
 		if err := m.recordMembership(e); err != nil {
 			m.emit(Halt{err.Error()})
 			return false
--- a/core/coordination/raft/leader.go
+++ b/core/coordination/raft/leader.go
@@ -67,22 +67,24 @@
 	for i := range entries {
 		entries[i].Index = m.log.lastIndex() + 1
 		entries[i].Term = m.state.Term
-		m.log.entries = append(m.log.entries, entries[i])
+		m.log.append(entries[i])
 	}
 	m.save(entries)
 }
 
 func (m *Model) propose(list []Proposal) {
 	var entries []wal.Entry
+	pendingBytes := m.log.size(m.commitIndex, m.log.lastIndex())
 	for _, p := range list {
 		pending := m.log.lastIndex() + uint64(len(entries)) - m.commitIndex
 		switch {
 		case m.role != Leader:
 			m.emit(Rejected{p.Token, NotLeader})
-		case pending >= maxUncommittedEntries:
+		case pending >= maxUncommittedEntries, pendingBytes >= maxUncommittedBytes:
 			m.emit(Rejected{p.Token, Busy})
 		default:
 			entries = append(entries, wal.Entry{Kind: EntryCommand, Data: p.Data})
+			pendingBytes += uint64(len(p.Data))
 			m.emit(Proposed{p.Token, m.log.lastIndex() + uint64(len(entries)), m.state.Term})
 		}
 	}
@@ -174,7 +176,7 @@
 			continue
 		}
 		var entries []wal.Entry
-		if !p.probeOutstanding && p.nextIndex-p.matchIndex <= maxInflightEntries {
+		if !p.probeOutstanding && m.hasRoom(p) {
 			entries = m.log.entriesFrom(p.nextIndex, m.cfg.MaxAppendBytes)
 		}
 		if !heartbeat && len(entries) == 0 {
@@ -190,6 +192,13 @@
 	}
 }
 
+// hasRoom reports whether the member may be sent more entries than it has not acknowledged yet. Those before a matching entry that
+// is unknown are not on their way.
+func (m *Model) hasRoom(p *progress) bool {
+	sent := p.nextIndex - 1
+	return p.probing || sent-p.matchIndex < maxInflightEntries && m.log.size(p.matchIndex, sent) < maxInflightBytes
+}
+
 func (m *Model) appendMessage(id string, prev, term uint64, entries []wal.Entry) Message {
 	return Message{
 		Kind: Append, To: id, Index: prev, LogTerm: term, Entries: entries,
--- a/core/coordination/raft/log.go
+++ b/core/coordination/raft/log.go
@@ -1,12 +1,53 @@
 package raft
 
-import "pollenhill.example/core/state/wal"
+import (
+	"slices"
+	"sort"
+
+	"pollenhill.example/core/state/wal"
+)
 
 // logTail is the part of the log kept in memory: the entries after baseIndex.
 type logTail struct {
 	baseIndex uint64
 	baseTerm  uint64
 	entries   []wal.Entry
+	ends      []uint64 // by entry: bytes of the entries up to and including it, counted from an entry that may have been dropped
+	baseEnd   uint64   // what ends would be for the entry at baseIndex
+}
+
+// newLogTail returns the log that follows an entry.
+func newLogTail(baseIndex, baseTerm uint64, entries ...wal.Entry) logTail {
+	t := logTail{baseIndex: baseIndex, baseTerm: baseTerm}
+	t.append(entries...)
+	return t
+}
+
+func (t *logTail) append(entries ...wal.Entry) {
+	end := t.end(t.lastIndex())
+	for _, e := range entries {
+		end += uint64(len(e.Data) + entryOverheadBytes)
+		t.entries = append(t.entries, e)
+		t.ends = append(t.ends, end)
+	}
+}
+
+// end returns the bytes of the entries up to the one at index, see ends.
+func (t *logTail) end(index uint64) uint64 {
+	if index <= t.baseIndex {
+		return t.baseEnd
+	}
+	return t.ends[index-t.baseIndex-1]
+}
+
+// size returns the bytes of the entries after the index after, up to and including the index to. Entries that are not in
+// memory count nothing.
+func (t *logTail) size(after, to uint64) uint64 { return t.end(to) - t.end(after) }
+
+// startOf returns the index before the entries up to index that have at most the given bytes together.
+func (t *logTail) startOf(index, bytes uint64) uint64 {
+	n := sort.Search(int(index-t.baseIndex), func(i int) bool { return t.size(t.baseIndex+uint64(i), index) <= bytes })
+	return t.baseIndex + uint64(n)
 }
 
 func (t *logTail) lastIndex() uint64 { return t.baseIndex + uint64(len(t.entries)) }
@@ -48,7 +89,9 @@
 
 // truncateFrom drops the entries from index on. It copies the rest, because effects may still refer to the old slice.
 func (t *logTail) truncateFrom(index uint64) {
-	t.entries = append([]wal.Entry(nil), t.entries[:index-t.baseIndex-1]...)
+	keep := index - t.baseIndex - 1
+	t.entries = slices.Clone(t.entries[:keep])
+	t.ends = t.ends[:keep]
 }
 
 // dropThrough drops the entries up to and including index.
@@ -57,6 +100,9 @@
 		return
 	}
 	t.baseTerm, _ = t.term(index)
-	t.entries = append([]wal.Entry(nil), t.entries[index-t.baseIndex:]...)
+	t.baseEnd = t.end(index)
+	drop := index - t.baseIndex
+	t.entries = slices.Clone(t.entries[drop:])
+	t.ends = slices.Clone(t.ends[drop:])
 	t.baseIndex = index
 }
--- a/core/coordination/raft/model.go
+++ b/core/coordination/raft/model.go
@@ -15,13 +15,16 @@
 	DefaultMaxAppendBytes     = 1 << 20   // entries per Append message, in bytes
 	DefaultSnapshotChunkBytes = 256 << 10 // snapshot data per InstallSnapshot message, in bytes
 	DefaultTrailingEntries    = 256       // entries kept before the snapshot, so that slow followers need no snapshot
+	DefaultTrailingBytes      = 4 << 20   // of those entries
 )
 
 const (
-	maxUncommittedEntries   = 8192 // further proposals are rejected as Busy
-	maxInflightEntries      = 4096 // sent to one follower and not acknowledged
-	maxElectionBackoffShift = 8    // doublings of the retry delay, which the election timeout bounds in any case
-	entryOverheadBytes      = 24   // size of an entry besides its data
+	maxUncommittedEntries   = 8192     // further proposals are rejected as Busy
+	maxUncommittedBytes     = 16 << 20 // of those entries
+	maxInflightEntries      = 4096     // sent to one follower and not acknowledged
+	maxInflightBytes        = 4 << 20  // of those entries
+	maxElectionBackoffShift = 8        // doublings of the retry delay, which the election timeout bounds in any case
+	entryOverheadBytes      = 24       // size of an entry besides its data
 )
 
 // Config configures one member. Zero values of the fields with a Default constant select that default.
@@ -33,6 +36,7 @@
 	MaxAppendBytes     int    // entries per Append message, in bytes
 	SnapshotChunkBytes int    // snapshot data per InstallSnapshot message, in bytes
 	TrailingEntries    uint64 // entries kept in memory before the snapshot
+	TrailingBytes      uint64 // of those entries; with less, fewer are kept
 	MaxVoters          int    // further members stay learners until a voter is lost; 0 promotes every learner
 	Rand               *rand.Rand
 }
@@ -53,6 +57,9 @@
 	if c.TrailingEntries == 0 {
 		c.TrailingEntries = DefaultTrailingEntries
 	}
+	if c.TrailingBytes == 0 {
+		c.TrailingBytes = DefaultTrailingBytes
+	}
 	return c
 }
 
@@ -114,7 +121,7 @@
 	cfg = cfg.withDefaults()
 	m := &Model{
 		cfg: cfg, now: now, state: c.HardState, snapshot: c.Snapshot,
-		log:         logTail{baseIndex: c.Snapshot.Index, baseTerm: c.Snapshot.Term, entries: c.Entries},
+		log:         newLogTail(c.Snapshot.Index, c.Snapshot.Term, c.Entries...),
 		commitIndex: c.Snapshot.Index, appliedIndex: c.Snapshot.Index,
 		memberships: []logMembership{{membership: cfg.InitialMembership}},
 	}
--- a/core/coordination/raft/snapshot.go
+++ b/core/coordination/raft/snapshot.go
@@ -4,8 +4,8 @@
 	"pollenhill.example/core/state/wal"
 )
 
-// compact stores a snapshot of the application and drops the entries up to it, except the last TrailingEntries for slow
-// followers.
+// compact stores a snapshot of the application and drops the entries up to it, except the last TrailingEntries, and at most
+// TrailingBytes of them, for slow followers.
 func (m *Model) compact(msg Compact) {
 	if msg.Index <= m.snapshot.Index || msg.Index > m.appliedIndex {
 		return
@@ -18,7 +18,7 @@
 	term, _ := m.log.term(msg.Index)
 	m.snapshot = wal.Snapshot{Index: msg.Index, Term: term, Membership: m.memberships[0].membership.Encode(), Data: msg.Data}
 	m.rewrite()
-	m.log.dropThrough(msg.Index - min(msg.Index, m.cfg.TrailingEntries))
+	m.log.dropThrough(max(msg.Index-min(msg.Index, m.cfg.TrailingEntries), m.log.startOf(msg.Index, m.cfg.TrailingBytes)))
 }
 
 // startSnapshot starts sending the snapshot to a member that needs entries which were compacted.
@@ -109,7 +109,7 @@
 		return false
 	}
 	m.snapshot = s
-	m.log = logTail{baseIndex: s.Index, baseTerm: s.Term}
+	m.log = newLogTail(s.Index, s.Term)
 	m.memberships = []logMembership{{s.Index, members}}
 	m.commitIndex, m.appliedIndex, m.durableIndex = s.Index, s.Index, s.Index
 	m.rewrite()
