watch: rule texts kept for deltas are bounded in bytes

A control process kept 64 rule texts whatever their size: 45 MB with 4,200 routes, beside the log.

Change: at most 16 MiB of texts are kept, and always the newest one.

Evidence: TestKeptVersionsAreBoundedInBytes failed before (40 texts of 1 MiB all kept) and passes now.

--- a/control/coordination/watch/history.go
+++ b/control/coordination/watch/history.go
@@ -1,19 +1,25 @@
 package watch
 
 import (
+	"slices"
+
 	"github.com/samber/lo"
 
 	"pollenhill.example/core/protocol/control"
 	"pollenhill.example/core/state/rule"
 )
 
-// maxVersions is the number of rule texts kept as bases of line deltas. At ten changes a second a node that lags behind
-// by six seconds still gets a delta.
-const maxVersions = 64
+// Limits of the rule texts kept as bases of line deltas. At ten changes a second a node that lags behind by six seconds still
+// gets a delta, up to texts of 256 KiB.
+const (
+	maxVersions     = 64
+	maxVersionBytes = 16 << 20 // of their texts; the newest one is kept whatever its size
+)
 
 // history holds the newest rules and the versions before them.
 type history struct {
 	versions []version                 // oldest first
+	size     int                       // bytes of the texts of versions
 	messages map[uint64]*control.Rules // cached messages that update a held revision to the newest one
 }
 
@@ -30,8 +36,10 @@
 		return false
 	}
 	h.versions = append(h.versions, v)
-	if len(h.versions) > maxVersions {
-		h.versions = h.versions[len(h.versions)-maxVersions:]
+	h.size += len(v.text)
+	for len(h.versions) > maxVersions || h.size > maxVersionBytes && len(h.versions) > 1 {
+		h.size -= len(h.versions[0].text)
+		h.versions = slices.Delete(h.versions, 0, 1)
 	}
 	h.messages = map[uint64]*control.Rules{}
 	return true
--- a/control/coordination/watch/hub_test.go
+++ b/control/coordination/watch/hub_test.go
@@ -155,3 +155,21 @@
 		}
 	}
 }
+
+// Guards against rule texts that are kept whatever their size (review/12), 64 of them: of large texts fewer are kept, and the
+// newest delta is still one.
+func TestKeptVersionsAreBoundedInBytes(t *testing.T) {
+	hub := watch.NewHub()
+	base := strings.Repeat("a line of a large file\n", 1<<20/23)
+	for revision := uint64(1); revision <= 40; revision++ {
+		hub.SetRules(revision, revision, base+fmt.Sprintf("change %d\n", revision))
+	}
+	for held, wantBase := range map[uint64]uint64{39: 39, 30: 30, 20: 0, 1: 0} {
+		w := hub.Watch(&control.WatchRequest{Node: "n", Revision: held})
+		got := w.TakePending()
+		w.Close()
+		if len(got) == 0 || got[0].GetRules().GetBase() != wantBase {
+			t.Errorf("held %d: %d messages with base %d, want base %d", held, len(got), got[0].GetRules().GetBase(), wantBase)
+		}
+	}
+}
