raftgroup: queued messages are bounded in bytes

Change: the inbox takes 16 MiB; what does not fit is dropped, as a full queue did before, and the sender repeats it.

Evidence: on the code before, TestQueuedMessagesAreBoundedInBytes kept 67,021,240 bytes of 64 messages of 1 MiB (want at most 25,165,824).

--- a/control/coordination/raftgroup/group.go
+++ b/control/coordination/raftgroup/group.go
@@ -14,7 +14,6 @@
 )
 
 const (
-	inboxSize = 1024 // queued messages; further ones are dropped, and the sender repeats them
 	queueSize = 1024 // queued proposals and reads; further callers wait
 	maxBatch  = 512  // inputs per sync of the log
 
@@ -29,7 +28,7 @@
 	lastView      atomic.Pointer[timedView]
 	entryApplied  atomic.Pointer[chan struct{}] // closed and replaced when an entry is applied
 	leaderChanged atomic.Pointer[chan struct{}] // closed and replaced when the leader changes
-	inbox         chan []byte                   // messages of other members
+	inbox         *inbox                        // messages of other members
 	queue         chan *request
 	quit          chan struct{} // closed by Close
 	stopped       chan struct{} // closed when run returns
@@ -47,7 +46,7 @@
 // not fit the configuration.
 func Open(cfg Config) (*Group, error) {
 	g := &Group{
-		cfg: cfg.withDefaults(), inbox: make(chan []byte, inboxSize), queue: make(chan *request, queueSize),
+		cfg: cfg.withDefaults(), inbox: newInbox(), queue: make(chan *request, queueSize),
 		quit: make(chan struct{}), stopped: make(chan struct{}),
 	}
 	g.entryApplied.Store(lo.ToPtr(make(chan struct{})))
@@ -98,9 +97,7 @@
 // Receive queues messages that another member passed to Send; it drops what does not fit into the queue.
 func (g *Group) Receive(messages [][]byte) {
 	for _, raw := range messages {
-		select {
-		case g.inbox <- raw:
-		default:
+		if !g.inbox.put(raw) {
 			return
 		}
 	}
--- a/control/coordination/raftgroup/loop.go
+++ b/control/coordination/raftgroup/loop.go
@@ -62,8 +62,8 @@
 		case r := <-g.queue:
 			l.addRequest(r)
 			err = l.step()
-		case raw := <-g.inbox:
-			l.inputs = append(l.inputs, consensus.Receive{Message: raw})
+		case raw := <-g.inbox.messages:
+			l.inputs = append(l.inputs, consensus.Receive{Message: g.inbox.taken(raw)})
 			err = l.step()
 		}
 		if err != nil && !errors.Is(err, ErrClosed) {
@@ -121,8 +121,8 @@
 		select {
 		case r := <-l.group.queue:
 			l.addRequest(r)
-		case raw := <-l.group.inbox:
-			l.inputs = append(l.inputs, consensus.Receive{Message: raw})
+		case raw := <-l.group.inbox.messages:
+			l.inputs = append(l.inputs, consensus.Receive{Message: l.group.inbox.taken(raw)})
 		default:
 			return
 		}
--- a/control/coordination/raftgroup/reopen.go
+++ b/control/coordination/raftgroup/reopen.go
@@ -70,7 +70,8 @@
 			return nil
 		case r := <-l.group.queue:
 			r.reply <- consensus.Outcome{Result: replica.Result{}, Err: errors.CombineErrors(&NotLeaderError{}, cause)}
-		case <-l.group.inbox:
+		case raw := <-l.group.inbox.messages:
+			l.group.inbox.taken(raw)
 		}
 	}
 }
