control: a process gives no rules that its log may have replaced

It also called itself current as soon as it heard of a leader with a quorum, or was one, before it had applied what was committed: the same on the path of a process that was cut off for a while, and of a new leader.

Change: a process is current only once it has applied what the leader had committed when the contact with the quorum began; a leader only once it has applied an entry of its term, and before it commits one it does not tell followers that it knows what is committed. Meanwhile nothing of the replica is published, and nodes without rules get none from this process; nodes with rules go on with them and never go back. Where nothing newer is known, a process gives its rules at once, also without any leader, as before. While no process is current, a node follows the one that knows of the newest rules, since one that was cut off before all were stopped does not know that it was. On a related path, found by reading: a new leader decides on rollouts only once it is current. Event 2007 tells operators.

The tests of the raft model, the hub and the choice of a process cover the other paths.

Weighed: rules only after a linearizable read would make nodes wait for an election, for ever in a region that is cut off. What a refused change in the log costs: it counts as a change until the process knows that it was refused.

--- a/control/coordination/raftgroup/config.go
+++ b/control/coordination/raftgroup/config.go
@@ -52,7 +52,8 @@
 	Term         uint64
 	CommitIndex  uint64
 	AppliedIndex uint64
-	Current      bool     // leader with a quorum, or follower that heard from such a leader, within the election timeout
+	Current      bool     // in contact with a quorum within the election timeout, with everything applied that was committed before that contact
+	PendingRules uint64   // index up to which there may be newer rules than those of the replica, 0 if none are known
 	Voters       []string // names
 	Learners     []string // names
 
--- a/control/coordination/watch/hub.go
+++ b/control/coordination/watch/hub.go
@@ -21,6 +21,7 @@
 	watchers    map[*Watcher]struct{}      // of nodes
 	ruleReaders map[*Watcher]struct{}      // watchers that get rules only
 	complete    bool                       // every member is known, so that a full message may replace those of a node
+	pending     uint64                     // revision up to which there may be newer rules, 0 if none are known
 	history     history
 }
 
@@ -41,6 +42,32 @@
 	if !h.history.add(version{revision: revision, number: number, text: text}) {
 		return
 	}
+	h.notifyAll()
+}
+
+// SetPendingRules sets the revision up to which there may be newer rules than those of the hub, 0 if none are known. Meanwhile nodes
+// that have no rules get none: they would serve by rules that other nodes have replaced long ago.
+func (h *Hub) SetPendingRules(revision uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if revision == h.pending {
+		return
+	}
+	h.pending = revision
+	h.notifyAll()
+}
+
+// rulesFor returns the message that updates the rules of a node to the newest ones, or nil if there is none to send now; the
+// caller holds mu.
+func (h *Hub) rulesFor(held uint64) *control.Rules {
+	if held == 0 && h.history.newest().revision < h.pending {
+		return nil
+	}
+	return h.history.rulesSince(held)
+}
+
+// notifyAll notifies all watchers; the caller holds mu.
+func (h *Hub) notifyAll() {
 	for _, set := range []map[*Watcher]struct{}{h.watchers, h.ruleReaders} {
 		for w := range set {
 			w.notify()
--- a/control/coordination/watch/hub_test.go
+++ b/control/coordination/watch/hub_test.go
@@ -173,3 +173,27 @@
 		}
 	}
 }
+
+// Guards against a starting node that gets rules while newer ones may be in force (review/14), against one that waits on when they are
+// known, and against nodes with rules that wait.
+func TestStartingNodesWaitForPendingRules(t *testing.T) {
+	hub := watch.NewHub()
+	hub.SetRules(5, 1, "old")
+	hub.SetPendingRules(9)
+	starting := hub.Watch(&control.WatchRequest{Node: "starting"})
+	defer starting.Close()
+	running := hub.Watch(&control.WatchRequest{Node: "running", Revision: 3})
+	defer running.Close()
+	if got := starting.TakePending(); len(got) > 0 {
+		t.Errorf("starting node got %v while newer rules are pending", got)
+	}
+	if got := running.TakePending(); len(got) != 1 || got[0].GetRules().GetRevision() != 5 {
+		t.Errorf("node with older rules got %v, want revision 5", got)
+	}
+	<-starting.Pending()
+	hub.SetPendingRules(0)
+	<-starting.Pending()
+	if got := starting.TakePending(); len(got) != 1 || got[0].GetRules().GetRevision() != 5 {
+		t.Errorf("starting node got %v once no newer rules are pending, want revision 5", got)
+	}
+}
--- a/control/coordination/watch/watcher.go
+++ b/control/coordination/watch/watcher.go
@@ -92,7 +92,7 @@
 	w.changedNodes = map[string][]string{}
 	w.changedServices = map[string]struct{}{}
 	w.sendFull = false
-	return c, w.hub.history.rulesSince(w.sentRevision)
+	return c, w.hub.rulesFor(w.sentRevision)
 }
 
 // updateMembers updates the subsets and returns the message for the node, or nil if nothing changed for it.
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -131,14 +131,16 @@
 // publishUpdates passes new rules, peers and leaders to the other parts until ctx ends or the group stops.
 func (d *Daemon) publishUpdates(ctx context.Context) error {
 	leader := ""
-	revision := uint64(0)
+	revision, pending := uint64(0), uint64(0)
 	var peers []string
 	for {
 		changed := d.group.EntryApplied()
 		if err := d.group.Err(); err != nil {
 			return err
 		}
-		revision = d.publishRules(revision)
+		newest := d.group.View().PendingRules
+		revision = d.publishRules(revision, newest)
+		pending = d.publishPending(pending, newest)
 		leader = d.logLeaderChange(leader)
 		if peers = d.updatePeers(ctx, peers); ctx.Err() != nil {
 			return ctx.Err()
@@ -154,8 +156,22 @@
 	}
 }
 
-// publishRules publishes and logs the rules in force if they are newer than revision after, and returns their revision.
-func (d *Daemon) publishRules(after uint64) uint64 {
+// publishPending publishes and logs up to which log index there may be newer rules if that differs from last, and returns it. It
+// comes after publishRules, so that nodes that have waited get the newest rules.
+func (d *Daemon) publishPending(last, pending uint64) uint64 {
+	if pending == last {
+		return last
+	}
+	d.hub.SetPendingRules(pending)
+	var revision uint64
+	d.group.ReadReplica(func(r *replica.Replica) { revision = r.Rules().Revision })
+	d.log.Emit(event.RulesPending, zap.Uint64("pending", pending), zap.Uint64("revision", revision))
+	return pending
+}
+
+// publishRules publishes and logs the rules in force if they are newer than revision after, and returns their revision. Those of a
+// snapshot are not published while there may be newer ones, up to the log index pending.
+func (d *Daemon) publishRules(after, pending uint64) uint64 {
 	var rules replica.Rules
 	var changes []replica.AcceptedChange
 	d.group.ReadReplica(func(r *replica.Replica) {
@@ -163,7 +179,7 @@
 			changes = r.AcceptedChanges()
 		}
 	})
-	if rules.Revision <= after {
+	if rules.Revision <= after || rules.Revision < pending {
 		return after
 	}
 	d.hub.SetRules(rules.Revision, rules.ChangeNumber, rules.Text)
--- a/control/daemon/rollouts.go
+++ b/control/daemon/rollouts.go
@@ -110,12 +110,13 @@
 			continue
 		}
 		list := r.takePending()
-		switch leader := r.group.View().Leader; leader {
-		case r.name:
+		switch v := r.group.View(); {
+		case v.Leader == r.name && v.Current:
 			r.lead(ctx, list)
-		case "":
+		case v.Leader == r.name || v.Leader == "":
+			// A leader that has not applied its log yet knows older states of the rollouts.
 		default:
-			r.forward(ctx, leader, list)
+			r.forward(ctx, v.Leader, list)
 		}
 		pause.For(ctx, rolloutInterval)
 	}
--- a/control/transport/node/handler.go
+++ b/control/transport/node/handler.go
@@ -77,7 +77,7 @@
 		}
 	}
 	v := h.Group.View()
-	resp := &control.AnnounceResponse{Revision: h.currentRules().Revision, Current: v.Current}
+	resp := &control.AnnounceResponse{Revision: max(h.currentRules().Revision, v.PendingRules), Current: v.Current}
 	if v.DynamicMembership {
 		resp.Group = append(slices.Clone(v.Voters), v.Learners...)
 	}
--- a/core/coordination/consensus/engine.go
+++ b/core/coordination/consensus/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -109,7 +110,8 @@
 	outbox           []outgoingBatch
 	outcomes         []Outcome
 	nextJoinRequest  time.Time
-	snapshotSize     int // of the last snapshot, in bytes
+	snapshotSize     int    // of the last snapshot, in bytes
+	loggedRules      uint64 // last entry of the opened log that may change the rules, 0 once this member has been current
 	err              error
 	formerPeers      []string // process names of the members before this one was removed; asked to join in addition to Peers
 }
@@ -197,10 +199,36 @@
 		TrailingEntries: e.cfg.TrailingEntries, Rand: e.cfg.Rand, MaxVoters: e.cfg.MaxVoters,
 	}, now, e.openedContent)
 	e.model = model
+	e.loggedRules = lastRuleChange(e.openedContent.Entries)
 	e.openedContent = wal.Content{Identity: e.openedContent.Identity}
 	return err
 }
 
+// lastRuleChange returns the index of the last entry that may change the rules, 0 if there is none.
+func lastRuleChange(entries []wal.Entry) uint64 {
+	for _, entry := range slices.Backward(entries) {
+		if entry.Kind == raft.EntryCommand && replica.MayChangeRules(entry.Data) {
+			return entry.Index
+		}
+	}
+	return 0
+}
+
+// PendingRules returns the index up to which there may be newer rules than those of the replica, 0 if none are known. There may be
+// in entries of the opened log, as long as this member doesn't know whether they are committed, and in entries that a leader has
+// committed and this member has not applied yet. Without either, the rules of the replica are the newest that this member can
+// know of, even if it has no contact with a quorum.
+func (e *Engine) PendingRules(now time.Time) uint64 {
+	v := e.View(now)
+	switch {
+	case v.Current:
+		return 0
+	case v.Applied < e.loggedRules:
+		return max(v.Missing, e.loggedRules)
+	}
+	return v.Missing
+}
+
 // Err returns the error that stopped the member, or nil while it runs.
 func (e *Engine) Err() error { return e.err }
 
--- a/core/coordination/consensus/step.go
+++ b/core/coordination/consensus/step.go
@@ -59,6 +59,9 @@
 			cmds = e.takeSnapshotIfDue(now)
 		}
 	}
+	if e.loggedRules > 0 && e.View(now).Current {
+		e.loggedRules = 0
+	}
 	return err
 }
 
--- a/core/coordination/follow/model.go
+++ b/core/coordination/follow/model.go
@@ -80,13 +80,13 @@
 type search struct {
 	round        uint64
 	running      bool
-	optional     bool            // scheduled although the followed control process can stay; an urgent search replaces it
-	start        time.Time       // actual start if running, else scheduled start; zero if not scheduled
-	firstCurrent time.Time       // first answer of a current control process
-	localCurrent bool            // a current control process of the own region answered
-	answers      map[string]bool // whether each control process that answered is current
-	probes       int             // control processes asked
-	failedProbes int             // probes without an answer
+	optional     bool              // scheduled although the followed control process can stay; an urgent search replaces it
+	start        time.Time         // actual start if running, else scheduled start; zero if not scheduled
+	firstCurrent time.Time         // first answer of a current control process
+	localCurrent bool              // a current control process of the own region answered
+	answers      map[string]Answer // by control process
+	probes       int               // control processes asked
+	failedProbes int               // probes without an answer
 }
 
 // New returns a Model that follows no control process.
@@ -182,8 +182,8 @@
 		m.search.failedProbes++ // it is gone since it was asked
 		return
 	}
-	m.search.answers[msg.Server] = msg.Current
-	if !msg.Current {
+	m.search.answers[msg.Server] = msg.Answer
+	if !msg.Answer.Current {
 		return
 	}
 	if m.search.firstCurrent.IsZero() {
@@ -253,7 +253,7 @@
 }
 
 func (m *Model) startSearch(now time.Time) []Cmd {
-	m.search = search{round: m.search.round + 1, running: true, start: now, answers: map[string]bool{}}
+	m.search = search{round: m.search.round + 1, running: true, start: now, answers: map[string]Answer{}}
 	servers := m.drawServers()
 	m.search.probes = len(servers)
 	return lo.Map(servers, func(s Server, _ int) Cmd { return Probe{Server: s.Name, Round: m.search.round} })
@@ -312,7 +312,7 @@
 		return nil
 	}
 	best := m.bestServer(answers)
-	if !answers[best] {
+	if !answers[best].Current {
 		m.scheduleWithoutCurrent(now)
 	}
 	if best == m.server && !m.isSilent(now) {
@@ -355,15 +355,19 @@
 	return []Cmd{Connect{Server: server}}
 }
 
-// bestServer returns the best control process that answered: it prefers current ones, then those of the own region, then the
-// followed one, and draws one of equals.
-func (m *Model) bestServer(answers map[string]bool) string {
+// bestServer returns the best control process that answered: it prefers current ones, or if there are none those that know of the
+// newest rules, then those of the own region, then the followed one, and draws one of equals. A process that was cut off before all
+// were stopped knows older rules than the others, and nothing tells it so before there is a leader.
+func (m *Model) bestServer(answers map[string]Answer) string {
 	candidates := lo.Filter(m.cfg.Servers, func(s Server, _ int) bool { _, ok := answers[s.Name]; return ok })
+	if current := lo.Filter(candidates, func(s Server, _ int) bool { return answers[s.Name].Current }); len(current) > 0 {
+		candidates = current
+	} else {
+		newest := lo.Max(lo.Map(candidates, func(s Server, _ int) uint64 { return answers[s.Name].Revision }))
+		candidates = lo.Filter(candidates, func(s Server, _ int) bool { return answers[s.Name].Revision == newest })
+	}
 	score := func(s Server) int {
 		n := 0
-		if answers[s.Name] {
-			n += 4
-		}
 		if s.Region == m.cfg.Region {
 			n += 2
 		}
--- a/core/coordination/follow/model_test.go
+++ b/core/coordination/follow/model_test.go
@@ -64,7 +64,7 @@
 	if s.silent {
 		return
 	}
-	n.queue = append(n.queue, follow.ProbeResult{Server: cmd.Server, Round: cmd.Round, OK: s.up, Current: s.current})
+	n.queue = append(n.queue, follow.ProbeResult{Server: cmd.Server, Round: cmd.Round, OK: s.up, Answer: follow.Answer{Current: s.current}})
 }
 
 func (n *simNode) connect(name string) {
@@ -413,3 +413,28 @@
 		}
 	}
 }
+
+// Guards against a starting node that gets old rules from a control process that was cut off before all were stopped (review/14):
+// without a current process the node follows the one that knows of the newest rules.
+func TestProcessWithNewestRulesIsFollowed(t *testing.T) {
+	revisions := map[string]uint64{"a": 400, "b": 900, "c": 400}
+	for seed := range uint64(20) {
+		servers := []follow.Server{{Name: "a", Region: "home"}, {Name: "b", Region: "far"}, {Name: "c", Region: "home"}}
+		m := follow.New(follow.Config{Region: "home", Servers: servers, Rand: rand.New(rand.NewPCG(seed, 0))})
+		queue := []follow.Msg{follow.Tick{}}
+		for now := epoch; m.View(now).Server == "" && now.Before(epoch.Add(time.Minute)); now = now.Add(tickInterval) {
+			for _, msg := range append(queue, follow.Tick{}) {
+				queue = nil
+				for _, cmd := range m.Update(now, msg) {
+					if p, ok := cmd.(follow.Probe); ok {
+						answer := follow.Answer{Revision: revisions[p.Server]}
+						queue = append(queue, follow.ProbeResult{Server: p.Server, Round: p.Round, OK: true, Answer: answer})
+					}
+				}
+			}
+		}
+		if got := m.View(epoch.Add(time.Minute)).Server; got != "b" {
+			t.Fatalf("seed %d: follows %q, want b with the newest rules", seed, got)
+		}
+	}
+}
--- a/core/coordination/follow/msg.go
+++ b/core/coordination/follow/msg.go
@@ -18,10 +18,16 @@
 
 // ProbeResult reports the answer to a Probe, or that none came.
 type ProbeResult struct {
-	Server  string
-	Round   uint64
-	OK      bool // an answer came
-	Current bool // from the answer
+	Server string
+	Round  uint64
+	OK     bool // an answer came
+	Answer Answer
+}
+
+// Answer is what a control process says of itself in the answer to a Probe.
+type Answer struct {
+	Current  bool   // it is in contact with a quorum and has applied all that was committed before
+	Revision uint64 // newest rules that it has or may have
 }
 
 // Servers replaces the control processes that the node may follow.
--- a/core/coordination/raft/follower.go
+++ b/core/coordination/raft/follower.go
@@ -6,13 +6,18 @@
 	"pollenhill.example/core/state/wal"
 )
 
-// recordLeader makes this member a follower of the sender and records the time of contact with the leader and its quorum.
+// recordLeader makes this member a follower of the sender and records the time of contact with the leader and its quorum. After a
+// time without that contact others may have committed entries, up to the commit index of the leader.
 func (m *Model) recordLeader(msg Message) {
 	m.becomeFollower(msg.Term, msg.From)
 	m.leaderHeardAt = m.now
-	if msg.HasQuorum {
-		m.quorumHeardAt = m.now
+	if !msg.HasQuorum {
+		return
+	}
+	if !m.now.Before(m.quorumHeardAt.Add(m.cfg.ElectionTimeout)) {
+		m.contactIndex = msg.Commit
 	}
+	m.quorumHeardAt = m.now
 }
 
 func (m *Model) onAppend(msg Message) {
--- a/core/coordination/raft/leader.go
+++ b/core/coordination/raft/leader.go
@@ -202,10 +202,18 @@
 func (m *Model) appendMessage(id string, prev, term uint64, entries []wal.Entry) Message {
 	return Message{
 		Kind: Append, To: id, Index: prev, LogTerm: term, Entries: entries,
-		Commit: m.commitIndex, Round: m.leaderState.round, HasQuorum: m.hasQuorumContact(time.Time{}),
+		Commit: m.commitIndex, Round: m.leaderState.round,
+		// Before an entry of its term is committed, a leader may not know of all committed entries.
+		HasQuorum: m.hasQuorumContact(time.Time{}) && m.isOfThisTerm(m.commitIndex),
 	}
 }
 
+// isOfThisTerm reports whether the entry at index is in memory and of the current term.
+func (m *Model) isOfThisTerm(index uint64) bool {
+	term, ok := m.log.term(index)
+	return ok && term == m.state.Term
+}
+
 func (m *Model) onAppendResponse(msg Message) {
 	p := m.leaderState.peers[msg.From]
 	if p == nil || msg.Index > m.log.lastIndex() {
--- a/core/coordination/raft/membership_change.go
+++ b/core/coordination/raft/membership_change.go
@@ -25,8 +25,7 @@
 // canChangeMembership reports whether this member leads and both the last membership change and an entry of its term are
 // committed. Without either, two quorums that don't overlap could be in force at once.
 func (m *Model) canChangeMembership() bool {
-	term, _ := m.log.term(m.commitIndex)
-	return m.role == Leader && m.memberships[len(m.memberships)-1].index <= m.commitIndex && term == m.state.Term
+	return m.role == Leader && m.memberships[len(m.memberships)-1].index <= m.commitIndex && m.isOfThisTerm(m.commitIndex)
 }
 
 func (m *Model) changeMembership(msg ChangeMembership) {
--- a/core/coordination/raft/message.go
+++ b/core/coordination/raft/message.go
@@ -24,7 +24,7 @@
 	Reject       bool
 	Offset       uint64 // rejected AppendResponse: entry after which to continue; InstallSnapshot, its response: in bytes
 	Round        uint64 // Append, InstallSnapshot, their responses: heartbeat round; ReadIndex, its response: token
-	HasQuorum    bool   // Append: the leader is in contact with a quorum
+	HasQuorum    bool   // Append: the leader is in contact with a quorum and knows every committed entry
 	SnapshotSize uint64 // InstallSnapshot: in bytes
 	Membership   []byte // InstallSnapshot: encoded membership at the snapshot
 	Chunk        []byte // InstallSnapshot: snapshot data from Offset on
--- a/core/coordination/raft/model.go
+++ b/core/coordination/raft/model.go
@@ -86,6 +86,7 @@
 	electionAt    time.Time // when the next election starts
 	leaderHeardAt time.Time // last message from the leader
 	quorumHeardAt time.Time // last message from a leader that was in contact with a quorum
+	contactIndex  uint64    // commit index of that leader when the contact with the quorum began
 
 	electionTries    int // pre-votes started since a leader was heard or a vote was granted
 	votes            map[string]bool
--- a/core/coordination/raft/read.go
+++ b/core/coordination/raft/read.go
@@ -27,8 +27,7 @@
 // startReadRound assigns a new heartbeat round to the reads that have none and reports whether there were any. It waits
 // until an entry of this term is committed, because before that the leader may not know of all committed entries.
 func (m *Model) startReadRound() bool {
-	term, _ := m.log.term(m.commitIndex)
-	if term != m.state.Term {
+	if !m.isOfThisTerm(m.commitIndex) {
 		return false
 	}
 	started := false
--- a/core/coordination/raft/rules_test.go
+++ b/core/coordination/raft/rules_test.go
@@ -329,3 +329,51 @@
 		t.Errorf("requested %d pre-votes, want 2", len(got))
 	}
 }
+
+// Guards against a member that counts as current before it has applied what was committed while it was away (review/14), and against
+// one that counts as behind once it has.
+func TestFollowerIsCurrentOnceCaughtUp(t *testing.T) {
+	s := newSingleMember(t, threeVoters, logContent(1, 1, 1))
+	heartbeat := raft.Message{Kind: raft.Append, From: "b", Term: 1, Index: 2, LogTerm: 1, HasQuorum: true, Commit: 4}
+	s.receive(heartbeat)
+	if got := s.view(); got.Current || got.Missing != 4 {
+		t.Errorf("current %v, missing up to %d with two of four committed entries, want not current, 4", got.Current, got.Missing)
+	}
+	more := heartbeat
+	more.Entries = []wal.Entry{{Index: 3, Term: 1}, {Index: 4, Term: 1}, {Index: 5, Term: 1}}
+	s.receive(more)
+	if got := s.view(); !got.Current || got.Missing != 0 {
+		t.Errorf("current %v, missing up to %d with all committed entries, want current, 0", got.Current, got.Missing)
+	}
+	heartbeat.Commit = 9 // under load a follower lacks the newest entries all the time
+	s.receive(heartbeat)
+	if !s.view().Current {
+		t.Error("not current although the contact has lasted")
+	}
+	s.now = s.now.Add(electionTimeout)
+	s.receive(heartbeat)
+	if got := s.view(); got.Current || got.Missing != 9 {
+		t.Errorf("current %v, missing up to %d after a time without contact, want not current, 9", got.Current, got.Missing)
+	}
+}
+
+// Guards against a new leader that counts as current, for itself and for its followers, before it knows which entries of earlier
+// terms are committed.
+func TestLeaderIsCurrentOnceItCommits(t *testing.T) {
+	s := newSingleMember(t, threeVoters, logContent(1, 1, 1))
+	s.becomeLeader()
+	s.receive(raft.Message{Kind: raft.AppendResponse, From: "b", Term: s.view().Term, Index: 2, Round: 1})
+	s.advance(electionTimeout / 4)
+	if got := s.view(); !got.HasQuorum || got.Current {
+		t.Errorf("has quorum %v, current %v before an entry of the term is committed, want quorum only", got.HasQuorum, got.Current)
+	}
+	for _, msg := range s.sent(raft.Append) {
+		if msg.HasQuorum {
+			t.Errorf("message to %s says that the leader knows what is committed", msg.To)
+		}
+	}
+	s.ack("b", 3)
+	if got := s.view(); !got.Current || got.Applied != 3 {
+		t.Errorf("current %v, applied %d after the commit, want current, 3", got.Current, got.Applied)
+	}
+}
--- a/core/coordination/raft/view.go
+++ b/core/coordination/raft/view.go
@@ -13,6 +13,8 @@
 	Applied       uint64 // last entry handed out for application
 	SnapshotIndex uint64 // last entry in the newest snapshot
 	HasQuorum     bool   // within the election timeout, as leader or as reported by the leader
+	Current       bool   // HasQuorum, and everything is applied that was committed before the contact with the quorum began
+	Missing       uint64 // index up to which a leader has committed entries that are not applied here, 0 for none
 	Membership    Membership
 }
 
@@ -21,11 +23,24 @@
 	if now.After(m.now) {
 		m.now = now
 	}
+	missing := uint64(0)
+	if m.contactIndex > m.appliedIndex {
+		missing = m.contactIndex
+	}
 	return View{
 		Role: m.role, Term: m.state.Term, Vote: m.state.Vote, Leader: m.leader, LastIndex: m.log.lastIndex(),
 		Commit: m.commitIndex, Applied: m.appliedIndex, SnapshotIndex: m.snapshot.Index,
-		HasQuorum: m.hasQuorum(), Membership: m.membership(),
+		HasQuorum: m.hasQuorum(), Current: m.isCurrent(), Missing: missing, Membership: m.membership(),
+	}
+}
+
+// isCurrent reports whether this member has contact with a quorum and has applied everything that was committed before that. A
+// leader has once it has applied an entry of its term, and a follower once it has applied what its leader had committed.
+func (m *Model) isCurrent() bool {
+	if m.role == Leader {
+		return m.hasQuorum() && m.isOfThisTerm(m.appliedIndex)
 	}
+	return m.hasQuorum() && m.appliedIndex >= m.contactIndex
 }
 
 func (m *Model) hasQuorum() bool {
--- a/core/state/event/kind.go
+++ b/core/state/event/kind.go
@@ -58,6 +58,7 @@
 	ChangeRejected                           // change rejected
 	ControlMembersChanged                    // members of the control group changed
 	ZoneOrderHandled                         // order about a zone
+	RulesPending                             // newer rules may be pending
 )
 
 // Kinds of events of control processes about rollouts.
--- a/core/state/event/kind_string.go
+++ b/core/state/event/kind_string.go
@@ -39,6 +39,7 @@
 	_ = x[ChangeRejected-2004]
 	_ = x[ControlMembersChanged-2005]
 	_ = x[ZoneOrderHandled-2006]
+	_ = x[RulesPending-2007]
 	_ = x[RolloutOrdered-2030]
 	_ = x[RolloutAdvanced-2031]
 	_ = x[TLSHandshakeFailed-5000]
@@ -53,7 +54,7 @@
 	_Kind_name_2 = "requests over an allowance refusedtotals of accounts"
 	_Kind_name_3 = "requests give way under overload"
 	_Kind_name_4 = "upload refused before its body"
-	_Kind_name_5 = "control startedcontrol stoppedleader changedchange acceptedchange rejectedmembers of the control group changedorder about a zone"
+	_Kind_name_5 = "control startedcontrol stoppedleader changedchange acceptedchange rejectedmembers of the control group changedorder about a zonenewer rules may be pending"
 	_Kind_name_6 = "order for a rolloutrollout advanced"
 	_Kind_name_7 = "TLS handshake failedTLS files not in uselog lines droppedconnection not accepted"
 )
@@ -61,7 +62,7 @@
 var (
 	_Kind_index_0 = [...]uint16{0, 12, 25, 37, 59, 74, 88, 122, 132, 151, 175, 199, 210, 222, 258, 295, 340, 368, 396, 424}
 	_Kind_index_2 = [...]uint8{0, 34, 52}
-	_Kind_index_5 = [...]uint8{0, 15, 30, 44, 59, 74, 110, 128}
+	_Kind_index_5 = [...]uint8{0, 15, 30, 44, 59, 74, 110, 128, 154}
 	_Kind_index_6 = [...]uint8{0, 19, 35}
 	_Kind_index_7 = [...]uint8{0, 20, 40, 57, 80}
 )
@@ -80,7 +81,7 @@
 		return _Kind_name_3
 	case i == 1070:
 		return _Kind_name_4
-	case 2000 <= i && i <= 2006:
+	case 2000 <= i && i <= 2007:
 		i -= 2000
 		return _Kind_name_5[_Kind_index_5[i]:_Kind_index_5[i+1]]
 	case 2030 <= i && i <= 2031:
--- a/node/transport/control/session.go
+++ b/node/transport/control/session.go
@@ -179,7 +179,8 @@
 			s.enqueue(ctx, follow.ProbeResult{Server: cmd.Server, Round: cmd.Round})
 			return
 		}
-		s.enqueue(ctx, follow.ProbeResult{Server: cmd.Server, Round: cmd.Round, OK: true, Current: resp.Msg.GetCurrent()})
+		answer := follow.Answer{Current: resp.Msg.GetCurrent(), Revision: resp.Msg.GetRevision()}
+		s.enqueue(ctx, follow.ProbeResult{Server: cmd.Server, Round: cmd.Round, OK: true, Answer: answer})
 		s.learnGroup(ctx, resp.Msg.GetGroup())
 		// A node without rules receives them on its first stream.
 		if revision := s.client.State().Revision; revision > 0 && resp.Msg.GetCurrent() && resp.Msg.GetRevision() > revision {
