--- a/control/daemon/main.go
+++ b/control/daemon/main.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -39,6 +40,9 @@
 	return 0
 }
 
+// softMemoryLimit is the memory from which on the collector runs more often, in bytes; control processes run on VMs of 256 MB.
+const softMemoryLimit = 192 << 20
+
 // diskFullDelay is the delay between starts while the disk is full. The process waits because its end would free no
 // space.
 const diskFullDelay = 500 * time.Millisecond
@@ -48,6 +52,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(softMemoryLimit)
 	d, err := New(s)
 	for s.MaxVoters > 0 && errors.IsAny(err, syscall.ENOSPC, syscall.EDQUOT) && ctx.Err() == nil {
 		fmt.Fprintln(cmd.Root().ErrWriter, "control: waiting for free space in the data folder:", err)
--- a/lab/soak/cluster_test.go
+++ b/lab/soak/cluster_test.go
@@ -55,7 +55,8 @@
 	logPath string
 }
 
-func startProcess(t *testing.T, dir, program, name string, settings map[string]any) *process {
+// startProcess starts a program with its settings and with further environment variables, such as "GOMAXPROCS=1".
+func startProcess(t testing.TB, dir, program, name string, settings map[string]any, env ...string) *process {
 	t.Helper()
 	programDir, err := programs()
 	if err != nil {
@@ -77,6 +78,7 @@
 	defer out.Close()
 	p.cmd = exec.Command(filepath.Join(programDir, program), "--settings", path)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
+	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -195,7 +197,7 @@
 var prefixes atomic.Int32
 
 // freePrefix returns the first three bytes of loopback addresses that no other cluster uses.
-func freePrefix(t *testing.T) string {
+func freePrefix(t testing.TB) string {
 	for range 200 {
 		prefix := fmt.Sprintf("127.%d.%d", 60+os.Getpid()%100, prefixes.Add(1))
 		if ln, err := net.Listen("tcp", prefix+".10:"+fmt.Sprint(controlPort)); err == nil {
@@ -290,21 +292,37 @@
 	return do(method, c.controlURL(i)+path, body, timeout)
 }
 
+// do sends a call and returns the status, 0 without a response. A whole table replaces the first, empty one.
 func do(method, url, body string, timeout time.Duration) int {
+	base := ""
+	if method == http.MethodPut && strings.HasSuffix(url, "/table") {
+		base = "0"
+	}
+	status, _ := exchange(method, url, base, body, timeout)
+	return status
+}
+
+// exchange sends a call and returns the status and the body of the response, 0 without one. Base is the version that a change of
+// the table builds on, empty for other calls.
+func exchange(method, url, base, body string, timeout time.Duration) (status int, response string) {
 	req, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
-		return 0
+		return 0, ""
 	}
-	if method == http.MethodPut && strings.HasSuffix(url, "/table") {
-		req.Header.Set("If-Match", "0")
+	if base != "" {
+		req.Header.Set("If-Match", base)
 	}
 	client := &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
-		return 0
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
 	}
-	resp.Body.Close()
-	return resp.StatusCode
+	return resp.StatusCode, string(raw)
 }
 
 // order sends an order about a zone until the control process acknowledges it.
