control: the soft memory limit follows the settings

With 2,900 nodes a control process needs more than that by CAPACITY.md, and its collector would have run all the time.

--- a/control/daemon/main.go
+++ b/control/daemon/main.go
@@ -40,8 +40,10 @@
 	return 0
 }
 
-// softMemoryLimit is the memory from which on the collector runs more often, in bytes; control processes run on VMs of 256 MB.
-const softMemoryLimit = 192 << 20
+const (
+	softMemoryShare  = 0.7 // of Settings.MemoryMB, from which on the garbage collector runs more often
+	bytesPerMegabyte = 1e6
+)
 
 // diskFullDelay is the delay between starts while the disk is full. The process waits because its end would free no
 // space.
@@ -52,7 +54,9 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(softMemoryLimit)
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(softMemoryShare * s.MemoryMB * bytesPerMegabyte))
+	}
 	d, err := New(s)
 	for s.MaxVoters > 0 && errors.IsAny(err, syscall.ENOSPC, syscall.EDQUOT) && ctx.Err() == nil {
 		fmt.Fprintln(cmd.Root().ErrWriter, "control: waiting for free space in the data folder:", err)
--- a/control/daemon/settings.go
+++ b/control/daemon/settings.go
@@ -27,6 +27,7 @@
 	FirstStart          bool           `json:"first"`                         // with seeds: the whole system starts for the first time
 	LogFile             string         `json:"log"`                           // path; empty: standard error
 	EventFile           string         `json:"events"`                        // path; empty: same as log
+	MemoryMB            float64        `json:"memory" validate:"gte=0"`       // megabytes that this process may use; 0: not known
 	MaxVoters           int            `json:"-"`                             // with seeds: number of voters of the group; otherwise 0
 	TLS                 *mtls.Config   `json:"tls,omitempty"`                 // for all connections to other processes; nil: plain connections
 }
--- a/lab/soak/memory_test.go
+++ b/lab/soak/memory_test.go
@@ -59,7 +59,7 @@
 		ip, _, _ := strings.Cut(g.seeds[i], ":")
 		g.controls = append(g.controls, startProcess(g.t, g.dir, "control", fmt.Sprintf("control-%d", i+1), map[string]any{
 			"zone": zone, "region": "r", "listen": g.seeds[i], "bind": ip, "data": g.dataDir(i),
-			"seeds": g.seeds, "first": first, "losses": 1, "events": "-",
+			"seeds": g.seeds, "first": first, "losses": 1, "events": "-", "memory": controlMemory,
 		}, "GOMAXPROCS=1"))
 	}
 }
