consensus: PendingRules takes the view that its caller has

The group took the view of the model twice for each step, once for its own fields and once inside PendingRules. No behaviour changes. Tests of the group and of starting processes pass.

--- a/control/coordination/raftgroup/loop.go
+++ b/control/coordination/raftgroup/loop.go
@@ -135,7 +135,7 @@
 	name := func(id string, _ int) string { return consensus.ProcessName(id) }
 	old := g.lastView.Swap(&timedView{takenAt: now, view: View{
 		ID: g.engine.ID(), Leader: consensus.ProcessName(v.Leader), Term: v.Term, CommitIndex: v.Commit, AppliedIndex: v.Applied,
-		Current: v.Current, PendingRules: g.engine.PendingRules(now), Voters: lo.Map(v.Membership.Voters, name), Learners: lo.Map(v.Membership.Learners, name),
+		Current: v.Current, PendingRules: g.engine.PendingRules(v), Voters: lo.Map(v.Membership.Voters, name), Learners: lo.Map(v.Membership.Learners, name),
 		DynamicMembership: g.cfg.MaxVoters > 0,
 	}})
 	if old != nil && old.view.Leader != consensus.ProcessName(v.Leader) {
--- a/core/coordination/consensus/engine.go
+++ b/core/coordination/consensus/engine.go
@@ -217,9 +217,8 @@
 // PendingRules returns the index up to which there may be newer rules than those of the replica, 0 if none are known. There may be
 // in entries of the opened log, as long as this member doesn't know whether they are committed, and in entries that a leader has
 // committed and this member has not applied yet. Without either, the rules of the replica are the newest that this member can
-// know of, even if it has no contact with a quorum.
-func (e *Engine) PendingRules(now time.Time) uint64 {
-	v := e.View(now)
+// know of, even if it has no contact with a quorum. It takes the View of the same moment.
+func (e *Engine) PendingRules(v raft.View) uint64 {
 	switch {
 	case v.Current:
 		return 0
