raft: a short gap does not make a follower catch up again

Cause: a follower that had not heard of the quorum for an election timeout (0.4 s) had to apply all that was committed meanwhile before it counted as current. A leader that applies a large table on a quarter of a core is silent for that long, and then the follower applies the same entry: the two times add up.

Change: the contact counts as lost after 3 s, the time after which a silent voter is replaced. A process that starts still catches up first, and so does one that was cut off for longer. The test covers the short gap and the long one.

--- a/core/coordination/raft/follower.go
+++ b/core/coordination/raft/follower.go
@@ -6,20 +6,24 @@
 	"pollenhill.example/core/state/wal"
 )
 
-// recordLeader makes this member a follower of the sender and records the time of contact with the leader and its quorum. After a
-// time without that contact others may have committed entries, up to the commit index of the leader.
+// recordLeader makes this member a follower of the sender and records the time of contact with the leader and its quorum. After
+// maxContactGap without that contact others may have committed entries, up to the commit index of the leader.
 func (m *Model) recordLeader(msg Message) {
 	m.becomeFollower(msg.Term, msg.From)
 	m.leaderHeardAt = m.now
 	if !msg.HasQuorum {
 		return
 	}
-	if !m.now.Before(m.quorumHeardAt.Add(m.cfg.ElectionTimeout)) {
+	if !m.now.Before(m.quorumHeardAt.Add(maxContactGap)) {
 		m.contactIndex = msg.Commit
 	}
 	m.quorumHeardAt = m.now
 }
 
+// maxContactGap is how long a follower may be without contact to a quorum before it has to catch up to count as current again. Under
+// load a leader and its followers are busy for longer than an election timeout while they apply a large entry.
+const maxContactGap = UnresponsiveVoterTimeout
+
 func (m *Model) onAppend(msg Message) {
 	if m.role == Leader {
 		m.emit(Halt{fmt.Sprintf("two leaders in term %d: member %s and this one", msg.Term, msg.From)})
--- a/core/coordination/raft/rules_test.go
+++ b/core/coordination/raft/rules_test.go
@@ -352,6 +352,11 @@
 	}
 	s.now = s.now.Add(electionTimeout)
 	s.receive(heartbeat)
+	if !s.view().Current {
+		t.Error("not current after a gap as long as a leader needs to apply a large entry")
+	}
+	s.now = s.now.Add(raft.UnresponsiveVoterTimeout)
+	s.receive(heartbeat)
 	if got := s.view(); got.Current || got.Missing != 9 {
 		t.Errorf("current %v, missing up to %d after a time without contact, want not current, 9", got.Current, got.Missing)
 	}
