consensus: a repeated change in the log holds no rules back

Cause: a group sends a change again after two heartbeats without a result.

Why it works: a change number or a table version only rises, and a zone or a rollout in the wanted state stays so until another entry changes it.

--- a/control/daemon/start_test.go
+++ b/control/daemon/start_test.go
@@ -155,3 +155,22 @@
 		t.Errorf("a process without contact to the others gave change %d, want change %d", rules.GetNumber(), number)
 	}
 }
+
+// Guards against nodes that wait for a leader because a group has sent a change again while its commit was slow: the log of the
+// process has the change in force once more, after the snapshot that holds it.
+func TestStartingProcessGivesItsNewestRulesDespiteRepeatedChange(t *testing.T) {
+	c := newCluster(t, 3)
+	leader := c.waitLeader(t)
+	c.waitAllCurrent(t)
+	number, revision := c.submitUntilSnapshot(t, leader)
+	c.claimUntilSnapshot(t, leader, revision)
+	last := c.daemons[leader].View().AppliedIndex
+	c.submitUntilAccepted(t, leader, number, paddedRuleText(number))
+	awaitApplied(t, c.daemons[leader], last+1)
+	c.stopAll()
+
+	c.start(t, leader)
+	if rules := rulesFor(t, c.settings[leader], 4); rules.GetNumber() != number {
+		t.Errorf("a process whose log has change %d again gave change %d", number, rules.GetNumber())
+	}
+}
--- a/core/coordination/consensus/engine.go
+++ b/core/coordination/consensus/engine.go
@@ -199,21 +199,27 @@
 		TrailingEntries: e.cfg.TrailingEntries, Rand: e.cfg.Rand, MaxVoters: e.cfg.MaxVoters,
 	}, now, e.openedContent)
 	e.model = model
-	e.loggedRules = lastRuleChange(e.openedContent.Entries)
+	e.loggedRules = e.lastRuleChange(e.openedContent.Entries)
 	e.openedContent = wal.Content{Identity: e.openedContent.Identity}
 	return err
 }
 
-// lastRuleChange returns the index of the last entry that may change the rules, 0 if there is none.
-func lastRuleChange(entries []wal.Entry) uint64 {
+// lastRuleChange returns the index of the last of the entries that may change the rules, 0 if they change none. The entries follow
+// those that the replica has applied.
+func (e *Engine) lastRuleChange(entries []wal.Entry) uint64 {
+	if !slices.ContainsFunc(entries, func(entry wal.Entry) bool { return isCommand(entry) && e.replica.MayChangeRules(entry.Data) }) {
+		return 0
+	}
 	for _, entry := range slices.Backward(entries) {
-		if entry.Kind == raft.EntryCommand && replica.MayChangeRules(entry.Data) {
+		if isCommand(entry) && replica.CanChangeRules(entry.Data) {
 			return entry.Index
 		}
 	}
 	return 0
 }
 
+func isCommand(entry wal.Entry) bool { return entry.Kind == raft.EntryCommand }
+
 // PendingRules returns the index up to which there may be newer rules than those of the replica, 0 if none are known. There may be
 // in entries of the opened log, as long as this member doesn't know whether they are committed, and in entries that a leader has
 // committed and this member has not applied yet. Without either, the rules of the replica are the newest that this member can
--- a/core/state/replica/command.go
+++ b/core/state/replica/command.go
@@ -208,25 +208,6 @@
 	return c, errors.Wrap(err, "decode command")
 }
 
-// MayChangeRules reports whether an encoded command is of a kind that can change the rules. It decodes no more than the kind.
-func MayChangeRules(b []byte) bool {
-	kind := CommandNone
-	err := protofield.ForEach(b, func(f protofield.Field) error {
-		if f.Number == 1 {
-			kind = CommandKind(f.Uint)
-		}
-		return nil
-	})
-	if err != nil {
-		return true // the entry stops the member when it is applied
-	}
-	switch kind {
-	case CommandChangeRules, CommandChangeTable, CommandSetZoneEvacuated, CommandOrderRollout, CommandAdvanceRollout:
-		return true
-	}
-	return false
-}
-
 func (r Response) write(w *protofield.Writer) {
 	w.Uint(1, uint64(r.Status))
 	w.String(2, r.ContentType)
--- a/core/state/replica/rollout.go
+++ b/core/state/replica/rollout.go
@@ -50,14 +50,16 @@
 
 // isResent reports whether an order asks for what the current rollout does or has done.
 func (r *Replica) isResent(current rule.Rollout, c Command) bool {
+	recent := fromMillis(r.stateTime).Sub(current.Since) <= current.Within+resendWindow
+	return isCarriedOut(current, c) || current.Target == c.Target && current.Within == c.Within && recent
+}
+
+// isCarriedOut reports whether the current rollout has done what an order asks for, or is doing it.
+func isCarriedOut(current rule.Rollout, c Command) bool {
 	if current.Target != c.Target {
 		return false
 	}
-	if current.State == rule.RolloutCompleted {
-		return true
-	}
-	recent := fromMillis(r.stateTime).Sub(current.Since) <= current.Within+resendWindow
-	return current.Within == c.Within && (current.State == rule.RolloutAdvancing || recent)
+	return current.State == rule.RolloutCompleted || current.State == rule.RolloutAdvancing && current.Within == c.Within
 }
 
 // advanceRollout changes the share or the state of a rollout that has not ended. The state of one that has ended is final.
@@ -66,15 +68,21 @@
 	if newest := r.RolloutOrder(c.Service); !ok || c.KnownOrder != newest || current.State != rule.RolloutAdvancing {
 		return Result{Verdict: VerdictStale, Expected: newest}
 	}
+	next := advanced(current, c)
+	if reflect.DeepEqual(next, current) {
+		return Result{Verdict: VerdictStored}
+	}
+	return r.writeRollout(index, c, next, c.State.String())
+}
+
+// advanced returns the current rollout with the share and the state in c.
+func advanced(current rule.Rollout, c Command) rule.Rollout {
 	next := current
 	next.State, next.Replaced = c.State, c.Replaced
 	if math.Abs(float64(c.Share-current.Share)) > 1/shareUnit {
 		next.Share = c.Share
 	}
-	if reflect.DeepEqual(next, current) {
-		return Result{Verdict: VerdictStored}
-	}
-	return r.writeRollout(index, c, next, c.State.String())
+	return next
 }
 
 func (r *Replica) writeRollout(index uint64, c Command, next rule.Rollout, step string) Result {
